--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+.PHONY: install run up down format lint test proto
+
+BIN = .venv/bin
+PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl
+
+install: .venv/installed
+
+.venv/installed: requirements.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	"$$(scripts/find-python)" -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix --editable ,$(PACKAGES))
+	touch .venv/installed
+
+run: install
+	$(BIN)/python -m scripts.cell run
+
+up: install
+	$(BIN)/python -m scripts.cell up
+
+down: install
+	$(BIN)/python -m scripts.cell down
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: lint
+	$(BIN)/nose2 --verbose
+
+proto: install
+	cd packages/persimmonpath_daemon && ../../$(BIN)/python -m grpc_tools.protoc -I. \
+	  --python_out=. --pyi_out=. --grpc_python_out=. persimmonpath_daemon/peers.proto
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts of a cluster scheduler for heterogeneous work."""
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/errors.py
@@ -0,0 +1,99 @@
+"""Typed exceptions; most travel as the failure side of a result."""
+
+
+class PersimmonError(Exception):
+    """Base of every error of this project."""
+
+
+class InvariantError(PersimmonError):
+    """A state that the program rules out was reached; the process must stop."""
+
+
+class InputError(PersimmonError):
+    """A value from outside is not acceptable.
+
+    Attributes:
+        field: Name of the offending field.
+        allowed: Allowed range or form, in words.
+    """
+
+    def __init__(self, field: str, message: str, allowed: str = ""):
+        super().__init__(f"{field}: {message}")
+        self.field = field
+        self.allowed = allowed
+
+
+class TableError(PersimmonError):
+    """A call to the table service did not succeed."""
+
+
+class TableUnavailableError(TableError):
+    """The call surely had no effect."""
+
+
+class TableUncertainError(TableError):
+    """The answer was lost; the write may have taken effect."""
+
+
+class TableConflictError(TableError):
+    """A check of the transaction failed; nothing was written."""
+
+
+class ObjectError(PersimmonError):
+    """A call to the object store did not succeed."""
+
+
+class MachineListError(PersimmonError):
+    """The platform's list of VMs could not be read."""
+
+
+class WorkerError(PersimmonError):
+    """A call to a worker did not succeed."""
+
+
+class WorkerUnreachableError(WorkerError):
+    """No answer came; the call may have taken effect."""
+
+
+class WorkerNotContactedError(WorkerError):
+    """The call was never sent, so it surely had no effect."""
+
+
+class StartRefusedError(WorkerError):
+    """The worker refused a start; the attempt does not run.
+
+    Attributes:
+        reason: A `workers.Refusal` value.
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(f"start refused: {reason}")
+        self.reason = reason
+
+
+class StaleEpochError(WorkerError):
+    """The worker has been fenced by a higher epoch or another owner."""
+
+
+class LeaseLapsedError(WorkerError):
+    """The worker's owner lease lapsed; it must be fenced again."""
+
+
+class UnknownAttemptError(WorkerError):
+    """The worker has no record of the attempt."""
+
+
+class PeerError(PersimmonError):
+    """A call to another entry VM did not succeed.
+
+    Attributes:
+        sent: Whether the call may have reached the peer.
+    """
+
+    def __init__(self, message: str, sent: bool):
+        super().__init__(message)
+        self.sent = sent
+
+
+class NotOwnerError(PersimmonError):
+    """This entry VM does not own the shard that the call is for."""
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/httpplatform.py
@@ -0,0 +1,153 @@
+"""The platform's table, object store and VM list over HTTP."""
+
+import dataclasses
+import urllib.parse
+
+from returns import result
+import urllib3
+
+from persimmonpath import errors
+from persimmonpath import machines
+from persimmonpath import objects
+from persimmonpath import tables
+from persimmonpath import wire
+
+CALL_TIMEOUT_S = 2.0
+CONNECTIONS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitBody:
+    """Body of a commit."""
+
+    checks: list[tables.Check]
+    writes: list[tables.Write]
+
+
+class _Endpoint:
+    """Calls to one address, with a bound on connections and time."""
+
+    def __init__(self, url: str, timeout_s: float):
+        self._url = url.rstrip("/")
+        self._timeout = urllib3.Timeout(total=timeout_s)
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, block=True)
+
+    def call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        """Sends one call without any retry."""
+        return self._pool.request(
+            method,
+            self._url + path,
+            body=body,
+            timeout=self._timeout,
+            retries=False,
+        )
+
+
+class HttpTable(tables.Table):
+    """The table service over HTTP."""
+
+    def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S):
+        """Creates a client; no call is made.
+
+        Args:
+            url: Base address of the service.
+            timeout_s: Bound on one call in seconds.
+        """
+        self._endpoint = _Endpoint(url, timeout_s)
+
+    def get(self, key):
+        """Reads a row."""
+        path = "/table/rows/" + urllib.parse.quote(key, safe="")
+        return self._read(path).bind(
+            lambda body: result.Success(wire.decode(tables.Row | None, body))
+        )
+
+    def scan(self, prefix):
+        """Reads all rows with a prefix."""
+        path = "/table/scan?prefix=" + urllib.parse.quote(prefix, safe="")
+        return self._read(path).bind(
+            lambda body: result.Success(wire.decode(list[tables.Row], body))
+        )
+
+    def commit(self, checks, writes):
+        """Applies all writes if all checks hold."""
+        body = wire.encode(CommitBody(checks, writes))
+        try:
+            reply = self._endpoint.call("POST", "/table/commit", body)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return result.Failure(errors.TableUnavailableError(str(error)))
+        except urllib3.exceptions.HTTPError as error:
+            return result.Failure(errors.TableUncertainError(str(error)))
+        if reply.status == 200:
+            return result.Success(int(reply.data))
+        text = reply.data.decode(errors="replace")
+        if reply.status == 409:
+            return result.Failure(errors.TableConflictError(text))
+        if reply.status == 503:
+            return result.Failure(errors.TableUnavailableError(text))
+        return result.Failure(errors.TableUncertainError(text))
+
+    def _read(self, path: str):
+        try:
+            reply = self._endpoint.call("GET", path)
+        except urllib3.exceptions.HTTPError as error:
+            return result.Failure(errors.TableUnavailableError(str(error)))
+        if reply.status != 200:
+            return result.Failure(
+                errors.TableUnavailableError(f"status {reply.status}")
+            )
+        return result.Success(reply.data)
+
+
+class HttpObjects(objects.ObjectStore):
+    """The object store over HTTP."""
+
+    def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S):
+        """Creates a client; no call is made."""
+        self._endpoint = _Endpoint(url, timeout_s)
+
+    def put(self, name, body):
+        """Stores a body."""
+        reply = self._call("PUT", name, body)
+        return reply.bind(lambda _: result.Success(None))
+
+    def get(self, name):
+        """Reads a body."""
+        return self._call("GET", name, None)
+
+    def _call(self, method: str, name: str, body: bytes | None):
+        path = "/objects/" + urllib.parse.quote(name, safe="")
+        try:
+            reply = self._endpoint.call(method, path, body)
+        except urllib3.exceptions.HTTPError as error:
+            return result.Failure(errors.ObjectError(str(error)))
+        if reply.status == 404:
+            return result.Success(None)
+        if reply.status != 200:
+            return result.Failure(errors.ObjectError(f"status {reply.status}"))
+        return result.Success(reply.data)
+
+
+class HttpMachines(machines.MachineList):
+    """The VM list over HTTP."""
+
+    def __init__(self, url: str, timeout_s: float = CALL_TIMEOUT_S):
+        """Creates a client; no call is made."""
+        self._endpoint = _Endpoint(url, timeout_s)
+
+    def read(self):
+        """Returns all listed VMs."""
+        try:
+            reply = self._endpoint.call("GET", "/machines")
+        except urllib3.exceptions.HTTPError as error:
+            return result.Failure(errors.MachineListError(str(error)))
+        if reply.status != 200:
+            return result.Failure(
+                errors.MachineListError(f"status {reply.status}")
+            )
+        return result.Success(wire.decode(list[machines.Machine], reply.data))
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/inventory.py
@@ -0,0 +1,205 @@
+"""The operator's inventory of availability zones, racks and workers."""
+
+import csv
+import io
+import tomllib
+from typing import Annotated
+
+import pydantic
+
+from persimmonpath import errors
+from persimmonpath import identifiers
+from persimmonpath import resources
+
+MAX_WORKERS = 10_000
+MAX_SHARDS_PER_ZONE = 64
+
+Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,39}$")]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Worker(_Model):
+    """A VM that runs tasks.
+
+    Attributes:
+        name: Name of the VM, unique.
+        zone: Its availability zone.
+        rack: Its rack within the zone.
+        shard: Index of its shard; assigned when left out, and never changed.
+        host: IP number.
+        port: TCP port of the worker's interface.
+        cpu_millis: Thousandths of a core.
+        memory_mib: Memory in MiB.
+        accelerators: Whole accelerators.
+        slots: Tasks that it runs at once.
+        connections: Connections that it accepts at once.
+        draining: Whether the operator asked for no new work.
+    """
+
+    name: Name
+    zone: Name
+    rack: Name
+    shard: Annotated[int, pydantic.Field(ge=0)] | None = None
+    host: pydantic.IPvAnyAddress
+    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    cpu_millis: Annotated[int, pydantic.Field(gt=0, le=1_000_000)]
+    memory_mib: Annotated[int, pydantic.Field(gt=0, le=100_000_000)]
+    accelerators: Annotated[int, pydantic.Field(ge=0, le=64)] = 0
+    slots: Annotated[int, pydantic.Field(gt=0, le=1024)] = 8
+    connections: Annotated[int, pydantic.Field(gt=0, le=4096)] = 64
+    draining: bool = False
+
+    @property
+    def capacity(self) -> resources.Resources:
+        """Returns what the worker can carry."""
+        return resources.Resources(
+            self.cpu_millis, self.memory_mib, self.accelerators
+        )
+
+    @property
+    def shard_id(self) -> identifiers.ShardId:
+        """Returns the shard that the worker belongs to."""
+        return identifiers.ShardId(self.zone, self.shard or 0)
+
+
+class Zone(_Model):
+    """An availability zone and its number of shards."""
+
+    name: Name
+    region: Name = "region-1"
+    shards: Annotated[int, pydantic.Field(ge=1, le=MAX_SHARDS_PER_ZONE)] = 1
+
+
+class Inventory(_Model):
+    """All availability zones and workers."""
+
+    zones: tuple[Zone, ...] = ()
+    workers: Annotated[
+        tuple[Worker, ...], pydantic.Field(max_length=MAX_WORKERS)
+    ] = ()
+
+    @pydantic.model_validator(mode="after")
+    def _check(self) -> "Inventory":
+        zones = {zone.name: zone for zone in self.zones}
+        if len(zones) != len(self.zones):
+            raise ValueError("zones: a name appears twice")
+        names = set()
+        for worker in self.workers:
+            if worker.name in names:
+                raise ValueError(f"workers: {worker.name} appears twice")
+            names.add(worker.name)
+            if worker.zone not in zones:
+                raise ValueError(
+                    f"workers: {worker.name}: unknown zone {worker.zone}"
+                )
+            if (worker.shard or 0) >= zones[worker.zone].shards:
+                raise ValueError(
+                    f"workers: {worker.name}: shard {worker.shard} of "
+                    f"{zones[worker.zone].shards}"
+                )
+        return self
+
+    def list_shards(self) -> list[identifiers.ShardId]:
+        """Returns every shard of every zone."""
+        return [
+            identifiers.ShardId(zone.name, index)
+            for zone in self.zones
+            for index in range(zone.shards)
+        ]
+
+    def list_workers(self, shard: identifiers.ShardId) -> list[Worker]:
+        """Returns the workers of a shard."""
+        return [w for w in self.workers if w.shard_id == shard]
+
+
+def assign_shards(inventory: Inventory) -> Inventory:
+    """Gives each worker without a shard one, so that shards share racks.
+
+    The workers of a zone are dealt out in the order of rack, size and name to
+    the shard that has the fewest of that size.
+    """
+    counts: dict[tuple, int] = {}
+    for worker in inventory.workers:
+        if worker.shard is not None:
+            key = (worker.shard_id, worker.capacity)
+            counts[key] = counts.get(key, 0) + 1
+    shards = {zone.name: zone.shards for zone in inventory.zones}
+    assigned = {}
+    for worker in sorted(inventory.workers, key=lambda w: (w.rack, w.name)):
+        if worker.shard is not None:
+            continue
+        candidates = [
+            identifiers.ShardId(worker.zone, index)
+            for index in range(shards[worker.zone])
+        ]
+        shard = min(
+            candidates, key=lambda s: (counts.get((s, worker.capacity), 0), s)
+        )
+        key = (shard, worker.capacity)
+        counts[key] = counts.get(key, 0) + 1
+        assigned[worker.name] = worker.model_copy(update={"shard": shard.index})
+    return Inventory(
+        zones=inventory.zones,
+        workers=tuple(assigned.get(w.name, w) for w in inventory.workers),
+    )
+
+
+def parse_toml(text: str) -> Inventory:
+    """Reads an asset register in TOML: `[[zones]]` and `[[workers]]`.
+
+    Raises:
+        errors.InputError: If the text is not a valid inventory.
+    """
+    try:
+        return validate_inventory(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise errors.InputError("inventory", str(error), "TOML") from error
+
+
+def parse_csv(text: str, shards: int = 1) -> Inventory:
+    """Reads an asset register in CSV with a header line of worker fields.
+
+    Args:
+        text: The register.
+        shards: Number of shards of each zone that it names.
+
+    Raises:
+        errors.InputError: If the text is not a valid inventory.
+    """
+    rows = []
+    for row in csv.DictReader(io.StringIO(text)):
+        rows.append({k: v for k, v in row.items() if v not in ("", None)})
+    zones = sorted({row.get("zone", "") for row in rows})
+    return validate_inventory(
+        {
+            "zones": [{"name": zone, "shards": shards} for zone in zones],
+            "workers": rows,
+        }
+    )
+
+
+def validate_inventory(content: object) -> Inventory:
+    """Validates parsed content.
+
+    Raises:
+        errors.InputError: If the content is not a valid inventory; the message
+            names every fault.
+    """
+    try:
+        return Inventory.model_validate(content)
+    except pydantic.ValidationError as error:
+        raise errors.InputError(
+            "inventory", describe_faults(error), "see docs/operators.md"
+        ) from error
+
+
+def describe_faults(error: pydantic.ValidationError) -> str:
+    """Returns every fault of a validation as one line."""
+    faults = []
+    for fault in error.errors(include_url=False):
+        place = ".".join(str(part) for part in fault["loc"])
+        faults.append(f"{place}: {fault['msg']}" if place else fault["msg"])
+    return "; ".join(faults)
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/machines.py
@@ -0,0 +1,59 @@
+"""The platform's list of live and leaving VMs, which lags."""
+
+import abc
+import dataclasses
+import enum
+import threading
+
+from returns import result
+
+from persimmonpath import errors
+
+
+class MachineState(enum.StrEnum):
+    """State of a VM as the platform lists it; absent VMs are gone."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Machine:
+    """A VM as listed."""
+
+    name: str
+    state: MachineState
+
+
+class MachineList(abc.ABC):
+    """Reads the platform's list."""
+
+    @abc.abstractmethod
+    def read(self) -> result.Result[list[Machine], errors.MachineListError]:
+        """Returns all listed VMs, entry VMs and workers alike."""
+
+
+class MemoryMachines(MachineList):
+    """A list in memory."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._machines: dict[str, Machine] = {}
+
+    def read(self) -> result.Result[list[Machine], errors.MachineListError]:
+        """Returns all listed VMs."""
+        with self._lock:
+            return result.Success(list(self._machines.values()))
+
+    def mark(self, name: str, state: MachineState | None) -> None:
+        """Sets the state of a VM; None takes it off the list."""
+        with self._lock:
+            if state is None:
+                self._machines.pop(name, None)
+            else:
+                self._machines[name] = Machine(name, state)
+
+
+def create_memory_machines() -> MemoryMachines:
+    """Returns an empty list in memory."""
+    return MemoryMachines()
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/objects.py
@@ -0,0 +1,48 @@
+"""The object store of the platform."""
+
+import abc
+import threading
+
+from returns import result
+
+from persimmonpath import errors
+
+
+class ObjectStore(abc.ABC):
+    """Immutable bodies by name; used for task checkpoints."""
+
+    @abc.abstractmethod
+    def put(
+        self, name: str, body: bytes
+    ) -> result.Result[None, errors.ObjectError]:
+        """Stores a body; storing the same name again replaces it."""
+
+    @abc.abstractmethod
+    def get(self, name: str) -> result.Result[bytes | None, errors.ObjectError]:
+        """Reads a body; success with None when there is none."""
+
+
+class MemoryObjects(ObjectStore):
+    """An object store in memory."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._bodies: dict[str, bytes] = {}
+
+    def put(
+        self, name: str, body: bytes
+    ) -> result.Result[None, errors.ObjectError]:
+        """Stores a body."""
+        with self._lock:
+            self._bodies[name] = body
+        return result.Success(None)
+
+    def get(self, name: str) -> result.Result[bytes | None, errors.ObjectError]:
+        """Reads a body."""
+        with self._lock:
+            return result.Success(self._bodies.get(name))
+
+
+def create_memory_objects() -> ObjectStore:
+    """Returns an empty object store in memory."""
+    return MemoryObjects()
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/outcomes.py
@@ -0,0 +1,50 @@
+"""What became of a request."""
+
+import dataclasses
+
+import xxhash
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The request ran and this is its whole answer."""
+
+    answer: bytes
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The request ran and reported a failure."""
+
+    reason: str
+    worker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request certainly was not run and will not be under this id."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may or may not have run; the caller can ask again."""
+
+    reason: str
+
+
+Outcome = Done | Failed | NotRun | Unknown
+
+NAMES = {Done: "done", Failed: "failed", NotRun: "not_run", Unknown: "unknown"}
+
+
+def name_outcome(outcome: Outcome) -> str:
+    """Returns the wire name of an outcome."""
+    return NAMES[type(outcome)]
+
+
+def compute_checksum(body: bytes) -> str:
+    """Returns the xxh64 checksum of an answer in hexadecimal."""
+    return xxhash.xxh64_hexdigest(body)
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/rules.py
@@ -0,0 +1,72 @@
+"""The operator's rules: which work may go where, and policy settings."""
+
+from typing import Annotated
+
+import pydantic
+
+from persimmonpath import inventory
+
+Share = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class PlacementRule(_Model):
+    """Confines kinds of work to availability zones or racks.
+
+    Attributes:
+        kind: Kind of work that the rule is for; `*` for every kind.
+        team: Team that the rule is for; `*` for every team.
+        zones: Allowed availability zones; empty for all.
+        racks: Allowed racks; empty for all.
+    """
+
+    kind: str = "*"
+    team: str = "*"
+    zones: tuple[inventory.Name, ...] = ()
+    racks: tuple[inventory.Name, ...] = ()
+
+
+class Quota(_Model):
+    """The most that the running jobs of a team may hold."""
+
+    team: inventory.Name
+    cpu_millis: Annotated[int, pydantic.Field(ge=0)]
+    memory_mib: Annotated[int, pydantic.Field(ge=0)]
+    accelerators: Annotated[int, pydantic.Field(ge=0)] = 0
+
+
+class Policy(_Model):
+    """Settings of the policies; docs/policies.md explains each.
+
+    Attributes:
+        short_run_s: Work expected to run at most this long counts as short.
+        short_slots_share: Share of each worker's slots kept for short work.
+        queue_limit: Requests that wait per shard.
+        quarantine_failures: Consecutive failures that quarantine a worker.
+        quarantine_share: Most of a zone's workers that may be quarantined.
+        retry_share: Retries allowed per first attempt.
+        gang_hold_s: Longest time that a waiting gang holds resources.
+        urgent_start_s: Time in which urgent work should start.
+        spill_to_zones: Whether requests may go to another zone when full.
+    """
+
+    short_run_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 1.0
+    short_slots_share: Share = 0.25
+    queue_limit: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1000
+    quarantine_failures: Annotated[int, pydantic.Field(ge=2, le=100)] = 5
+    quarantine_share: Share = 0.34
+    retry_share: Share = 0.1
+    gang_hold_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 2.0
+    urgent_start_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 9.1
+    spill_to_zones: bool = True
+
+
+class Rules(_Model):
+    """All rules of a cell."""
+
+    placement: tuple[PlacementRule, ...] = ()
+    quotas: tuple[Quota, ...] = ()
+    policy: Policy = Policy()
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/wire.py
@@ -0,0 +1,48 @@
+"""JSON form of data classes and validated models."""
+
+import functools
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from persimmonpath import errors
+
+T = TypeVar("T")
+
+# Answers are bytes of any content, which JSON strings cannot hold.
+_BYTES = {"ser_json_bytes": "base64", "val_json_bytes": "base64"}
+
+
+def uses_base64(cls: type[T]) -> type[T]:
+    """Class decorator: fields of type bytes are base64 in JSON."""
+    cls.__pydantic_config__ = pydantic.ConfigDict(**_BYTES)
+    return cls
+
+
+@functools.cache
+def _get_adapter(kind: Any) -> pydantic.TypeAdapter:
+    return pydantic.TypeAdapter(kind)
+
+
+def encode(value: Any, kind: Any = None) -> bytes:
+    """Returns the JSON form of a data class, model or plain value."""
+    return _get_adapter(kind or type(value)).dump_json(value)
+
+
+def decode(kind: type[T], body: bytes | str) -> T:
+    """Parses and validates a JSON body.
+
+    Args:
+        kind: Type to produce.
+        body: The JSON text.
+
+    Raises:
+        errors.InputError: If the body does not describe a `kind`.
+    """
+    try:
+        return _get_adapter(kind).validate_json(body)
+    except pydantic.ValidationError as error:
+        fault = error.errors(include_url=False)[0]
+        field = ".".join(str(part) for part in fault["loc"]) or "body"
+        raise errors.InputError(field, fault["msg"], "") from error
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/workers.py
@@ -0,0 +1,209 @@
+"""The platform's workers: what they are asked and what they answer."""
+
+import abc
+from concurrent import futures
+import dataclasses
+import enum
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import resources
+from persimmonpath import wire
+
+
+class AttemptState(enum.StrEnum):
+    """What a worker knows of an attempt."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    CLOSED = "closed"  # A tombstone: never started and never will.
+
+
+class Refusal(enum.StrEnum):
+    """Why a worker refused a start; none of these starts the attempt."""
+
+    STALE_EPOCH = "stale_epoch"
+    LEASE_LAPSED = "lease_lapsed"
+    CLOSED = "closed"
+    REPEATED = "repeated"
+    LATE = "late"
+    LEAVING = "leaving"
+    OVERLOADED = "overloaded"
+
+
+class Action(enum.StrEnum):
+    """What a worker can be told to do with a running attempt."""
+
+    STOP = "stop"
+    CHECKPOINT = "checkpoint"
+    THROTTLE = "throttle"
+
+
+FINAL_STATES = frozenset(AttemptState) - {AttemptState.RUNNING}
+
+
+@wire.uses_base64
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartTask:
+    """A request to start an attempt.
+
+    Attributes:
+        attempt: Attempt id, `ID#N`.
+        epoch: Epoch of the shard's owner.
+        start_within_s: Seconds after receipt in which it may start.
+        size: What it was placed with.
+        payload: Body for the task.
+        digest: Digest of the request's content, kept in the record.
+        kind: Kind of work, kept in the record.
+        checkpoint: Name of the object to resume from; empty for none.
+        trace: Trace id and parent span id.
+    """
+
+    attempt: str
+    epoch: int
+    start_within_s: float
+    size: resources.Resources
+    payload: bytes = b""
+    digest: str = ""
+    kind: str = ""
+    checkpoint: str = ""
+    trace: str = ""
+
+
+@wire.uses_base64
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptRecord:
+    """What a worker knows of one attempt.
+
+    Attributes:
+        attempt: Attempt id, `ID#N`.
+        epoch: Epoch that started or closed it.
+        state: An `AttemptState`.
+        size: What it was started with.
+        digest: Digest of the request's content.
+        kind: Kind of work.
+        answer: The whole answer, once it succeeded.
+        reason: Why it failed or was stopped.
+        checkpoint: Name of the object with its last checkpoint.
+        run_s: Seconds that it ran, or has run so far.
+    """
+
+    attempt: str
+    epoch: int
+    state: AttemptState
+    size: resources.Resources = resources.ZERO
+    digest: str = ""
+    kind: str = ""
+    answer: bytes = b""
+    reason: str = ""
+    checkpoint: str = ""
+    run_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """Answer to a fence.
+
+    Attributes:
+        records: Every attempt that the worker has a record of.
+        complete_since_epoch: Lowest epoch whose records are all kept.
+        last_event: Number of the last finished-attempt event.
+    """
+
+    records: list[AttemptRecord]
+    complete_since_epoch: int
+    last_event: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """A usage report; it lags and is never used for reservations."""
+
+    used: resources.Resources
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """Answer to a renewal.
+
+    Attributes:
+        finished: Attempts that ended after the acknowledged event.
+        last_event: Number of the last event in `finished`.
+        leaving: Whether the worker is about to leave.
+        usage: The lagging usage report.
+    """
+
+    finished: list[AttemptRecord]
+    last_event: int
+    leaving: bool
+    usage: Usage
+
+
+Reply = futures.Future
+
+
+class WorkerClient(abc.ABC):
+    """Calls to one worker.
+
+    Every call returns at once with a future of a `returns.result.Result`. The
+    failure side is a `WorkerError`; a call that gets no answer in its time
+    fails with `WorkerUnreachableError`, and may have taken effect.
+    """
+
+    @abc.abstractmethod
+    def fence(
+        self, epoch: int, owner: str, lease_s: float, timeout_s: float
+    ) -> "Reply[result.Result[Listing, errors.WorkerError]]":
+        """Sets the owner register, starts the owner lease, lists attempts.
+
+        Fails with `StaleEpochError` unless the epoch is greater than the
+        register's, or equal with the same owner.
+        """
+
+    @abc.abstractmethod
+    def renew(
+        self, epoch: int, lease_s: float, acknowledged: int, timeout_s: float
+    ) -> "Reply[result.Result[Renewal, errors.WorkerError]]":
+        """Extends the owner lease.
+
+        Fails with `StaleEpochError` or, after it lapsed, `LeaseLapsedError`.
+        """
+
+    @abc.abstractmethod
+    def start(
+        self, start: StartTask, wait: bool, timeout_s: float
+    ) -> "Reply[result.Result[AttemptRecord, errors.WorkerError]]":
+        """Starts an attempt, or fails with `StartRefusedError`.
+
+        With `wait` the answer comes when the attempt has ended, otherwise
+        when it has started.
+        """
+
+    @abc.abstractmethod
+    def close(
+        self, attempt: str, epoch: int, timeout_s: float
+    ) -> "Reply[result.Result[AttemptRecord, errors.WorkerError]]":
+        """Prevents a start that has not happened and returns the record.
+
+        A record in state `CLOSED` means that the attempt never ran.
+        """
+
+    @abc.abstractmethod
+    def inspect(
+        self, attempt: str, timeout_s: float
+    ) -> "Reply[result.Result[AttemptRecord, errors.WorkerError]]":
+        """Returns the record, or fails with `UnknownAttemptError`."""
+
+    @abc.abstractmethod
+    def control(
+        self, attempt: str, action: Action, epoch: int, timeout_s: float
+    ) -> "Reply[result.Result[AttemptRecord, errors.WorkerError]]":
+        """Applies an action to a running attempt and returns the record."""
+
+    @abc.abstractmethod
+    def disconnect(self) -> None:
+        """Closes every connection; calls in flight fail."""
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command for callers and operators."""
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on entry VMs."""
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -0,0 +1,311 @@
+"""Calls between entry VMs over gRPC."""
+
+from collections.abc import Callable
+from concurrent import futures
+import threading
+from typing import Any
+
+import grpc
+from returns import result
+
+from persimmonpath import configuration
+from persimmonpath import errors
+from persimmonpath import identifiers
+from persimmonpath import outcomes
+from persimmonpath import peers
+from persimmonpath import resources
+from persimmonpath import wire
+from persimmonpath import work
+from persimmonpath_daemon import peers_pb2
+from persimmonpath_daemon import peers_pb2_grpc
+
+CALL_TIMEOUT_S = 1.0
+# Time that the owner's answer may take on its way beyond the request's own.
+ANSWER_MARGIN_S = 0.2
+MAX_MESSAGE_BYTES = 8 << 20
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.enable_retries", 0),
+    ("grpc.so_reuseport", 0),
+]
+
+
+def encode_request(
+    request_id: str, request: work.Request
+) -> peers_pb2.RunRequest:
+    """Returns the message that forwards a request."""
+    return peers_pb2.RunRequest(
+        id=request_id,
+        kind=request.kind,
+        team=request.team,
+        idempotent=request.idempotent,
+        cpu_millis=request.size.cpu_millis,
+        memory_mib=request.size.memory_mib,
+        accelerators=request.size.accelerators,
+        payload=request.payload,
+        timeout_s=request.timeout_s,
+        run_s=request.run_s,
+        trace=request.trace,
+    )
+
+
+def decode_request(message: peers_pb2.RunRequest) -> work.Request:
+    """Returns the request of a message."""
+    size = resources.Resources(
+        message.cpu_millis, message.memory_mib, message.accelerators
+    )
+    return work.Request(
+        kind=message.kind,
+        team=message.team,
+        idempotent=message.idempotent,
+        size=size,
+        payload=message.payload,
+        timeout_s=message.timeout_s,
+        run_s=message.run_s,
+        trace=message.trace,
+    )
+
+
+def encode_outcome(
+    request_id: str, outcome: outcomes.Outcome
+) -> peers_pb2.RunReply:
+    """Returns the message that carries an outcome."""
+    reply = peers_pb2.RunReply(
+        id=request_id, outcome=outcomes.name_outcome(outcome)
+    )
+    match outcome:
+        case outcomes.Done(answer, worker):
+            reply.answer = answer
+            reply.worker = worker
+            reply.checksum = outcomes.compute_checksum(answer)
+        case outcomes.Failed(reason, worker):
+            reply.reason = reason
+            reply.worker = worker
+        case outcomes.NotRun(reason) | outcomes.Unknown(reason):
+            reply.reason = reason
+    return reply
+
+
+def decode_outcome(
+    request_id: str, reply: peers_pb2.RunReply
+) -> outcomes.Outcome:
+    """Returns the outcome of a message, `Unknown` when it is damaged."""
+    if reply.id != request_id:
+        return outcomes.Unknown("answer_for_another_request")
+    match reply.outcome:
+        case "done":
+            if outcomes.compute_checksum(reply.answer) != reply.checksum:
+                return outcomes.Unknown("answer_damaged")
+            return outcomes.Done(reply.answer, reply.worker)
+        case "failed":
+            return outcomes.Failed(reply.reason, reply.worker)
+        case "not_run":
+            return outcomes.NotRun(reply.reason)
+    return outcomes.Unknown(reply.reason)
+
+
+class GrpcPeers(peers.Peers):
+    """Calls to other entry VMs; one channel for each address.
+
+    A call that reaches its deadline drops its channel, since the connection
+    may be silent for good; the next call opens another.
+    """
+
+    def __init__(self):
+        """Creates a client without channels."""
+        self._lock = threading.Lock()
+        self._channels: dict[str, grpc.Channel] = {}
+
+    def run(self, address, request_id, request):
+        """Runs a request at the owner of its shard."""
+        return self._call(
+            address,
+            "Run",
+            encode_request(str(request_id), request),
+            request.timeout_s + ANSWER_MARGIN_S,
+            lambda m: _read_reply(str(request_id), m),
+        )
+
+    def ask(self, address, request_id, close):
+        """Asks the owner of a shard what became of a request."""
+        return self._call(
+            address,
+            "Ask",
+            peers_pb2.AskRequest(id=str(request_id), close=close),
+            CALL_TIMEOUT_S,
+            lambda m: _read_reply(str(request_id), m),
+        )
+
+    def issue_ids(self, address, shard, count):
+        """Has the owner of a shard issue request ids."""
+
+        def read(reply: peers_pb2.IssueIdsReply) -> result.Result:
+            if reply.not_owner:
+                return result.Failure(errors.NotOwnerError(str(shard)))
+            return result.Success(
+                [identifiers.parse_request_id(i) for i in reply.ids]
+            )
+
+        message = peers_pb2.IssueIdsRequest(
+            zone=shard.zone, shard=shard.index, count=count
+        )
+        return self._call(address, "IssueIds", message, CALL_TIMEOUT_S, read)
+
+    def probe(self, address):
+        """Returns the state of an entry VM."""
+        return self._call(
+            address,
+            "Probe",
+            peers_pb2.ProbeRequest(),
+            CALL_TIMEOUT_S,
+            lambda m: result.Success(decode_probe(m)),
+        )
+
+    def fetch_config(self, address):
+        """Returns the configuration that an entry VM applies."""
+        return self._call(
+            address,
+            "FetchConfig",
+            peers_pb2.FetchConfigRequest(),
+            CALL_TIMEOUT_S,
+            lambda m: result.Success(
+                wire.decode(configuration.Configuration, m.content)
+            ),
+        )
+
+    def notify_job(self, address, shard, job_id):
+        """Tells the owner of a shard of a new or changed job."""
+        message = peers_pb2.NotifyJobRequest(
+            zone=shard.zone, shard=shard.index, id=job_id
+        )
+        return self._call(
+            address,
+            "NotifyJob",
+            message,
+            CALL_TIMEOUT_S,
+            lambda _: result.Success(None),
+        )
+
+    def _call(
+        self,
+        address: str,
+        method: str,
+        message: Any,
+        timeout_s: float,
+        read: Callable[[Any], result.Result],
+    ) -> futures.Future:
+        future: futures.Future = futures.Future()
+        channel = self._get_channel(address)
+        stub = peers_pb2_grpc.PeerStub(channel)
+        call = getattr(stub, method).future(message, timeout=timeout_s)
+
+        def take(done: grpc.Future) -> None:
+            try:
+                future.set_result(read(done.result()))
+            except grpc.RpcError as error:
+                if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                    self._drop_channel(address, channel)
+                future.set_result(result.Failure(_read_error(error)))
+            except errors.InputError as error:
+                future.set_result(
+                    result.Failure(errors.PeerError(str(error), True))
+                )
+
+        call.add_done_callback(take)
+        return future
+
+    def _get_channel(self, address: str) -> grpc.Channel:
+        with self._lock:
+            channel = self._channels.get(address)
+            if channel is None:
+                channel = grpc.insecure_channel(address, options=_OPTIONS)
+                self._channels[address] = channel
+            return channel
+
+    def _drop_channel(self, address: str, channel: grpc.Channel) -> None:
+        # Calls still in flight on the channel may yet be answered, so it is
+        # not closed here; it closes when the last of them lets go of it.
+        with self._lock:
+            if self._channels.get(address) is channel:
+                del self._channels[address]
+
+
+def _read_error(error: grpc.RpcError) -> errors.PeerError:
+    # UNAVAILABLE is also reported when a connection breaks after the call was
+    # sent, so only a failure to connect counts as not sent.
+    detail = (error.details() or "").lower()
+    return errors.PeerError(
+        error.code().name, "failed to connect" not in detail
+    )
+
+
+def _read_reply(request_id: str, reply: peers_pb2.RunReply) -> result.Result:
+    if reply.not_owner:
+        return result.Failure(errors.NotOwnerError(request_id))
+    return result.Success(decode_outcome(request_id, reply))
+
+
+def encode_probe(probe: peers.Probe) -> peers_pb2.ProbeReply:
+    """Returns the message that tells the state of an entry VM."""
+    reply = peers_pb2.ProbeReply(
+        vm=probe.vm,
+        incarnation=probe.incarnation,
+        config_version=probe.config_version,
+        has_session=probe.has_session,
+    )
+    for load in probe.shards:
+        reply.shards.add(
+            zone=load.shard.zone,
+            shard=load.shard.index,
+            epoch=load.epoch,
+            free_slots=load.free_slots,
+            in_flight=load.in_flight,
+        )
+    return reply
+
+
+def decode_probe(reply: peers_pb2.ProbeReply) -> peers.Probe:
+    """Returns the state of an entry VM from a message."""
+    return peers.Probe(
+        reply.vm,
+        reply.incarnation,
+        reply.config_version,
+        reply.has_session,
+        [
+            peers.ShardLoad(
+                identifiers.ShardId(load.zone, load.shard),
+                load.epoch,
+                load.free_slots,
+                load.in_flight,
+            )
+            for load in reply.shards
+        ],
+    )
+
+
+def create_peers() -> peers.Peers:
+    """Returns a client of other entry VMs."""
+    return GrpcPeers()
+
+
+def create_server(
+    servicer: peers_pb2_grpc.PeerServicer, address: str, threads: int
+) -> grpc.Server:
+    """Returns a server that listens but does not serve yet.
+
+    Args:
+        servicer: Answers the calls.
+        address: `IP:port`.
+        threads: Calls served at once.
+    """
+    server = grpc.server(
+        futures.ThreadPoolExecutor(threads, thread_name_prefix="peer"),
+        options=_OPTIONS,
+        maximum_concurrent_rpcs=threads * 4,
+    )
+    peers_pb2_grpc.add_PeerServicer_to_server(servicer, server)
+    if server.add_insecure_port(address) == 0:
+        raise errors.InputError("peer", f"cannot listen on {address}")
+    return server
--- /dev/null
+++ b/scripts/processes.py
@@ -0,0 +1,182 @@
+"""Processes of a small cell on the loopback address."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import urllib3
+
+BIN = pathlib.Path(sys.executable).parent
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """Size of a cell."""
+
+    zones: tuple[str, ...] = ("zone-a", "zone-b")
+    entry_vms_per_zone: int = 2
+    workers_per_zone: int = 3
+    shards_per_zone: int = 2
+
+
+def find_free_ports(count):
+    """Returns TCP ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Cell:
+    """Starts and stops the processes of a cell."""
+
+    def __init__(self, directory, shape=Shape()):
+        self.directory = pathlib.Path(directory)
+        self.shape = shape
+        self.processes = {}
+        self.workers = {}
+        self.entries = {}
+        self.platform = ""
+
+    def start(self):
+        """Starts every process and imports the inventory."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        shape = self.shape
+        zones = len(shape.zones)
+        per_zone = shape.workers_per_zone + 2 * shape.entry_vms_per_zone
+        ports = iter(find_free_ports(1 + zones * per_zone))
+        self.platform = f"127.0.0.1:{next(ports)}"
+        self.spawn_platform()
+        for zone in shape.zones:
+            for index in range(shape.workers_per_zone):
+                name = f"{zone}-worker-{index}"
+                self.workers[name] = (zone, next(ports))
+                self.spawn_worker(name)
+        self.wait_ready(self.platform, "/machines")
+        for zone in shape.zones:
+            for index in range(shape.entry_vms_per_zone):
+                name = f"{zone}-entry-{index}"
+                self.entries[name] = (zone, next(ports), next(ports))
+                self.spawn_entry(name)
+        for name in self.entries:
+            self.wait_ready(self.get_http_address(name), "/healthz")
+        self.import_inventory()
+        for name in self.entries:
+            self.wait_ready(self.get_http_address(name), "/readyz")
+
+    def spawn(self, name, arguments):
+        """Starts a process whose output goes to a file."""
+        log = (self.directory / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            arguments, stdout=log, stderr=log, start_new_session=True
+        )
+
+    def spawn_platform(self):
+        """Starts the platform stand-in."""
+        port = self.platform.rpartition(":")[2]
+        module = "tests.standins.platform"
+        self.spawn("platform", [sys.executable, "-m", module, "--port", port])
+
+    def spawn_worker(self, name):
+        """Starts a worker stand-in."""
+        port = str(self.workers[name][1])
+        module = "tests.standins.worker"
+        self.spawn(
+            name,
+            [sys.executable, "-m", module, "--port", port, "--name", name],
+        )
+
+    def spawn_entry(self, name):
+        """Starts an entry VM."""
+        zone, http_port, peer_port = self.entries[name]
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            f'vm = "{name}"\nzone = "{zone}"\n'
+            f"[http]\nport = {http_port}\n[peer]\nport = {peer_port}\n"
+            f'[platform]\nurl = "http://{self.platform}"\n'
+        )
+        self.spawn(name, [str(BIN / "persimmond"), str(path)])
+
+    def get_http_address(self, name):
+        """Returns the address of an entry VM for callers."""
+        return f"127.0.0.1:{self.entries[name][1]}"
+
+    def wait_ready(self, address, path):
+        """Waits until a path answers with status 200."""
+        pool = urllib3.PoolManager()
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                reply = pool.request(
+                    "GET", f"http://{address}{path}", retries=False, timeout=2
+                )
+                if reply.status == 200:
+                    return
+            except urllib3.exceptions.HTTPError:
+                pass
+            time.sleep(0.1)
+        raise RuntimeError(f"{address}{path} is not ready; see the logs")
+
+    def import_inventory(self):
+        """Imports an asset register with all workers."""
+        path = self.directory / "inventory.toml"
+        path.write_text(self.format_inventory())
+        self.control("inventory", "import", str(path)).check_returncode()
+
+    def format_inventory(self):
+        """Returns the asset register in TOML."""
+        lines = []
+        for zone in self.shape.zones:
+            lines.append(
+                f'[[zones]]\nname = "{zone}"\n'
+                f"shards = {self.shape.shards_per_zone}\n"
+            )
+        for index, (name, (zone, port)) in enumerate(self.workers.items()):
+            lines.append(
+                f'[[workers]]\nname = "{name}"\nzone = "{zone}"\n'
+                f'rack = "{zone}-rack-{index % 2}"\nhost = "127.0.0.1"\n'
+                f"port = {port}\ncpu_millis = 16000\nmemory_mib = 32768\n"
+            )
+        return "\n".join(lines)
+
+    def control(self, *arguments):
+        """Runs `persimmonctl` and returns the completed process."""
+        addresses = [self.get_http_address(name) for name in self.entries]
+        return subprocess.run(
+            [str(BIN / "persimmonctl"), *arguments],
+            env={**os.environ, "PERSIMMON_ENTRY": ",".join(addresses)},
+            capture_output=True,
+            text=True,
+            timeout=120,
+            check=False,
+        )
+
+    def stop(self):
+        """Stops every process that this cell started."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def save(self):
+        """Writes process ids and addresses, for a later `down`."""
+        state = {
+            "pids": {n: p.pid for n, p in self.processes.items()},
+            "entries": [self.get_http_address(n) for n in self.entries],
+        }
+        (self.directory / "cell.json").write_text(json.dumps(state))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests and stand-ins."""
--- /dev/null
+++ b/tests/contracts.py
@@ -0,0 +1,23 @@
+"""Helpers shared by the contract tests of the real and in-memory forms."""
+
+import threading
+
+from scripts import processes
+from tests.standins import server
+
+
+class RunningStandIn:
+    """A stand-in that is served by a thread of this process."""
+
+    def __init__(self, application):
+        self.port = processes.find_free_ports(1)[0]
+        self._server = server.create_server(application, self.port, threads=8)
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.port}"
+
+    def stop(self):
+        self._server.stop()
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, served over HTTP."""
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,91 @@
+"""Stand-in for table service, object store and VM list."""
+
+import dataclasses
+import threading
+import time
+import urllib.parse
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import httpplatform
+from persimmonpath import machines
+from persimmonpath import objects
+from persimmonpath import tables
+from persimmonpath import wire
+from tests.standins import server
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """What is wrong with the platform; set by `POST /faults`."""
+
+    is_down: bool = False
+    delay_s: float = 0.0
+    loses_answers: bool = False
+
+
+class PlatformApplication(server.Application):
+    """Serves the in-memory forms, with faults."""
+
+    def __init__(self):
+        self.table = tables.create_memory_table()
+        self.objects = objects.create_memory_objects()
+        self.machines = machines.create_memory_machines()
+        self.faults = Faults()
+        self._never = threading.Event()
+
+    def answer(self, method, path, query, body):
+        if path == "/faults":
+            self.faults = wire.decode(Faults, body)
+            return 200, b"ok"
+        faults = self.faults
+        if faults.is_down:
+            return 503, b"down"
+        if faults.delay_s:
+            time.sleep(faults.delay_s)
+        status, reply = self._serve(method, path, query, body)
+        if faults.loses_answers and method == "POST":
+            self._never.wait(5.0)
+        return status, reply
+
+    def _serve(self, method, path, query, body):
+        if path.startswith("/table/rows/"):
+            key = urllib.parse.unquote(path.removeprefix("/table/rows/"))
+            row = self.table.get(key).unwrap()
+            return 200, wire.encode(row, tables.Row | None)
+        if path == "/table/scan":
+            rows = self.table.scan(query.get("prefix", "")).unwrap()
+            return 200, wire.encode(rows, list[tables.Row])
+        if path == "/table/commit":
+            return self._commit(body)
+        if path.startswith("/objects/"):
+            return self._serve_object(method, path, body)
+        if path == "/machines":
+            if method == "POST":
+                machine = wire.decode(machines.Machine, body)
+                self.machines.mark(machine.name, machine.state)
+                return 200, b"ok"
+            listed = self.machines.read().unwrap()
+            return 200, wire.encode(listed, list[machines.Machine])
+        return 404, b"no such path"
+
+    def _commit(self, body):
+        parsed = wire.decode(httpplatform.CommitBody, body)
+        reply = self.table.commit(parsed.checks, parsed.writes)
+        if isinstance(reply, result.Success):
+            return 200, str(reply.unwrap()).encode()
+        assert isinstance(reply.failure(), errors.TableConflictError)
+        return 409, str(reply.failure()).encode()
+
+    def _serve_object(self, method, path, body):
+        name = urllib.parse.unquote(path.removeprefix("/objects/"))
+        if method == "PUT":
+            self.objects.put(name, body)
+            return 200, b"ok"
+        found = self.objects.get(name).unwrap()
+        return (404, b"none") if found is None else (200, found)
+
+
+if __name__ == "__main__":
+    server.serve(PlatformApplication(), server.parse_arguments().port)
--- /dev/null
+++ b/tests/standins/server.py
@@ -0,0 +1,64 @@
+"""HTTP plumbing shared by the stand-ins."""
+
+import argparse
+import signal
+import threading
+import urllib.parse
+
+from cheroot import wsgi
+
+_STATUS_LINES = {
+    200: "200 OK",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    503: "503 Service Unavailable",
+}
+
+
+class Application:
+    """WSGI application whose `answer` returns a status and a body."""
+
+    def answer(self, method, path, query, body):
+        """Answers one call; path and query are decoded."""
+        raise NotImplementedError
+
+    def __call__(self, environ, start_response):
+        """Answers one call."""
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        path = environ["PATH_INFO"]
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        status, reply = self.answer(
+            environ["REQUEST_METHOD"], path, query, body
+        )
+        start_response(
+            _STATUS_LINES[status], [("Content-Length", str(len(reply)))]
+        )
+        return [reply]
+
+
+def create_server(application, port, threads=64):
+    """Returns a server on the loopback address, not started."""
+    server = wsgi.Server(("127.0.0.1", port), application, numthreads=threads)
+    server.shutdown_timeout = 0.2
+    return server
+
+
+def parse_arguments(*extra):
+    """Parses `--port` and further integer options."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    for name, default in extra:
+        parser.add_argument(name, type=type(default), default=default)
+    return parser.parse_args()
+
+
+def serve(application, port, threads=64):
+    """Serves until SIGTERM."""
+    server = create_server(application, port, threads)
+    server.prepare()
+    stopping = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    threading.Thread(target=server.serve, daemon=True).start()
+    stopping.wait()
+    server.stop()
--- /dev/null
+++ b/tests/standins/worker.py
@@ -0,0 +1,113 @@
+"""Stand-in for a worker."""
+
+import json
+import threading
+import urllib.parse
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import httpworkers
+from persimmonpath import memoryworkers
+from persimmonpath import resources
+from persimmonpath import timers
+from persimmonpath import wire
+from tests.standins import server
+
+CALL_S = 3600.0
+
+
+def plan_from_payload(start):
+    """Reads what an attempt does from a JSON payload.
+
+    Fields: `run_s`, `fails`, `forever`. The answer repeats the payload.
+    """
+    try:
+        fields = json.loads(start.payload)
+    except ValueError:
+        fields = {}
+    if not isinstance(fields, dict):
+        fields = {}
+    if fields.get("forever"):
+        return memoryworkers.Plan(None, True)
+    return memoryworkers.Plan(
+        fields.get("run_s", 0.005),
+        not fields.get("fails", False),
+        start.payload.upper(),
+        "task failed" if fields.get("fails") else "",
+    )
+
+
+class WorkerApplication(server.Application):
+    """Serves a `MemoryWorker`, with faults."""
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.is_silent = False
+
+    def answer(self, method, path, query, body):
+        if path == "/faults":
+            faults = json.loads(body)
+            self.is_silent = faults.get("is_silent", self.is_silent)
+            self.worker.leaving = faults.get("leaving", self.worker.leaving)
+            return 200, b"ok"
+        if path == "/statistics":
+            return 200, json.dumps(
+                {
+                    "runs": self.worker.runs,
+                    "overloads": self.worker.overloads,
+                    "running": self.worker.list_running(),
+                }
+            ).encode()
+        if self.is_silent:
+            threading.Event().wait(30.0)
+        reply = self._call(method, path, body).result()
+        if isinstance(reply, result.Success):
+            return 200, wire.encode(reply.unwrap())
+        error = reply.failure()
+        assert isinstance(error, errors.WorkerError)
+        return 409, wire.encode(httpworkers.describe_error(error))
+
+    def _call(self, method, path, body):
+        worker = self.worker
+        if path == "/fence":
+            b = wire.decode(httpworkers.FenceBody, body)
+            return worker.fence(b.epoch, b.owner, b.lease_s, CALL_S)
+        if path == "/renew":
+            b = wire.decode(httpworkers.RenewBody, body)
+            return worker.renew(b.epoch, b.lease_s, b.acknowledged, CALL_S)
+        if path == "/tasks":
+            b = wire.decode(httpworkers.StartBody, body)
+            return worker.start(b.start, b.wait, CALL_S)
+        if path == "/tombstones":
+            b = wire.decode(httpworkers.CloseBody, body)
+            return worker.close(b.attempt, b.epoch, CALL_S)
+        if path == "/control":
+            b = wire.decode(httpworkers.ControlBody, body)
+            return worker.control(b.attempt, b.action, b.epoch, CALL_S)
+        attempt = urllib.parse.unquote(path.removeprefix("/tasks/"))
+        return worker.inspect(attempt, CALL_S)
+
+
+def main():
+    arguments = server.parse_arguments(
+        ("--name", "worker"),
+        ("--cpu-millis", 16000),
+        ("--memory-mib", 32768),
+        ("--accelerators", 0),
+        ("--slots", 8),
+    )
+    worker = memoryworkers.MemoryWorker(
+        arguments.name,
+        resources.Resources(
+            arguments.cpu_millis, arguments.memory_mib, arguments.accelerators
+        ),
+        arguments.slots,
+        timers.create_real_timers(lambda error: None),
+        plan_from_payload,
+    )
+    server.serve(WorkerApplication(worker), arguments.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,71 @@
+"""Contract of the table service."""
+
+import unittest
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import httpplatform
+from persimmonpath import tables
+from tests import contracts
+from tests.standins import platform
+
+
+class TableContract:
+    """Both forms of the table pass these."""
+
+    def test_commit_is_refused_as_a_whole_when_one_check_fails(self):
+        self.table.commit([], [tables.Write("a", "1")]).unwrap()
+        reply = self.table.commit(
+            [tables.Check("a", 0), tables.Check("b", 0)],
+            [tables.Write("b", "2")],
+        )
+        self.assertIsInstance(reply.failure(), errors.TableConflictError)
+        self.assertIsNone(self.table.get("b").unwrap())
+
+    def test_version_changes_with_every_write(self):
+        first = self.table.commit([], [tables.Write("a", "1")]).unwrap()
+        second = self.table.commit([], [tables.Write("a", "1")]).unwrap()
+        self.assertNotEqual(first, second)
+        self.assertEqual(self.table.get("a").unwrap().version, second)
+
+    def test_check_against_version_zero_means_no_row(self):
+        write = [tables.Write("a/b c", "1")]
+        check = [tables.Check("a/b c", 0)]
+        self.assertIsInstance(self.table.commit(check, write), result.Success)
+        self.assertIsInstance(self.table.commit(check, write), result.Failure)
+
+    def test_scan_returns_rows_of_the_prefix_in_key_order(self):
+        for key in ("x/2", "x/1", "y/1"):
+            self.table.commit([], [tables.Write(key, key)]).unwrap()
+        keys = [row.key for row in self.table.scan("x/").unwrap()]
+        self.assertEqual(keys, ["x/1", "x/2"])
+
+    def test_deleted_row_is_gone(self):
+        self.table.commit([], [tables.Write("a", "1")]).unwrap()
+        self.table.commit([], [tables.Write("a", None)]).unwrap()
+        self.assertIsNone(self.table.get("a").unwrap())
+
+
+class MemoryTableTest(TableContract, unittest.TestCase):
+    def setUp(self):
+        self.table = tables.create_memory_table()
+
+
+class HttpTableTest(TableContract, unittest.TestCase):
+    def setUp(self):
+        self.application = platform.PlatformApplication()
+        running = contracts.RunningStandIn(self.application)
+        self.addCleanup(running.stop)
+        self.table = httpplatform.HttpTable(running.url, timeout_s=0.5)
+
+    def test_lost_answer_is_uncertain_though_the_write_took_effect(self):
+        self.application.faults = platform.Faults(loses_answers=True)
+        reply = self.table.commit([], [tables.Write("a", "1")])
+        self.assertIsInstance(reply.failure(), errors.TableUncertainError)
+        self.assertEqual(self.table.get("a").unwrap().value, "1")
+
+    def test_down_service_surely_wrote_nothing(self):
+        self.application.faults = platform.Faults(is_down=True)
+        reply = self.table.commit([], [tables.Write("a", "1")])
+        self.assertIsInstance(reply.failure(), errors.TableUnavailableError)
