Add fakes of peers, table and workers for tests with manual timers

Network and MemoryPeers connect entry VMs of one process and can make calls silent, refuse them or lose their answers; FaultyTable and FaultyWorker do the same for the platform. FakeCell assembles them.

--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,324 @@
+"""Fakes at the interfaces of an entry VM, for tests with manual timers."""
+
+from concurrent import futures
+
+from returns import result
+
+from persimmonpath import entry as entry_module
+from persimmonpath import errors
+from persimmonpath import memoryworkers
+from persimmonpath import peers
+from persimmonpath import resources
+from persimmonpath import tables
+from persimmonpath import timers
+from persimmonpath import workers
+
+CALL_TIMEOUT_S = 1.0
+WORKER_SIZE = resources.Resources(16_000, 32_768, 0)
+
+
+class Network:
+    """Connects the entry VMs of a test.
+
+    Attributes:
+        entries: Entry VMs by peer address; an absent one refuses calls.
+        silent: Pairs of addresses (from, to) whose calls get no answer and
+            have no effect.
+        loses_answers: Pairs whose calls take effect without an answer.
+    """
+
+    def __init__(self, timer_service):
+        self.timers = timer_service
+        self.entries = {}
+        self.silent = set()
+        self.loses_answers = set()
+
+    def cut(self, one, other):
+        """Makes calls between two addresses silent in both directions."""
+        self.silent |= {(one, other), (other, one)}
+
+    def heal(self):
+        """Ends every fault."""
+        self.silent.clear()
+        self.loses_answers.clear()
+
+    def create_peers(self, address):
+        """Returns the `Peers` of the entry VM at that address."""
+        return MemoryPeers(self, address)
+
+
+class MemoryPeers(peers.Peers):
+    """Calls entry VMs of the same process directly."""
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+
+    def run(self, address, request_id, request):
+        """Runs a request at the owner of its shard."""
+
+        def serve(entry):
+            owned = entry.find_owned(request_id.shard)
+            if owned is None:
+                return _reject(request_id)
+            return owned.dispatcher.submit(request_id, request)
+
+        return self._call(address, serve, request.timeout_s)
+
+    def ask(self, address, request_id, close):
+        """Asks the owner of a shard what became of a request."""
+
+        def serve(entry):
+            owned = entry.find_owned(request_id.shard)
+            if owned is None:
+                return _reject(request_id)
+            return owned.dispatcher.ask(request_id, close)
+
+        return self._call(address, serve)
+
+    def issue_ids(self, address, shard, count):
+        """Has the owner of a shard issue request ids."""
+
+        def serve(entry):
+            owned = entry.find_owned(shard)
+            if owned is None:
+                return _reject(shard)
+            return owned.dispatcher.issue_ids(count)
+
+        return self._call(address, serve)
+
+    def probe(self, address):
+        """Returns the state of an entry VM."""
+        return self._call(address, lambda entry: entry.describe())
+
+    def fetch_config(self, address):
+        """Returns the configuration that an entry VM applies."""
+        return self._call(address, lambda entry: entry.applied.config)
+
+    def notify_job(self, address, shard, job_id):
+        """Has the runner of a shard read its jobs again."""
+        del job_id
+
+        def serve(entry):
+            owned = entry.find_owned(shard)
+            if owned is not None:
+                owned.runner.poll()
+
+        return self._call(address, serve)
+
+    def _call(self, address, serve, timeout_s=CALL_TIMEOUT_S):
+        network = self._network
+        future = futures.Future()
+        pair = (self._address, address)
+        if pair in network.silent:
+            self._fail_later(future, timeout_s)
+            return future
+        entry = network.entries.get(address)
+        if entry is None:
+            error = errors.PeerError("refused", False)
+            future.set_result(result.Failure(error))
+            return future
+        value = serve(entry)
+        if pair in network.loses_answers:
+            self._fail_later(future, timeout_s)
+        elif isinstance(value, futures.Future):
+            self._fail_later(future, timeout_s)
+            value.add_done_callback(
+                lambda f: settle(future, result.Success(f.result()))
+            )
+        elif isinstance(value, result.Result):
+            future.set_result(value)
+        else:
+            future.set_result(result.Success(value))
+        return future
+
+    def _fail_later(self, future, timeout_s):
+        error = errors.PeerError("no answer", True)
+        self._network.timers.call_later(
+            timeout_s, lambda: settle(future, result.Failure(error))
+        )
+
+
+class FaultyTable(tables.Table):
+    """A table whose service can be down or lose answers.
+
+    Attributes:
+        is_down: Whether every call fails without effect.
+        loses_answers: Whether commits take effect but are not confirmed.
+        reads: Number of reads and scans so far.
+        commits: Number of commits so far.
+    """
+
+    def __init__(self, table):
+        self._table = table
+        self.is_down = False
+        self.loses_answers = False
+        self.reads = 0
+        self.commits = 0
+
+    def get(self, key):
+        """Reads a row."""
+        self.reads += 1
+        if self.is_down:
+            return result.Failure(errors.TableUnavailableError("down"))
+        return self._table.get(key)
+
+    def scan(self, prefix):
+        """Reads all rows with a prefix."""
+        self.reads += 1
+        if self.is_down:
+            return result.Failure(errors.TableUnavailableError("down"))
+        return self._table.scan(prefix)
+
+    def commit(self, checks, writes):
+        """Applies all writes if all checks hold."""
+        self.commits += 1
+        if self.is_down:
+            return result.Failure(errors.TableUnavailableError("down"))
+        reply = self._table.commit(checks, writes)
+        if self.loses_answers:
+            return result.Failure(errors.TableUncertainError("lost"))
+        return reply
+
+
+class FaultyWorker(workers.WorkerClient):
+    """A client whose calls can get no answer.
+
+    Attributes:
+        is_cut: Whether calls have no effect and no answer.
+        loses_answers: Whether calls take effect without an answer.
+    """
+
+    def __init__(self, worker, timer_service):
+        self.worker = worker
+        self.is_cut = False
+        self.loses_answers = False
+        self._timers = timer_service
+
+    def fence(self, epoch, owner, lease_s, timeout_s):
+        """Sets the owner register and lists attempts."""
+        return self._call("fence", timeout_s, epoch, owner, lease_s)
+
+    def renew(self, epoch, lease_s, acknowledged, timeout_s):
+        """Extends the owner lease."""
+        return self._call("renew", timeout_s, epoch, lease_s, acknowledged)
+
+    def start(self, start, wait, timeout_s):
+        """Starts an attempt."""
+        return self._call("start", timeout_s, start, wait)
+
+    def close(self, attempt, epoch, timeout_s):
+        """Prevents a start that has not happened."""
+        return self._call("close", timeout_s, attempt, epoch)
+
+    def inspect(self, attempt, timeout_s):
+        """Returns the record of an attempt."""
+        return self._call("inspect", timeout_s, attempt)
+
+    def control(self, attempt, action, epoch, timeout_s):
+        """Applies an action to a running attempt."""
+        return self._call("control", timeout_s, attempt, action, epoch)
+
+    def disconnect(self):
+        """Does nothing; there are no connections."""
+
+    def _call(self, method, timeout_s, *arguments):
+        future = futures.Future()
+        error = errors.WorkerUnreachableError(self.worker.name)
+        self._timers.call_later(
+            timeout_s, lambda: settle(future, result.Failure(error))
+        )
+        if self.is_cut:
+            return future
+        reply = getattr(self.worker, method)(*arguments, timeout_s)
+        if not self.loses_answers:
+            reply.add_done_callback(lambda f: settle(future, f.result()))
+        return future
+
+
+class FakeCell:
+    """Entry VMs, workers and a table on manual timers.
+
+    Attributes:
+        timers: Moves everything.
+        table: The shared table service.
+        network: Connects the entry VMs.
+        workers: Workers by name.
+        entries: Entry VMs by name.
+    """
+
+    def __init__(self):
+        self.timers = timers.create_manual_timers()
+        self.store = tables.create_memory_table()
+        self.table = FaultyTable(self.store)
+        self.network = Network(self.timers)
+        self.workers = {}
+        self.entries = {}
+        self._paused = set()
+
+    def add_worker(self, name, plan=None, slots=8):
+        """Adds a worker; by default attempts succeed after 0.01 s."""
+        worker = memoryworkers.MemoryWorker(
+            name,
+            WORKER_SIZE,
+            slots,
+            self.timers,
+            plan or (lambda start: memoryworkers.Plan(0.01, True, b"ok")),
+        )
+        self.workers[name] = worker
+        return worker
+
+    def add_entry(self, name, zone="zone-a", table=None):
+        """Creates and starts an entry VM."""
+        identity = entry_module.create_identity(
+            name, zone, f"{name}:1", f"{name}:2"
+        )
+        entry = entry_module.EntryVm(
+            identity, self.create_surroundings(name, table or self.table)
+        )
+        self.entries[name] = entry
+        self.network.entries[f"{name}:1"] = entry
+        entry.start()
+        return entry
+
+    def create_surroundings(self, name, table):
+        """Returns what the entry VM of that name works with."""
+        return entry_module.Surroundings(
+            timers=self.timers,
+            table=table,
+            peers=self.network.create_peers(f"{name}:1"),
+            create_client=lambda worker: FaultyWorker(
+                self.workers[worker.name], self.timers
+            ),
+            repeat=lambda period_s, action: self._repeat(
+                name, period_s, action
+            ),
+        )
+
+    def pause(self, name):
+        """Stops the periodic tasks of an entry VM, and calls to it."""
+        self._paused.add(name)
+        self.network.entries.pop(f"{name}:1", None)
+
+    def resume(self, name):
+        """Ends a pause."""
+        self._paused.discard(name)
+        self.network.entries[f"{name}:1"] = self.entries[name]
+
+    def _repeat(self, name, period_s, action):
+        def run():
+            if name not in self._paused:
+                action()
+
+        self.timers.call_later(0.0, run)
+        return self.timers.subscribe(period_s, run)
+
+
+def settle(future, value):
+    """Sets the result of a future unless it has one."""
+    if not future.done():
+        future.set_result(value)
+
+
+def _reject(name):
+    return result.Failure(errors.NotOwnerError(str(name)))
