Hold workers safely while they are unreachable or their lease lapsed

Cause: the fleet waited for a full listing without end, never released what a lost or lapsed worker had held, and kept extending the lease of a worker whose answers were lost, so its tasks could run while others took their place.

Now every lease asked of a silent worker ends within two lease times of its last answer; after that its tasks are reported as stopped and may be placed again. A lost worker gets a lease only once its unanswered starts are closed. A lapsed lease is fenced again in the same epoch and the listing corrects the reservations; unanswered starts are released by tombstones only.

Ruled out: releasing every attempt that a listing does not show. A start without an answer may arrive after the listing and would then overload the worker. Requests on a lost worker are not reported as ended: nobody knows whether they ran.

--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -23,7 +23,7 @@
 
 DIRECTORY_PERIOD_S = 1.0
 CONFIG_PERIOD_S = 1.0
-WORKER_PERIOD_S = 3.0
+WORKER_PERIOD_S = 1.0
 JOB_PERIOD_S = 0.5
 
 Repeat = Callable[[float, Callable[[], None]], timers.Subscription]
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -1,23 +1,37 @@
 """The workers of one shard as their owner holds them."""
 
 from collections.abc import Callable
-import threading
+import dataclasses
 
 from absl import logging
-from returns import result
 
-from persimmonpath import errors
+from persimmonpath import holds
 from persimmonpath import inventory
-from persimmonpath import placement
+from persimmonpath import leases
+from persimmonpath import renewals
 from persimmonpath import resources
 from persimmonpath import timers
+from persimmonpath import tracking
 from persimmonpath import workers
 
-WORKER_LEASE_S = 15.0
-RENEW_PERIOD_S = 5.0
-CONTROL_TIMEOUT_S = 2.0
+WORKER_LEASE_S = leases.WORKER_LEASE_S
 
-RecordListener = Callable[[str, workers.AttemptRecord], None]
+ClientFactory = Callable[[inventory.Worker], workers.WorkerClient]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """What the owner of a shard knows of the time before its epoch.
+
+    Attributes:
+        complete_since: Lowest epoch of which no attempt ran on a worker that
+            is no longer in the inventory.
+        has_unknown_workers: Whether tasks may run on workers that are not
+            known here.
+    """
+
+    complete_since: int = 0
+    has_unknown_workers: bool = False
 
 
 class Fleet:
@@ -32,7 +46,11 @@
     """
 
     def __init__(
-        self, epoch: int, owner: str, timer_service: timers.TimerService
+        self,
+        epoch: int,
+        owner: str,
+        timer_service: timers.TimerService,
+        takeover: Takeover = Takeover(),
     ):
         """Creates a fleet without workers.
 
@@ -40,84 +58,114 @@
             epoch: Epoch in which this process owns the shard.
             owner: Name of this process in the workers' owner registers.
             timer_service: Source of time.
+            takeover: What is known of the time before.
         """
-        self.lock = threading.RLock()
         self.epoch = epoch
         self.timers = timer_service
-        self._owner = owner
-        self._clients: dict[str, workers.WorkerClient] = {}
-        self._acknowledged: dict[str, int] = {}
-        self._listed: dict[str, int] = {}
-        self._placement = placement.Placement()
-        self._draining: set[str] = set()
+        self._takeover = takeover
+        self._taken_over_at = timer_service.now()
+        self._held = holds.Holds(epoch)
+        self.lock = self._held.lock
+        self._renewals = renewals.Renewals(
+            owner, self._held, timer_service, self.mark_fenced
+        )
+        # Retired workers that have been drained; as many as are retired.
+        self._drained: set[str] = set()
         self._is_fenced = False
-        self._record_listeners: list[RecordListener] = []
-        self._change_listeners: list[Callable[[], None]] = []
+        self._is_stopped = False
+        self._fenced_listeners: list[Callable[[], None]] = []
 
     def subscribe(
-        self, on_record: RecordListener, on_change: Callable[[], None]
+        self, on_record: holds.RecordListener, on_change: Callable[[], None]
     ) -> None:
         """Registers listeners.
 
         Args:
             on_record: Called under the lock with each attempt record that a
                 worker reports unasked: at a fence, and when an attempt ends.
+                Tasks of a lost worker are reported as stopped.
             on_change: Called without the lock when capacity may have come
                 free or a worker was listed.
         """
-        self._record_listeners.append(on_record)
-        self._change_listeners.append(on_change)
+        self._held.subscribe(on_record, on_change)
+
+    def subscribe_fenced(self, on_fenced: Callable[[], None]) -> None:
+        """Registers a listener that is called once another owner took over."""
+        self._fenced_listeners.append(on_fenced)
 
     def apply_workers(
         self,
         listed: list[inventory.Worker],
-        create_client: Callable[[inventory.Worker], workers.WorkerClient],
+        create_client: ClientFactory,
+        retired: list[inventory.Worker] | None = None,
     ) -> None:
-        """Makes the fleet match the inventory."""
-        names = {worker.name for worker in listed}
-        for worker in listed:
-            if worker.name not in self._clients:
+        """Makes the fleet match the inventory.
+
+        Args:
+            listed: Workers of the shard.
+            create_client: Creates the client of a worker.
+            retired: Workers that left the inventory and may not be idle yet;
+                they get no work and are dropped once they are idle.
+        """
+        left = retired or []
+        self._drained &= {worker.name for worker in left}
+        for worker in [*listed, *left]:
+            is_held = self._held.find(worker.name) is not None
+            if not is_held and worker.name not in self._drained:
                 self.add_worker(worker, create_client(worker))
-            self.set_draining(worker.name, worker.draining)
-        for name in set(self._clients) - names:
-            self.set_draining(name, True)
+        draining = {worker.name: worker.draining for worker in listed}
+        with self.lock:
+            for hold in self._held.list_all():
+                hold.is_removed = hold.worker.name not in draining
+                hold.is_draining = draining.get(hold.worker.name, True)
+                self._held.update_open(hold)
+        self.notify()
 
-    def set_draining(self, name: str, is_draining: bool) -> None:
-        """Stops or allows new work on a worker."""
+    def set_leaving(self, names: set[str]) -> None:
+        """Takes in which VMs the platform lists as leaving."""
         with self.lock:
-            if is_draining:
-                self._draining.add(name)
-            else:
-                self._draining.discard(name)
-            self._update_open(name, name in self._listed)
+            for hold in self._held.list_all():
+                hold.is_listed_leaving = hold.worker.name in names
+                self._held.update_open(hold)
 
     def add_worker(
         self, worker: inventory.Worker, client: workers.WorkerClient
     ) -> None:
         """Adds a worker and fences it; it is placed on once it is listed."""
-        with self.lock:
-            self._clients[worker.name] = client
-            self._placement.add_worker(worker)
-        self.fence(worker.name)
-
-    def fence(self, name: str) -> None:
-        """Fences a worker in this epoch and takes in its listing."""
-        future = self._clients[name].fence(
-            self.epoch, self._owner, WORKER_LEASE_S, CONTROL_TIMEOUT_S
-        )
-        future.add_done_callback(lambda f: self._take_listing(name, f.result()))
+
+        def take(attempt, reply) -> None:
+            self._renewals.take_start(hold, attempt, reply)
+
+        tracked = tracking.TrackedWorker(client, take)
+        hold = holds.Hold(worker, tracked, leases.OwnerLease(self.timers))
+        hold.is_draining = worker.draining
+        self._held.add(hold)
+        self._renewals.fence(hold)
 
     def renew(self) -> None:
-        """Renews the owner lease of every listed worker, fences the others."""
-        for name in list(self._clients):
-            if name in self._listed:
-                self._renew_one(name)
-            else:
-                self.fence(name)
+        """Renews or fences every worker that is due, drops drained ones."""
+        self._renewals.run_due()
+        for hold in self._held.list_all():
+            if hold.is_drained():
+                name = hold.worker.name
+                self._drained.add(name)
+                self._held.remove(name)
+                hold.client.disconnect()
+                logging.info("event=worker_drained worker=%s", name)
+
+    def stop(self) -> None:
+        """Ends placing and renewing; calls in flight are still answered."""
+        self._is_stopped = True
+        self._renewals.stop()
+
+    def is_stopped(self) -> bool:
+        """Returns whether nothing is placed any more."""
+        return self._is_stopped
 
     def get_client(self, name: str) -> workers.WorkerClient:
-        """Returns the client of a worker."""
-        return self._clients[name]
+        """Returns the client of a worker; calls of a dropped one fail."""
+        hold = self._held.find(name)
+        return hold.client if hold else tracking.AbsentWorker(name)
 
     def reserve(self, attempt: str, size: resources.Resources) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
@@ -125,35 +173,67 @@
         Returns:
             Name of the worker, or None when no worker has room now.
         """
-        name = self._placement.choose(size)
+        if self._is_stopped:
+            return None
+        name = self._held.placement.choose(size)
         if name is not None:
-            self._placement.reserve(name, attempt, size)
-            self._placement.ensure_capacity(name)
+            self._held.placement.reserve(name, attempt, size)
+            self._held.placement.ensure_capacity(name)
+            self._held.find(name).attempts[attempt] = holds.Attempt(size)
         return name
 
     def release(self, name: str, attempt: str) -> None:
         """Gives back a reservation, once the attempt certainly does not run."""
-        with self.lock:
-            self._placement.release(name, attempt)
+        self._held.release(name, attempt)
+
+    def count_workers(self) -> int:
+        """Returns the workers of the shard that are in the inventory."""
+        return len(self._held.list_current())
+
+    def count_listed(self) -> int:
+        """Returns the workers in the inventory that accepted this epoch."""
+        return sum(h.is_listed() for h in self._held.list_current())
 
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
-        return len(self._listed) == len(self._clients)
+        return all(h.is_listed() for h in self._held.list_current())
+
+    def may_run_unlisted(self) -> bool:
+        """Returns whether tasks may run that are in no listing.
+
+        They may on a worker that was not reached at the takeover, until its
+        lease from an earlier owner has certainly lapsed.
+        """
+        if self.timers.now() >= self._taken_over_at + 2 * WORKER_LEASE_S:
+            return False
+        if self._takeover.has_unknown_workers:
+            return True
+        return not all(h.is_listed() for h in self._held.list_all())
 
     def get_complete_since(self) -> int:
         """Returns the lowest epoch whose attempts are all on record."""
         if not self.is_fully_listed():
             return self.epoch
-        return max(self._listed.values(), default=self.epoch)
+        listed = [h.complete_since for h in self._held.list_current()]
+        return min(self.epoch, max([self._takeover.complete_since, *listed]))
 
     def count_free_slots(self) -> int:
         """Returns the free slots of all workers open to work."""
         with self.lock:
-            return self._placement.count_free_slots()
+            if self._is_stopped:
+                return 0
+            return self._held.placement.count_free_slots()
 
     def mark_fenced(self) -> None:
         """Notes that a worker has refused this owner's epoch."""
-        self._is_fenced = True
+        with self.lock:
+            if self._is_fenced:
+                return
+            self._is_fenced = True
+        self.stop()
+        logging.warning("event=owner_fenced epoch=%d", self.epoch)
+        for listener in self._fenced_listeners:
+            listener()
 
     def is_fenced(self) -> bool:
         """Returns whether another owner has taken over."""
@@ -161,71 +241,4 @@
 
     def notify(self) -> None:
         """Tells every listener that capacity may have come free."""
-        for listener in self._change_listeners:
-            listener()
-
-    def _renew_one(self, name: str) -> None:
-        future = self._clients[name].renew(
-            self.epoch,
-            WORKER_LEASE_S,
-            self._acknowledged[name],
-            CONTROL_TIMEOUT_S,
-        )
-        future.add_done_callback(lambda f: self._take_renewal(name, f.result()))
-
-    def _take_listing(self, name: str, reply: result.Result) -> None:
-        if isinstance(reply, result.Failure):
-            self._take_control_failure(name, reply.failure())
-            return
-        listing = reply.unwrap()
-        with self.lock:
-            self._acknowledged[name] = listing.last_event
-            self._listed[name] = listing.complete_since_epoch
-            for record in listing.records:
-                if record.state is workers.AttemptState.RUNNING:
-                    self._placement.reserve(name, record.attempt, record.size)
-                self._report(name, record)
-            self._update_open(name, True)
-        logging.info(
-            "event=worker_fenced worker=%s epoch=%d records=%d",
-            name,
-            self.epoch,
-            len(listing.records),
-        )
-        self.notify()
-
-    def _take_renewal(self, name: str, reply: result.Result) -> None:
-        if isinstance(reply, result.Failure):
-            self._take_control_failure(name, reply.failure())
-            return
-        renewal = reply.unwrap()
-        with self.lock:
-            self._acknowledged[name] = renewal.last_event
-            for record in renewal.finished:
-                self._placement.release(name, record.attempt)
-                self._report(name, record)
-            self._update_open(name, not renewal.leaving)
-        self.notify()
-
-    def _take_control_failure(
-        self, name: str, error: errors.WorkerError
-    ) -> None:
-        logging.warning(
-            "event=worker_control_failed worker=%s kind=%s",
-            name,
-            type(error).__name__,
-        )
-        with self.lock:
-            self._placement.set_open(name, False)
-            if isinstance(error, errors.StaleEpochError):
-                self._is_fenced = True
-            if isinstance(error, errors.LeaseLapsedError):
-                self._listed.pop(name, None)
-
-    def _update_open(self, name: str, is_usable: bool) -> None:
-        is_open = is_usable and name not in self._draining
-        self._placement.set_open(name, is_open)
-
-    def _report(self, name: str, record: workers.AttemptRecord) -> None:
-        for listener in self._record_listeners:
-            listener(name, record)
+        self._held.notify()
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/holds.py
@@ -0,0 +1,204 @@
+"""What the owner of a shard holds of its workers."""
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+import threading
+
+from persimmonpath import identifiers
+from persimmonpath import inventory
+from persimmonpath import leases
+from persimmonpath import placement
+from persimmonpath import resources
+from persimmonpath import workers
+
+RecordListener = Callable[[str, workers.AttemptRecord], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A reservation.
+
+    Attributes:
+        size: What is reserved.
+        is_in_flight: Whether its start is unsent or not answered yet.
+        is_uncertain: Whether its start failed without an answer, so that it
+            may yet take effect.
+        settled: Number of the call event that answered its start.
+    """
+
+    size: resources.Resources
+    is_in_flight: bool = True
+    is_uncertain: bool = False
+    settled: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """A worker as its owner knows it.
+
+    Attributes:
+        worker: Its entry in the inventory.
+        client: Calls to it.
+        lease: Its owner lease.
+        complete_since: Lowest epoch whose records it retained when it was
+            first listed in this epoch; None before.
+        is_fenced: Whether its owner lease is taken to be in force.
+        acknowledged: Number of the last finished-attempt event taken in.
+        attempts: Reservations by attempt id, at most one for each slot.
+        unconfirmed: Attempts given up while their start was uncertain; they
+            are closed before the worker gets a lease again.
+        is_lost: Whether it was silent until its lease certainly lapsed.
+        is_rejecting: Whether it refused to be fenced in this epoch.
+        is_draining: Whether the operator asked for no new work.
+        is_listed_leaving: Whether the platform's list shows it as leaving.
+        refuses_work: Whether it says itself that it is leaving.
+        is_removed: Whether the inventory no longer has it.
+        is_called: Whether a fence or renewal is in progress.
+        due_at: When the next fence or renewal is due.
+    """
+
+    worker: inventory.Worker
+    client: workers.WorkerClient
+    lease: leases.OwnerLease
+    complete_since: int | None = None
+    is_fenced: bool = False
+    acknowledged: int = 0
+    attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    unconfirmed: set[str] = dataclasses.field(default_factory=set)
+    is_lost: bool = False
+    is_rejecting: bool = False
+    is_draining: bool = False
+    is_listed_leaving: bool = False
+    refuses_work: bool = False
+    is_removed: bool = False
+    is_called: bool = False
+    due_at: float = 0.0
+
+    def is_listed(self) -> bool:
+        """Returns whether its records have been taken in."""
+        return self.complete_since is not None
+
+    def is_open(self) -> bool:
+        """Returns whether it may be given work."""
+        is_closed = (
+            self.is_draining
+            or self.is_listed_leaving
+            or self.refuses_work
+            or self.is_removed
+        )
+        return self.is_fenced and not self.is_lost and not is_closed
+
+    def is_drained(self) -> bool:
+        """Returns whether it has left the inventory and runs nothing.
+
+        A lost worker runs nothing, nor will it without a new lease.
+        """
+        is_idle = self.is_lost or (self.is_fenced and not self.attempts)
+        return self.is_removed and is_idle
+
+
+class Holds:
+    """Reservations of all workers of a shard, and who listens to changes.
+
+    The lock guards the reservations and whatever the listeners keep; it is
+    never held while a worker is called.
+
+    Attributes:
+        lock: Guards all state of the shard.
+        epoch: Epoch of the owner.
+        placement: Free capacity of the workers.
+        events: Numbers the answers to starts and the fences.
+    """
+
+    def __init__(self, epoch: int):
+        """Creates a collection without workers."""
+        self.lock = threading.RLock()
+        self.epoch = epoch
+        self.placement = placement.Placement()
+        self.events = itertools.count(1)
+        self._holds: dict[str, Hold] = {}
+        self._record_listeners: list[RecordListener] = []
+        self._change_listeners: list[Callable[[], None]] = []
+
+    def subscribe(
+        self, on_record: RecordListener, on_change: Callable[[], None]
+    ) -> None:
+        """Registers listeners; see `fleet.Fleet.subscribe`."""
+        self._record_listeners.append(on_record)
+        self._change_listeners.append(on_change)
+
+    def add(self, hold: Hold) -> None:
+        """Adds a worker."""
+        with self.lock:
+            self._holds[hold.worker.name] = hold
+            self.placement.add_worker(hold.worker)
+
+    def remove(self, name: str) -> None:
+        """Forgets a worker."""
+        with self.lock:
+            self._holds.pop(name, None)
+            self.placement.remove_worker(name)
+
+    def find(self, name: str) -> Hold | None:
+        """Returns a worker, None when it is not held."""
+        return self._holds.get(name)
+
+    def list_all(self) -> list[Hold]:
+        """Returns all workers, those that are being drained included."""
+        return list(self._holds.values())
+
+    def list_current(self) -> list[Hold]:
+        """Returns the workers that are in the inventory."""
+        return [h for h in self.list_all() if not h.is_removed]
+
+    def release(self, name: str, attempt: str) -> None:
+        """Gives back a reservation."""
+        with self.lock:
+            hold = self._holds.get(name)
+            if hold is not None:
+                hold.attempts.pop(attempt, None)
+            self.placement.release(name, attempt)
+
+    def take_record(self, hold: Hold, record: workers.AttemptRecord) -> None:
+        """Takes in and reports a record of a worker; needs the lock."""
+        attempt = record.attempt
+        if record.state is not workers.AttemptState.RUNNING:
+            self.release(hold.worker.name, attempt)
+        elif attempt in hold.attempts:
+            hold.attempts[attempt].is_uncertain = False
+        else:
+            self.placement.reserve(hold.worker.name, attempt, record.size)
+            hold.attempts[attempt] = Attempt(record.size, False)
+        self._report(hold, record)
+
+    def drop(self, hold: Hold, attempt: str, reason: str) -> None:
+        """Releases an attempt that certainly does not run any more.
+
+        A task of a job is reported as stopped, so that it is placed again.
+        What became of a request is not known, so it is not reported.
+        """
+        held = hold.attempts[attempt]
+        self.release(hold.worker.name, attempt)
+        if identifiers.is_request_id(identifiers.split_attempt(attempt)[0]):
+            return
+        state = workers.AttemptState.STOPPED
+        self._report(
+            hold,
+            workers.AttemptRecord(
+                attempt, self.epoch, state, held.size, reason=reason
+            ),
+        )
+
+    def update_open(self, hold: Hold) -> None:
+        """Opens or closes a worker to new work."""
+        self.placement.set_open(hold.worker.name, hold.is_open())
+
+    def notify(self) -> None:
+        """Tells every listener that capacity may have come free."""
+        for listener in self._change_listeners:
+            listener()
+
+    def _report(self, hold: Hold, record: workers.AttemptRecord) -> None:
+        for listener in self._record_listeners:
+            listener(hold.worker.name, record)
--- a/packages/persimmonpath/persimmonpath/placement.py
+++ b/packages/persimmonpath/persimmonpath/placement.py
@@ -33,6 +33,10 @@
             worker, worker.capacity, worker.slots, {}, False
         )
 
+    def remove_worker(self, name: str) -> None:
+        """Forgets a worker; does nothing when it is not known."""
+        self._loads.pop(name, None)
+
     def set_open(self, name: str, is_open: bool) -> None:
         """Opens or closes a worker to new work."""
         if name in self._loads:
--- a/packages/persimmonpath/persimmonpath/runner.py
+++ b/packages/persimmonpath/persimmonpath/runner.py
@@ -69,8 +69,8 @@
         self.drive()
 
     def drive(self) -> None:
-        """Starts whatever fits now, once every worker is listed."""
-        if not self._fleet.is_fully_listed():
+        """Starts whatever fits now, unless tasks may run unlisted."""
+        if self._fleet.may_run_unlisted():
             return
         for entry in list(self._entries.values()):
             if entry.record.state is jobs.JobState.ACCEPTED:
