--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -19,11 +19,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Faults:
-    """What is wrong with the platform; set by `POST /faults`."""
+    """What is wrong with the platform; set by `POST /faults`.
+
+    `hold_s` is how long the connection of a lost answer stays open.
+    """
 
     is_down: bool = False
     delay_s: float = 0.0
     loses_answers: bool = False
+    hold_s: float = 5.0
 
 
 class PlatformApplication(server.Application):
@@ -49,7 +53,7 @@
             time.sleep(faults.delay_s)
         status, reply = self._serve(method, path, query, body)
         if faults.loses_answers and method == "POST":
-            self._never.wait(5.0)
+            self._never.wait(faults.hold_s)
         return status, reply
 
     def _serve(self, method, path, query, body):
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -59,6 +59,8 @@
     """Returns a server on the loopback address, not started."""
     server = wsgi.Server(("127.0.0.1", port), application, numthreads=threads)
     server.shutdown_timeout = 0.2
+    # Bounds how long a stop takes.
+    server.expiration_interval = 0.05
     # A full queue drops SYNs, which the caller repeats only after a second.
     server.request_queue_size = 128
     return server
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -60,7 +60,9 @@
         self.table = httpplatform.HttpTable(running.url, timeout_s=0.5)
 
     def test_lost_answer_is_uncertain_though_the_write_took_effect(self):
-        self.application.faults = platform.Faults(loses_answers=True)
+        self.application.faults = platform.Faults(
+            loses_answers=True, hold_s=1.0
+        )
         reply = self.table.commit([], [tables.Write("a", "1")])
         self.assertIsInstance(reply.failure(), errors.TableUncertainError)
         self.assertEqual(self.table.get("a").unwrap().value, "1")
