--- a/packages/persimmonpath/persimmonpath/changes.py
+++ b/packages/persimmonpath/persimmonpath/changes.py
@@ -9,6 +9,7 @@
 
 from persimmonpath import configuration
 from persimmonpath import inventory
+from persimmonpath import retirement
 from persimmonpath import rules
 
 
@@ -25,6 +26,9 @@
         order: Names of all workers, in order; None unless the order of the
             remaining workers changed or a worker was added before another.
         content_rules: All rules; None when they did not change.
+        retired: Names of removed workers that are now retired.
+        returned: Names of workers that are no longer retired.
+        forgotten_version: Highest version whose removals are forgotten.
     """
 
     version: int
@@ -34,6 +38,9 @@
     removed: tuple[str, ...]
     order: tuple[str, ...] | None
     content_rules: rules.Rules | None
+    retired: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
+    forgotten_version: int = 0
 
 
 def compute_change(
@@ -50,6 +57,8 @@
     removed = tuple(name for name in old if name not in names)
     zones = after.inventory.zones
     order = tuple(worker.name for worker in after.inventory.workers)
+    was_retired = {r.worker.name for r in before.retired}
+    is_retired = {r.worker.name for r in after.retired}
     is_in_order = order == _list_names(old, changed, removed)
     return Change(
         version=after.version,
@@ -59,6 +68,9 @@
         removed=removed,
         order=None if is_in_order else order,
         content_rules=None if after.rules == before.rules else after.rules,
+        retired=tuple(sorted(is_retired - was_retired)),
+        returned=tuple(sorted(was_retired - is_retired)),
+        forgotten_version=after.forgotten_version,
     )
 
 
@@ -67,6 +79,12 @@
 ) -> configuration.Configuration:
     """Returns the version that a change leads to."""
     known = {worker.name: worker for worker in before.inventory.workers}
+    kept = [r for r in before.retired if r.worker.name not in change.returned]
+    left = [
+        retirement.Retired(worker, change.version)
+        for worker in before.inventory.workers
+        if worker.name in change.retired
+    ]
     names = change.order or _list_names(known, change.changed, change.removed)
     known.update({worker.name: worker for worker in change.changed})
     zones = change.zones
@@ -79,6 +97,8 @@
             zones=zones, workers=tuple(known[name] for name in names)
         ),
         change.content_rules or before.rules,
+        tuple(kept + left),
+        change.forgotten_version,
     )
 
 
--- a/packages/persimmonpath/persimmonpath/configuration.py
+++ b/packages/persimmonpath/persimmonpath/configuration.py
@@ -1,118 +1,85 @@
 """Numbered versions of inventory and rules."""
 
 import dataclasses
-import hashlib
+import threading
 
-from returns import result
-
-from persimmonpath import errors
+from persimmonpath import identifiers
 from persimmonpath import invariants
 from persimmonpath import inventory
+from persimmonpath import retirement
 from persimmonpath import rules
-from persimmonpath import tables
-from persimmonpath import wire
-
-CURRENT_KEY = "config/current"
-ACCEPTED_KEY = "config/accepted"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version: what the operators changed, as a whole."""
+    """One version: what the operators changed, as a whole.
+
+    Attributes:
+        version: Number, from 1.
+        author: Who committed it.
+        inventory: Availability zones and workers.
+        rules: Rules.
+        retired: Workers that left the inventory and may not be idle yet.
+        forgotten_version: Highest version whose removals are no longer in
+            `retired`.
+    """
 
     version: int
     author: str
     inventory: inventory.Inventory
     rules: rules.Rules
+    retired: tuple[retirement.Retired, ...] = ()
+    forgotten_version: int = 0
 
+    def list_retired(
+        self, shard: identifiers.ShardId
+    ) -> list[inventory.Worker]:
+        """Returns the retired workers of a shard."""
+        return [r.worker for r in self.retired if r.worker.shard_id == shard]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CurrentRecord:
-    """Content of the row `config/current`."""
+    def find_last_removal(self, shard: identifiers.ShardId) -> int:
+        """Returns the version by which a worker last left a shard, or 0.
 
-    version: int
-    digest: str
-    author: str
-    nonce: str
+        It may be too high, when removals have been forgotten.
+        """
+        versions = [
+            r.version for r in self.retired if r.worker.shard_id == shard
+        ]
+        return max([self.forgotten_version, *versions])
 
 
 EMPTY = Configuration(0, "", inventory.Inventory(), rules.Rules())
 
 
-def format_key(version: int) -> str:
-    """Returns the key of the row that holds a version."""
-    return f"config/version/{version:012d}"
-
-
-class ConfigurationStore:
-    """Reads and commits versions in the table service."""
-
-    def __init__(self, table: tables.Table):
-        """Creates a store over a table."""
-        self._table = table
-
-    def read_current(
-        self,
-    ) -> result.Result[CurrentRecord | None, errors.TableError]:
-        """Returns the highest committed version, None before the first."""
-        return self._table.get(CURRENT_KEY).map(
-            lambda row: wire.decode(CurrentRecord, row.value) if row else None
-        )
-
-    def read(
-        self, version: int
-    ) -> result.Result[Configuration | None, errors.TableError]:
-        """Returns the content of a version."""
-        return self._table.get(format_key(version)).map(
-            lambda row: wire.decode(Configuration, row.value) if row else None
-        )
-
-    def commit(
-        self,
-        based_on: int,
-        author: str,
-        nonce: str,
-        content_inventory: inventory.Inventory,
-        content_rules: rules.Rules,
-    ) -> result.Result[Configuration, errors.TableError]:
-        """Commits the version after `based_on`.
-
-        Args:
-            based_on: Version that the change was made from; 0 for none.
-            author: Who changes it.
-            nonce: Random text by which a commit whose answer was lost is
-                recognised.
-            content_inventory: The whole inventory.
-            content_rules: All rules.
-
-        Returns:
-            The new version, or `TableConflictError` when another version was
-            committed meanwhile.
-        """
-        current = self._table.get(CURRENT_KEY)
-        if isinstance(current, result.Failure):
-            return current
-        row = current.unwrap()
-        version = wire.decode(CurrentRecord, row.value).version if row else 0
-        if version != based_on:
-            return result.Failure(errors.TableConflictError(str(version)))
-        config = Configuration(
-            based_on + 1,
-            author,
-            inventory.assign_shards(content_inventory),
-            content_rules,
-        )
-        value = wire.encode(config).decode()
-        digest = hashlib.blake2b(value.encode(), digest_size=16).hexdigest()
-        record = CurrentRecord(config.version, digest, author, nonce)
-        reply = self._table.commit(
-            [tables.Check(CURRENT_KEY, row.version if row else 0)],
-            [
-                tables.Write(CURRENT_KEY, wire.encode(record).decode()),
-                tables.Write(format_key(config.version), value),
-            ],
-        )
-        return reply.map(lambda _: config)
+def create_successor(
+    base: Configuration,
+    author: str,
+    content_inventory: inventory.Inventory,
+    content_rules: rules.Rules,
+) -> Configuration:
+    """Returns the version after `base`, with shards and retired workers.
+
+    Raises:
+        errors.InputError: If a worker changes its zone or shard, or a zone its
+            number of shards.
+    """
+    version = base.version + 1
+    assigned = retirement.assign_shards(
+        base.inventory, base.retired, content_inventory
+    )
+    retired = retirement.update_retired(
+        base.inventory, base.retired, assigned, version
+    )
+    dropped = retired[: -retirement.MAX_RETIRED]
+    forgotten = max([base.forgotten_version, *(r.version for r in dropped)])
+    return Configuration(
+        version,
+        author,
+        assigned,
+        content_rules,
+        tuple(retired[-retirement.MAX_RETIRED :]),
+        forgotten,
+    )
 
 
 class AppliedConfiguration:
@@ -120,6 +87,7 @@
 
     def __init__(self):
         """Starts with the empty version 0."""
+        self._lock = threading.Lock()
         self._config = EMPTY
 
     @property
@@ -129,11 +97,12 @@
 
     def apply(self, config: Configuration) -> bool:
         """Puts a version in force if it is higher; returns whether it was."""
-        if config.version <= self._config.version:
-            return False
-        before = self._config.version
-        self._config = config
-        invariants.ensure(
-            self._config.version > before, "configuration went back"
-        )
-        return True
+        with self._lock:
+            before = self._config.version
+            if config.version <= before:
+                return False
+            self._config = config
+            invariants.ensure(
+                self._config.version > before, "configuration went back"
+            )
+            return True
--- a/packages/persimmonpath/persimmonpath/dispatch.py
+++ b/packages/persimmonpath/persimmonpath/dispatch.py
@@ -1,8 +1,10 @@
 """The owner of a shard at work: ledger, queue, placement and workers."""
 
 import collections
+from collections.abc import Callable
 from concurrent import futures
 import dataclasses
+import functools
 import hashlib
 
 from returns import result
@@ -40,6 +42,23 @@
     attempts: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """A request that waits and is to be run by the shard's next owner.
+
+    Attributes:
+        id: Its id.
+        request: The request, with the time that is left.
+        finish: Takes its outcome and answers whoever waits for it.
+        put_back: Has it wait again, when it could not be passed on.
+    """
+
+    id: identifiers.RequestId
+    request: work.Request
+    finish: Callable[[outcomes.Outcome], None]
+    put_back: Callable[[], None]
+
+
 class Dispatcher:
     """Runs the requests of one shard for as long as this VM owns it.
 
@@ -110,6 +129,45 @@
         with self._lock:
             return len(self._pending)
 
+    def withdraw_queued(self) -> list[Withdrawn]:
+        """Takes out the requests that wait, for the shard's next owner.
+
+        Each stays in flight here until its `finish` is called.
+        """
+        with self._lock:
+            queued = list(self._queue)
+            self._queue.clear()
+        now = self._timers.now()
+        return [
+            Withdrawn(
+                pending.id,
+                dataclasses.replace(
+                    pending.request,
+                    timeout_s=max(0.01, pending.deadline - now),
+                ),
+                functools.partial(self._finish, pending),
+                functools.partial(self._put_back, pending),
+            )
+            for pending in queued
+        ]
+
+    def _put_back(self, pending: _Pending) -> None:
+        with self._lock:
+            if pending.id not in self._pending:
+                return
+            if self._timers.now() < pending.deadline:
+                self._queue.append(pending)
+                return
+        self._refuse(pending, "deadline_passed_in_queue")
+
+    def _refuse(self, pending: _Pending, reason: str) -> None:
+        """Finishes a request that was not run here."""
+        if self._fleet.is_stopped():
+            # The next owner may have run it under the same id.
+            self._finish(pending, outcomes.Unknown("ownership_moved"))
+        else:
+            self._finish(pending, outcomes.NotRun(reason))
+
     def _admit(
         self,
         request_id: identifiers.RequestId,
@@ -194,12 +252,8 @@
             return
         error = reply.failure()
         if isinstance(error, errors.StartRefusedError):
-            if error.reason == workers.Refusal.STALE_EPOCH:
-                self._fleet.mark_fenced()
-                self._fleet.release(name, start.attempt)
-                self._finish(pending, outcomes.Unknown("ownership_moved"))
-            else:
-                self._retry(pending, name, start, error.reason)
+            # A request refused by a fenced worker waits for the next owner.
+            self._retry(pending, name, start, error.reason)
         elif isinstance(error, errors.WorkerNotContactedError):
             self._retry(pending, name, start, "worker_unreachable")
         else:
@@ -251,7 +305,7 @@
                 if pending.id in self._pending:
                     self._queue.appendleft(pending)
         else:
-            self._finish(pending, outcomes.NotRun(reason))
+            self._refuse(pending, reason)
         self._drive()
 
     def _expire(self, pending: _Pending) -> None:
@@ -259,7 +313,7 @@
             if pending not in self._queue:
                 return
             self._queue.remove(pending)
-        self._finish(pending, outcomes.NotRun("deadline_passed_in_queue"))
+        self._refuse(pending, "deadline_passed_in_queue")
 
     def _finish(self, pending: _Pending, outcome: outcomes.Outcome) -> None:
         with self._lock:
--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -1,29 +1,36 @@
 """An entry VM: its parts and its periodic tasks, without any transport."""
 
 from collections.abc import Callable
+from concurrent import futures
 import dataclasses
-import threading
 import uuid
 
 from absl import logging
 from returns import result
 
-from persimmonpath import configuration
+from persimmonpath import acceptance
 from persimmonpath import errors
+from persimmonpath import forwarding
+from persimmonpath import holdings
 from persimmonpath import identifiers
 from persimmonpath import inventory
 from persimmonpath import jobs
-from persimmonpath import ownership
+from persimmonpath import machines as machines_module
+from persimmonpath import membership
 from persimmonpath import peers
+from persimmonpath import probes
+from persimmonpath import rollout
 from persimmonpath import rules
 from persimmonpath import sessions
 from persimmonpath import shards
+from persimmonpath import succession
 from persimmonpath import tables
 from persimmonpath import timers
+from persimmonpath import versions
 
-DIRECTORY_PERIOD_S = 1.0
 CONFIG_PERIOD_S = 1.0
 WORKER_PERIOD_S = 1.0
+FORGET_PERIOD_S = 60.0
 JOB_PERIOD_S = 0.5
 
 Repeat = Callable[[float, Callable[[], None]], timers.Subscription]
@@ -39,6 +46,9 @@
         peers: Calls to other entry VMs.
         create_client: Creates the client of a worker.
         repeat: Runs an action periodically, never twice at once.
+        machines: The platform's VM list; None when there is none.
+        seeds: Peer addresses of entry VMs of the zone, for a start while the
+            platform is unavailable.
     """
 
     timers: timers.TimerService
@@ -46,6 +56,8 @@
     peers: peers.Peers
     create_client: shards.ClientFactory
     repeat: Repeat
+    machines: machines_module.MachineList | None = None
+    seeds: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,8 +92,11 @@
     Attributes:
         identity: Its name and addresses.
         applied: Configuration in force here.
+        config_store: Versions of the configuration.
         session: Its session.
+        members: Sessions, shards and VMs as last read.
         observer: Its view of all sessions.
+        holdings: Shards held here.
         job_store: Job rows.
         peers: Calls to other entry VMs.
         timers: Source of time.
@@ -92,10 +107,7 @@
         self.identity = identity
         self.timers = surroundings.timers
         self.peers = surroundings.peers
-        self.applied = configuration.AppliedConfiguration()
-        self.config_store = configuration.ConfigurationStore(surroundings.table)
         self.job_store = jobs.JobStore(surroundings.table)
-        self.observer = sessions.SessionObserver(surroundings.timers)
         self.session = sessions.create_session(
             identity.vm,
             identity.zone,
@@ -105,13 +117,34 @@
             surroundings.table,
             surroundings.timers,
         )
-        self._table = surroundings.table
-        self._create_client = surroundings.create_client
-        self._repeat = surroundings.repeat
-        self._directories: dict[str, ownership.ShardDirectory] = {}
-        self._lock = threading.RLock()
-        self._owned: dict[identifiers.ShardId, shards.OwnedShard] = {}
+        self.members = membership.Membership(
+            identity.zone,
+            identity.vm,
+            identity.incarnation,
+            surroundings.table,
+            surroundings.timers,
+            surroundings.machines,
+        )
+        self.observer = self.members.observer
+        self._surroundings = surroundings
+        self.config_store = versions.VersionStore(surroundings.table)
+        self._rollout = rollout.Rollout(
+            self.config_store,
+            acceptance.AcceptanceStore(surroundings.table, self.members),
+            self._act_on_config,
+        )
+        self.applied = self._rollout.applied
+        self._probes = probes.Probes(
+            identity.zone,
+            surroundings.peers,
+            surroundings.timers,
+            self._rollout.apply,
+            lambda: self.applied.config.version,
+        )
+        self.holdings = self._create_holdings()
+        self._succession = self._create_succession()
         self._subscriptions: list[timers.Subscription] = []
+        self._zones: list[str] = []
         self._is_leaving = False
 
     def start(self) -> None:
@@ -119,15 +152,30 @@
         for period_s, action in (
             (sessions.RENEW_PERIOD_S, self.renew_session),
             (CONFIG_PERIOD_S, self.refresh_config),
-            (DIRECTORY_PERIOD_S, self.refresh_directory),
+            (membership.OWN_ZONE_PERIOD_S, self.refresh_directory),
+            (membership.OTHER_ZONES_PERIOD_S, self.refresh_other_zones),
+            (membership.MACHINES_PERIOD_S, self.refresh_machines),
+            (probes.PROBE_PERIOD_S, self.probe_peers),
             (WORKER_PERIOD_S, self.renew_workers),
             (JOB_PERIOD_S, self.poll_jobs),
+            (FORGET_PERIOD_S, self.members.forget_gone),
         ):
-            self._subscriptions.append(self._repeat(period_s, action))
+            repeat = self._surroundings.repeat
+            self._subscriptions.append(repeat(period_s, action))
+
+    def may_serve(self) -> bool:
+        """Returns whether this VM is known to be part of the cell.
+
+        A VM without a session serves only while a peer with one vouches that
+        its zone's configuration is the one applied here.
+        """
+        if self.applied.config.version == 0:
+            return False
+        return self.session.is_registered() or self._probes.is_vouched()
 
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
-        if self.applied.config.version == 0 or self._is_leaving:
+        if not self.may_serve() or self._is_leaving:
             return False
         return any(
             self.find_owned(shard) or self.find_owner_address(shard)
@@ -135,34 +183,52 @@
             if shard.zone == self.identity.zone
         )
 
+    def is_leaving(self) -> bool:
+        """Returns whether a graceful shutdown has begun."""
+        return self._is_leaving
+
     def find_owned(
         self, shard: identifiers.ShardId
     ) -> shards.OwnedShard | None:
         """Returns a shard that this VM owns, else None."""
-        with self._lock:
-            return self._owned.get(shard)
+        return self.holdings.find(shard)
 
     def list_owned(self) -> list[shards.OwnedShard]:
         """Returns all shards that this VM owns."""
-        with self._lock:
-            return list(self._owned.values())
+        return self.holdings.list_owned()
 
     def find_owner_address(self, shard: identifiers.ShardId) -> str | None:
-        """Returns the peer address of a shard's owner as last read."""
-        directory = self._directories.get(shard.zone)
-        record = directory.find(shard) if directory else None
-        if record is None or not record.vm:
+        """Returns the peer address of a shard's owner as last learned.
+
+        While the table is unavailable an owner may have claimed without it,
+        which only its answers to probes tell.
+        """
+        if not self.may_serve():
             return None
-        session = self.observer.find(shard.zone, record.vm)
+        record = self.members.get_directory(shard.zone).find(shard)
+        known = record.epoch if record and record.vm else 0
+        probed = self._probes.find_owner(shard)
+        if probed is not None and probed[1] > known:
+            return probed[0]
+        session = self.members.find_owner(shard)
         return session.peer_address if session else None
 
+    def take_offer(self, shard: identifiers.ShardId) -> futures.Future:
+        """Claims a shard that its owner has released for this VM.
+
+        Returns:
+            A future of a result: the epoch, once the shard is owned, or a
+            `NotOwnerError`.
+        """
+        return self._succession.take_offer(shard)
+
     def describe(self) -> peers.Probe:
         """Returns the state that other entry VMs ask for."""
         return peers.Probe(
             vm=self.identity.vm,
             incarnation=self.identity.incarnation,
             config_version=self.applied.config.version,
-            has_session=self.session.is_live(),
+            has_session=self.session.is_registered(),
             shards=[
                 peers.ShardLoad(
                     owned.id,
@@ -172,6 +238,7 @@
                 )
                 for owned in self.list_owned()
             ],
+            is_connected=self.session.is_live(),
         )
 
     def commit_config(
@@ -180,42 +247,53 @@
         author: str,
         content_inventory: inventory.Inventory,
         content_rules: rules.Rules,
-    ) -> result.Result[configuration.Configuration, errors.TableError]:
-        """Commits a version of the configuration and applies it here."""
-        reply = self.config_store.commit(
-            based_on,
-            author,
-            uuid.uuid4().hex,
-            content_inventory,
-            content_rules,
+    ) -> result.Result[acceptance.Status, errors.TableError]:
+        """Commits a version of the configuration and applies it here.
+
+        Returns:
+            Its status: `Pending` or `Accepted` when it was committed,
+            `Conflict` when another version was. `TableUnavailableError` means
+            that it surely was not committed.
+
+        Raises:
+            errors.InputError: If a worker or a zone changes what it may not.
+        """
+        return self._rollout.commit(
+            based_on, author, content_inventory, content_rules
         )
-        if isinstance(reply, result.Success):
-            self._apply_config(reply.unwrap())
-        return reply
+
+    def read_config_status(
+        self, version: int
+    ) -> result.Result[acceptance.Status, errors.TableError]:
+        """Returns whether a committed version is accepted or pending."""
+        return self._rollout.read_status(version)
 
     def count_in_flight(self) -> int:
-        """Returns the requests that are not final in any owned shard."""
-        return sum(o.dispatcher.count_in_flight() for o in self.list_owned())
+        """Returns the requests without a final outcome in shards held here."""
+        return self.holdings.count_in_flight()
 
     def begin_leaving(self) -> None:
-        """Stops being ready and claiming shards."""
+        """Stops being ready and hands every shard over."""
         self._is_leaving = True
         logging.info("event=leaving vm=%s", self.identity.vm)
+        self.renew_session()
+        self._succession.leave()
 
     def finish_leaving(self) -> None:
-        """Releases every shard and closes the session."""
+        """Releases what is left and closes the session."""
         for subscription in self._subscriptions:
             subscription.cancel()
-        directory = self._get_directory(self.identity.zone)
-        for owned in self.list_owned():
-            directory.release(owned.id)
+        self.holdings.abandon()
         self.session.renew(
             self.applied.config.version, sessions.SessionState.CLOSED
         )
 
     def renew_session(self) -> None:
         """Renews the session."""
-        reply = self.session.renew(self.applied.config.version)
+        state = sessions.SessionState.LIVE
+        if self._is_leaving or self._succession.is_leaving():
+            state = sessions.SessionState.LEAVING
+        reply = self.session.renew(self.applied.config.version, state)
         if isinstance(reply, result.Failure):
             logging.warning(
                 "event=session_renewal_failed error=%s", reply.failure()
@@ -223,90 +301,91 @@
 
     def refresh_config(self) -> None:
         """Applies a newer version of the configuration if there is one."""
-        current = self.config_store.read_current()
-        if isinstance(current, result.Failure) or current.unwrap() is None:
-            return
-        version = current.unwrap().version
-        if version <= self.applied.config.version:
-            return
-        reply = self.config_store.read(version)
-        if isinstance(reply, result.Success) and reply.unwrap():
-            self._apply_config(reply.unwrap())
+        if self._rollout.read_newer():
+            self._rollout.follow()
 
     def refresh_directory(self) -> None:
-        """Reads sessions and shards, drops lost shards and claims others."""
-        scan = self._table.scan(sessions.PREFIX)
-        if isinstance(scan, result.Failure):
+        """Reads this zone's sessions and shards and acts on changes."""
+        reply = self.members.refresh_own_zone()
+        if isinstance(reply, result.Failure):
             return
-        self.observer.observe(sessions.PREFIX, scan.unwrap())
-        for zone in self.applied.config.inventory.zones:
-            self._get_directory(zone.name).refresh()
-        self._drop_lost_shards()
-        if self.session.is_live() and not self._is_leaving:
-            self._claim_shards()
+        self.holdings.review()
+        self._succession.hand_over_shards()
+        self._succession.claim_shards()
+
+    def refresh_other_zones(self) -> None:
+        """Reads the sessions and shards of the other zones."""
+        self._zones = [z.name for z in self.applied.config.inventory.zones]
+        self.members.refresh_others(self._zones)
+
+    def refresh_machines(self) -> None:
+        """Reads the platform's VM list."""
+        self.members.refresh_machines()
+        self.holdings.set_leaving(self.members.list_leaving())
+
+    def probe_peers(self) -> None:
+        """Asks peers what the table does not tell while it is unavailable."""
+        is_outage = self.members.measure_outage() > (
+            sessions.GAP_PERIODS * membership.OWN_ZONE_PERIOD_S
+        )
+        if is_outage or not self.session.is_registered():
+            self._probes.run(self._list_targets())
+            self._succession.claim_without_table()
 
     def renew_workers(self) -> None:
-        """Renews the owner lease of every worker of every owned shard."""
-        for owned in self.list_owned():
-            owned.fleet.renew()
+        """Renews the owner lease of every worker that is due."""
+        self.holdings.renew_workers()
 
     def poll_jobs(self) -> None:
         """Takes in new jobs and commits progress in every owned shard."""
-        for owned in self.list_owned():
-            owned.runner.poll()
-
-    def _apply_config(self, config: configuration.Configuration) -> None:
-        with self._lock:
-            if not self.applied.apply(config):
-                return
-        logging.info("event=config_applied version=%d", config.version)
-        for owned in self.list_owned():
-            self._apply_workers(owned)
-
-    def _apply_workers(self, owned: shards.OwnedShard) -> None:
-        listed = self.applied.config.inventory.list_workers(owned.id)
-        owned.apply_workers(listed, self._create_client)
-
-    def _get_directory(self, zone: str) -> ownership.ShardDirectory:
-        if zone not in self._directories:
-            self._directories[zone] = ownership.ShardDirectory(
-                zone, self.identity.vm, self.identity.incarnation, self._table
+        self.holdings.tend_retired()
+        self.holdings.poll_jobs()
+
+    def _act_on_config(self) -> None:
+        self.holdings.apply_config()
+        if self.session.is_registered():
+            # Acceptance waits for this row.
+            self.renew_session()
+        zones = [z.name for z in self.applied.config.inventory.zones]
+        if zones != self._zones:
+            self.refresh_other_zones()
+
+    def _list_targets(self) -> list[probes.Target]:
+        targets = {
+            record.peer_address: probes.Target(record.peer_address, record.zone)
+            for record in self.observer.list_sessions()
+            if record.state is not sessions.SessionState.CLOSED
+        }
+        for seed in self._surroundings.seeds:
+            targets[seed] = probes.Target(seed, self.identity.zone)
+        targets.pop(self.identity.peer_address, None)
+        return list(targets.values())
+
+    def _create_holdings(self) -> holdings.Holdings:
+        identity = self.identity
+        return holdings.Holdings(
+            holdings.Parts(
+                f"{identity.vm}/{identity.incarnation}",
+                self.timers,
+                self.members.get_directory(identity.zone),
+                self.applied,
+                self.job_store,
+                self._surroundings.create_client,
+                forwarding.Forwarder(
+                    self.peers, self.find_owner_address, self.find_owned
+                ),
+            )
+        )
+
+    def _create_succession(self) -> succession.Succession:
+        return succession.Succession(
+            succession.Parts(
+                self.session,
+                self.members,
+                self._probes,
+                self.holdings,
+                self.applied,
+                self.peers,
+                self._rollout.read_newer,
             )
-        return self._directories[zone]
-
-    def _claim_shards(self) -> None:
-        directory = self._get_directory(self.identity.zone)
-        for shard in self.applied.config.inventory.list_shards():
-            if shard.zone != self.identity.zone or self.find_owned(shard):
-                continue
-            record = directory.find(shard)
-            if not ownership.should_claim(
-                shard, record, self.session.record, self.observer
-            ):
-                continue
-            claimed = directory.claim(shard)
-            if isinstance(claimed, result.Success):
-                self._take_over(shard, claimed.unwrap())
-
-    def _take_over(self, shard: identifiers.ShardId, epoch: int) -> None:
-        logging.info("event=shard_claimed shard=%s epoch=%d", shard, epoch)
-        owned = shards.create_owned_shard(
-            shard,
-            epoch,
-            f"{self.identity.vm}/{self.identity.incarnation}",
-            self.timers,
-            self.job_store,
-            self.applied.config.rules.policy,
         )
-        with self._lock:
-            self._owned[shard] = owned
-        self._apply_workers(owned)
-
-    def _drop_lost_shards(self) -> None:
-        directory = self._get_directory(self.identity.zone)
-        for owned in self.list_owned():
-            if directory.is_mine(owned.id) and not owned.fleet.is_fenced():
-                continue
-            logging.warning("event=shard_lost shard=%s", owned.id)
-            with self._lock:
-                self._owned.pop(owned.id, None)
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -34,6 +34,9 @@
     has_unknown_workers: bool = False
 
 
+NOTHING_BEFORE = Takeover()
+
+
 class Fleet:
     """Owner leases, reservations and attempt records of a shard's workers.
 
@@ -50,7 +53,7 @@
         epoch: int,
         owner: str,
         timer_service: timers.TimerService,
-        takeover: Takeover = Takeover(),
+        takeover: Takeover = NOTHING_BEFORE,
     ):
         """Creates a fleet without workers.
 
@@ -162,6 +165,10 @@
         """Returns whether nothing is placed any more."""
         return self._is_stopped
 
+    def has_worker(self, name: str) -> bool:
+        """Returns whether a worker is held."""
+        return self._held.find(name) is not None
+
     def get_client(self, name: str) -> workers.WorkerClient:
         """Returns the client of a worker; calls of a dropped one fail."""
         hold = self._held.find(name)
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/membership.py
@@ -0,0 +1,191 @@
+"""Which entry VMs there are, which shards they own, and who is leaving."""
+
+import threading
+
+from absl import logging
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import identifiers
+from persimmonpath import machines
+from persimmonpath import ownership
+from persimmonpath import sessions
+from persimmonpath import tables
+from persimmonpath import timers
+from persimmonpath import wire
+
+OWN_ZONE_PERIOD_S = 2.0
+OTHER_ZONES_PERIOD_S = 10.0
+MACHINES_PERIOD_S = 2.0
+# A VM that was never seen on the platform's list, which lags, counts as gone
+# only after its session was silent for this long.
+LIST_LAG_S = 30.0
+# Rows of VMs that are gone are deleted after this time, so that scans do not
+# grow with every VM that is replaced.
+FORGET_S = 600.0
+MAX_NAMES = 20_000
+
+
+class Membership:
+    """Sessions, shard rows and the platform's VM list as last read.
+
+    Attributes:
+        observer: Judges sessions.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        vm: str,
+        incarnation: str,
+        table: tables.Table,
+        timer_service: timers.TimerService,
+        machine_list: machines.MachineList | None = None,
+    ):
+        """Creates a membership that has read nothing.
+
+        Args:
+            zone: Zone of this entry VM.
+            vm: Name of this entry VM.
+            incarnation: Id of this process.
+            table: The table service.
+            timer_service: Source of time.
+            machine_list: The platform's VM list; None when there is none.
+        """
+        self.observer = sessions.SessionObserver(timer_service)
+        self._zone = zone
+        self._vm = vm
+        self._incarnation = incarnation
+        self._table = table
+        self._timers = timer_service
+        self._machines = machine_list
+        self._lock = threading.Lock()
+        self._directories: dict[str, ownership.ShardDirectory] = {}
+        self._read_at = timer_service.now()
+        self._leaving: frozenset[str] = frozenset()
+        self._listed: frozenset[str] = frozenset()
+        self._ever_listed: set[str] = set()
+
+    def refresh_zone(
+        self, zone: str, period_s: float
+    ) -> result.Result[None, errors.TableError]:
+        """Reads the sessions and shards of a zone.
+
+        Args:
+            zone: The zone.
+            period_s: Seconds between reads of this zone.
+        """
+        prefix = f"{sessions.PREFIX}{zone}/"
+        scan = self._table.scan(prefix)
+        if isinstance(scan, result.Failure):
+            return scan
+        reply = self.get_directory(zone).refresh()
+        if isinstance(reply, result.Failure):
+            return reply
+        self.observer.observe(prefix, scan.unwrap(), period_s)
+        if zone == self._zone:
+            self._read_at = self._timers.now()
+        return result.Success(None)
+
+    def refresh_own_zone(self) -> result.Result[None, errors.TableError]:
+        """Reads the sessions and shards of this VM's zone."""
+        return self.refresh_zone(self._zone, OWN_ZONE_PERIOD_S)
+
+    def refresh_others(self, zones: list[str]) -> None:
+        """Reads the sessions and shards of the other zones."""
+        for zone in zones:
+            if zone != self._zone:
+                self.refresh_zone(zone, OTHER_ZONES_PERIOD_S)
+
+    def refresh_machines(self) -> None:
+        """Reads the platform's VM list."""
+        if self._machines is None:
+            return
+        reply = self._machines.read()
+        if isinstance(reply, result.Failure):
+            logging.warning("event=vm_list_failed error=%s", reply.failure())
+            return
+        listed = reply.unwrap()
+        leaving = machines.MachineState.LEAVING
+        with self._lock:
+            self._leaving = frozenset(
+                m.name for m in listed if m.state is leaving
+            )
+            self._listed = frozenset(m.name for m in listed)
+            if len(self._ever_listed) > MAX_NAMES:
+                self._ever_listed.clear()
+            self._ever_listed |= self._listed
+
+    def read_sessions(
+        self,
+    ) -> result.Result[list[sessions.SessionRecord], errors.TableError]:
+        """Returns the sessions of all zones as they are in the table now."""
+        return self._table.scan(sessions.PREFIX).map(
+            lambda rows: [
+                wire.decode(sessions.SessionRecord, row.value) for row in rows
+            ]
+        )
+
+    def get_directory(self, zone: str) -> ownership.ShardDirectory:
+        """Returns the shard rows of a zone."""
+        with self._lock:
+            if zone not in self._directories:
+                self._directories[zone] = ownership.ShardDirectory(
+                    zone, self._vm, self._incarnation, self._table
+                )
+            return self._directories[zone]
+
+    def measure_outage(self) -> float:
+        """Returns the seconds since the table could last be read."""
+        return self._timers.now() - self._read_at
+
+    def list_leaving(self) -> frozenset[str]:
+        """Returns the VMs that the platform lists as leaving."""
+        return self._leaving
+
+    def is_gone(self, record: sessions.SessionRecord) -> bool:
+        """Returns whether the VM of a session no longer exists.
+
+        The platform must have taken it off its list. A VM that renews its
+        session exists, whatever the lagging list says.
+        """
+        # A list without any VM is not credible.
+        if not self._listed or record.vm in self._listed:
+            return False
+        seen = self.observer.find(record.zone, record.vm)
+        if seen is None or seen.incarnation != record.incarnation:
+            return False
+        if not self.observer.has_lapsed(record):
+            return False
+        if record.vm in self._ever_listed:
+            return True
+        return self.observer.measure_silence(record) >= LIST_LAG_S
+
+    def list_candidates(self) -> list[sessions.SessionRecord]:
+        """Returns the sessions of this zone that may own shards."""
+        return [
+            record
+            for record in self.observer.list_live(self._zone)
+            if record.vm not in self._leaving
+        ]
+
+    def find_owner(
+        self, shard: identifiers.ShardId
+    ) -> sessions.SessionRecord | None:
+        """Returns the session of a shard's owner as last read."""
+        record = self.get_directory(shard.zone).find(shard)
+        if record is None or not record.vm:
+            return None
+        return self.observer.find(shard.zone, record.vm)
+
+    def forget_gone(self) -> None:
+        """Deletes the session rows of VMs that have long been gone."""
+        for record in self.observer.list_sessions(self._zone):
+            is_old = self.observer.measure_silence(record) >= FORGET_S
+            if not is_old or record.vm in self._listed:
+                continue
+            version = self.observer.get_version(record)
+            key = sessions.format_key(record.zone, record.vm)
+            self._table.commit(
+                [tables.Check(key, version)], [tables.Write(key, None)]
+            )
--- a/packages/persimmonpath/persimmonpath/ownership.py
+++ b/packages/persimmonpath/persimmonpath/ownership.py
@@ -1,6 +1,7 @@
 """Which entry VM may place on the workers of a shard."""
 
 import dataclasses
+import threading
 
 from returns import result
 
@@ -21,11 +22,16 @@
         vm: Owner; empty when the shard was released.
         incarnation: Process of the owner.
         epoch: Raised by every change of owner.
+        config_version: Configuration that the owner had when it claimed.
+        complete_since: Lowest epoch of which no attempt ran on a worker that
+            has left the inventory since.
     """
 
     vm: str
     incarnation: str
     epoch: int
+    config_version: int = 0
+    complete_since: int = 0
 
 
 def format_key(shard: identifiers.ShardId) -> str:
@@ -33,6 +39,16 @@
     return f"{PREFIX}{shard}"
 
 
+def compute_table_epoch(epoch: int) -> int:
+    """Returns the epoch of a claim through the table: the next even one."""
+    return epoch + 2 - epoch % 2
+
+
+def compute_tableless_epoch(epoch: int) -> int:
+    """Returns the epoch of a claim without the table: the next odd one."""
+    return epoch + 1 + epoch % 2
+
+
 class ShardDirectory:
     """The shard rows of one zone as last read, and changes to them."""
 
@@ -42,7 +58,7 @@
         """Creates a directory that has read nothing.
 
         Args:
-            zone: Zone of this entry VM.
+            zone: Zone of the shards.
             vm: Name of this entry VM.
             incarnation: Id of this process.
             table: The table service.
@@ -51,6 +67,7 @@
         self._vm = vm
         self._incarnation = incarnation
         self._table = table
+        self._lock = threading.Lock()
         self._rows: dict[identifiers.ShardId, tuple[ShardRecord, int]] = {}
 
     def refresh(self) -> result.Result[None, errors.TableError]:
@@ -58,37 +75,70 @@
         reply = self._table.scan(f"{PREFIX}{self._zone}/")
         if isinstance(reply, result.Failure):
             return reply
-        self._rows = {
-            identifiers.parse_shard_id(row.key.removeprefix(PREFIX)): (
-                wire.decode(ShardRecord, row.value),
-                row.version,
-            )
-            for row in reply.unwrap()
-        }
+        for row in reply.unwrap():
+            self._note(row)
         return result.Success(None)
 
+    def refresh_shard(
+        self, shard: identifiers.ShardId
+    ) -> result.Result[ShardRecord | None, errors.TableError]:
+        """Reads the row of one shard."""
+        reply = self._table.get(format_key(shard))
+        if isinstance(reply, result.Failure):
+            return reply
+        if reply.unwrap() is not None:
+            self._note(reply.unwrap())
+        return result.Success(self.find(shard))
+
     def find(self, shard: identifiers.ShardId) -> ShardRecord | None:
         """Returns the row of a shard as last read."""
         entry = self._rows.get(shard)
         return entry[0] if entry else None
 
-    def is_mine(self, shard: identifiers.ShardId) -> bool:
-        """Returns whether the row as last read names this process."""
-        record = self.find(shard)
-        return record is not None and record.incarnation == self._incarnation
-
     def claim(
-        self, shard: identifiers.ShardId
-    ) -> result.Result[int, errors.TableError]:
-        """Makes this process the owner in the next epoch.
+        self,
+        shard: identifiers.ShardId,
+        config_version: int,
+        last_removal: int,
+    ) -> result.Result[ShardRecord, errors.TableError]:
+        """Makes this process the owner in the next even epoch.
+
+        Args:
+            shard: The shard.
+            config_version: Configuration in force here.
+            last_removal: Version by which a worker last left the shard.
 
         Returns:
-            The epoch, or `TableConflictError` when another was first.
+            The new row, or `TableConflictError` when another was first.
         """
         record, version = self._rows.get(shard, (None, 0))
-        epoch = record.epoch + 1 if record else 1
-        claimed = ShardRecord(self._vm, self._incarnation, epoch)
-        return self._write(shard, claimed, version).map(lambda _: epoch)
+        epoch = compute_table_epoch(record.epoch if record else 0)
+        complete_since = epoch
+        if record is not None:
+            is_older = config_version < record.config_version
+            if not is_older and last_removal <= record.config_version:
+                complete_since = record.complete_since
+        claimed = ShardRecord(
+            self._vm, self._incarnation, epoch, config_version, complete_since
+        )
+        reply = self._write(shard, claimed, version)
+        if isinstance(reply, result.Success):
+            return result.Success(claimed)
+        if isinstance(reply.failure(), errors.TableUncertainError):
+            # The epoch and the incarnation tell whether it took effect.
+            found = self.refresh_shard(shard)
+            if found.value_or(None) == claimed:
+                return result.Success(claimed)
+        return reply
+
+    def reconcile(
+        self, shard: identifiers.ShardId, record: ShardRecord
+    ) -> result.Result[int, errors.TableError]:
+        """Writes the row of a claim that was made without the table."""
+        known, version = self._rows.get(shard, (None, 0))
+        if known is not None and known.epoch >= record.epoch:
+            return result.Failure(errors.TableConflictError(str(shard)))
+        return self._write(shard, record, version)
 
     def release(
         self, shard: identifiers.ShardId
@@ -97,9 +147,18 @@
         record, version = self._rows.get(shard, (None, 0))
         if record is None or record.incarnation != self._incarnation:
             return result.Success(None)
-        released = ShardRecord("", "", record.epoch)
+        released = dataclasses.replace(record, vm="", incarnation="")
         return self._write(shard, released, version).map(lambda _: None)
 
+    def _note(self, row: tables.Row) -> None:
+        """Takes in a row unless a later version of it is known."""
+        shard = identifiers.parse_shard_id(row.key.removeprefix(PREFIX))
+        record = wire.decode(ShardRecord, row.value)
+        with self._lock:
+            known = self._rows.get(shard)
+            if known is None or known[0].epoch <= record.epoch:
+                self._rows[shard] = (record, row.version)
+
     def _write(
         self, shard: identifiers.ShardId, record: ShardRecord, version: int
     ) -> result.Result[int, errors.TableError]:
@@ -109,28 +168,25 @@
             [tables.Check(key, version)], [tables.Write(key, value)]
         )
         if isinstance(reply, result.Success):
-            self._rows[shard] = (record, reply.unwrap())
+            self._note(tables.Row(key, value, reply.unwrap()))
         return reply
 
 
-def should_claim(
+def is_free(
     shard: identifiers.ShardId,
     record: ShardRecord | None,
-    me: sessions.SessionRecord,
+    incarnation: str,
     observer: sessions.SessionObserver,
 ) -> bool:
-    """Returns whether this entry VM should claim a shard now.
+    """Returns whether a shard that is not held here may be claimed.
 
-    It should when the owner's session has lapsed, or there is no owner, and
-    this VM ranks first among the live sessions of the zone.
+    It may when nobody owns it, when the owner's session has lapsed, and when
+    the row names this process: either the answer to its claim was lost, or it
+    gave the shard up.
     """
-    live = observer.list_live(shard.zone)
-    if record is not None and record.incarnation == me.incarnation:
-        return False
-    if record is not None and record.vm:
-        owner = observer.find(shard.zone, record.vm)
-        is_owner = owner is not None and owner.incarnation == record.incarnation
-        if is_owner and not observer.has_lapsed(owner):
-            return False
-    ranked = sessions.rank_candidates(shard, live)
-    return bool(ranked) and ranked[0].vm == me.vm
+    if record is None or not record.vm or record.incarnation == incarnation:
+        return True
+    owner = observer.find(shard.zone, record.vm)
+    if owner is None or owner.incarnation != record.incarnation:
+        return True
+    return observer.has_lapsed(owner)
--- a/packages/persimmonpath/persimmonpath/peers.py
+++ b/packages/persimmonpath/persimmonpath/peers.py
@@ -33,8 +33,10 @@
         vm: Its name.
         incarnation: Id of its process.
         config_version: Configuration that it applies.
-        has_session: Whether its session is live.
+        has_session: Whether its session is registered.
         shards: Load of each shard that it owns.
+        is_connected: Whether its session is live, so that it can claim shards
+            through the table.
     """
 
     vm: str
@@ -42,6 +44,7 @@
     config_version: int
     has_session: bool
     shards: list[ShardLoad]
+    is_connected: bool = False
 
 
 class Peers(abc.ABC):
@@ -94,6 +97,17 @@
     ):
         """Returns the configuration that an entry VM applies."""
 
+    @abc.abstractmethod
+    def offer_shard(
+        self, address: str, shard: identifiers.ShardId
+    ) -> "Reply[result.Result[int, errors.PersimmonError]]":
+        """Offers a shard that was released to an entry VM of its zone.
+
+        Returns:
+            The epoch, once the callee owns the shard and has listed its
+            workers, or `NotOwnerError` when it does not.
+        """
+
     @abc.abstractmethod
     def notify_job(
         self, address: str, shard: identifiers.ShardId, job_id: str
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/retirement.py
@@ -0,0 +1,102 @@
+"""Workers that leave the inventory, and shards that workers keep."""
+
+import dataclasses
+
+from persimmonpath import errors
+from persimmonpath import inventory
+
+MAX_RETIRED = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retired:
+    """A worker that is no longer in the inventory.
+
+    Its shard's owner drains it. Whoever takes the shard over must know that
+    attempts may have run there, or still run.
+
+    Attributes:
+        worker: Its last entry.
+        version: Version of the configuration that removed it.
+    """
+
+    worker: inventory.Worker
+    version: int
+
+
+def assign_shards(
+    base: inventory.Inventory,
+    retired: tuple[Retired, ...],
+    changed: inventory.Inventory,
+) -> inventory.Inventory:
+    """Gives each worker its shard: the one it has or had, else a new one.
+
+    Raises:
+        errors.InputError: If a worker changes its zone or shard, or a zone its
+            number of shards.
+    """
+    _check_zones(base, changed)
+    former = {r.worker.name: r.worker for r in retired}
+    present = {worker.name: worker for worker in base.workers}
+    shards = {zone.name: zone.shards for zone in changed.zones}
+    kept = []
+    for worker in changed.workers:
+        known = present.get(worker.name)
+        if known is not None:
+            _check_worker(known, worker)
+        else:
+            known = former.get(worker.name)
+        if worker.shard is None and known is not None:
+            is_same = known.zone == worker.zone
+            if is_same and (known.shard or 0) < shards[worker.zone]:
+                worker = worker.model_copy(update={"shard": known.shard})
+        kept.append(worker)
+    return inventory.assign_shards(
+        changed.model_copy(update={"workers": tuple(kept)})
+    )
+
+
+def update_retired(
+    base: inventory.Inventory,
+    retired: tuple[Retired, ...],
+    changed: inventory.Inventory,
+    version: int,
+) -> list[Retired]:
+    """Returns the retired workers of a new version, the latest last."""
+    names = {worker.name for worker in changed.workers}
+    kept = [r for r in retired if r.worker.name not in names]
+    left = [
+        Retired(worker, version)
+        for worker in base.workers
+        if worker.name not in names
+    ]
+    return kept + left
+
+
+def _check_zones(
+    base: inventory.Inventory, changed: inventory.Inventory
+) -> None:
+    shards = {zone.name: zone.shards for zone in base.zones}
+    for zone in changed.zones:
+        known = shards.get(zone.name, zone.shards)
+        if zone.shards != known:
+            raise errors.InputError(
+                "inventory",
+                f"zones: {zone.name}: {zone.shards} shards",
+                f"{known}, which is fixed",
+            )
+
+
+def _check_worker(known: inventory.Worker, changed: inventory.Worker) -> None:
+    if changed.zone != known.zone:
+        raise errors.InputError(
+            "inventory",
+            f"workers: {changed.name}: zone {changed.zone}",
+            f"{known.zone}; remove the worker first",
+        )
+    if changed.shard not in (None, known.shard):
+        raise errors.InputError(
+            "inventory",
+            f"workers: {changed.name}: shard {changed.shard}",
+            f"{known.shard}, which is fixed",
+        )
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/rollout.py
@@ -0,0 +1,101 @@
+"""Brings versions of the configuration into force at an entry VM."""
+
+from collections.abc import Callable
+import uuid
+
+from absl import logging
+from returns import result
+
+from persimmonpath import acceptance
+from persimmonpath import configuration
+from persimmonpath import errors
+from persimmonpath import inventory
+from persimmonpath import rules
+from persimmonpath import versions
+
+
+class Rollout:
+    """Commits and applies versions, and follows them until acceptance.
+
+    Attributes:
+        applied: Configuration in force here.
+        store: Versions in the table service.
+    """
+
+    def __init__(
+        self,
+        store: versions.VersionStore,
+        accepted: acceptance.AcceptanceStore,
+        on_applied: Callable[[], None],
+    ):
+        """Creates a rollout that has applied nothing.
+
+        Args:
+            store: Versions in the table service.
+            accepted: Tells which versions are in force everywhere.
+            on_applied: Called after each version that is applied.
+        """
+        self.applied = configuration.AppliedConfiguration()
+        self.store = store
+        self._accepted = accepted
+        self._on_applied = on_applied
+        self._pending_version = 0
+
+    def commit(
+        self,
+        based_on: int,
+        author: str,
+        content_inventory: inventory.Inventory,
+        content_rules: rules.Rules,
+    ) -> result.Result[acceptance.Status, errors.TableError]:
+        """Commits and applies a version; see `entry.EntryVm`."""
+        reply = self.store.commit(
+            based_on,
+            author,
+            uuid.uuid4().hex,
+            content_inventory,
+            content_rules,
+        )
+        if isinstance(reply, result.Failure):
+            return reply
+        config = reply.unwrap()
+        if isinstance(config, versions.Conflict):
+            return reply
+        self.apply(config)
+        self._pending_version = max(self._pending_version, config.version)
+        # The commit took effect, whatever becomes of this read.
+        pending = acceptance.Pending(config.version, (), ())
+        status = self._accepted.check(config.version)
+        return result.Success(status.value_or(pending))
+
+    def read_status(
+        self, version: int
+    ) -> result.Result[acceptance.Status, errors.TableError]:
+        """Returns whether a committed version is accepted or pending."""
+        return self._accepted.check(version)
+
+    def read_newer(self) -> bool:
+        """Applies the highest version; returns whether the table was read."""
+        newer = self.store.read_newer(self.applied.config)
+        if isinstance(newer, result.Failure):
+            return False
+        if newer.unwrap() is not None:
+            self.apply(newer.unwrap())
+        return True
+
+    def follow(self) -> None:
+        """Records acceptance of what was committed here, once it is due."""
+        if not self._pending_version:
+            return
+        status = self._accepted.check(self._pending_version)
+        if isinstance(status.value_or(None), acceptance.Accepted):
+            logging.info(
+                "event=config_accepted version=%d", self._pending_version
+            )
+            self._pending_version = 0
+
+    def apply(self, config: configuration.Configuration) -> None:
+        """Puts a version in force unless a higher one is."""
+        if self.applied.apply(config):
+            logging.info("event=config_applied version=%d", config.version)
+            self._on_applied()
--- a/packages/persimmonpath/persimmonpath/sessions.py
+++ b/packages/persimmonpath/persimmonpath/sessions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import threading
 
 from returns import result
 import xxhash
@@ -14,6 +15,9 @@
 
 SESSION_TTL_S = 4.0
 RENEW_PERIOD_S = 1.0
+# An observer that missed a read starts its observation again: it cannot tell a
+# lapsed session from an outage that kept everybody from renewing.
+GAP_PERIODS = 1.5
 PREFIX = "session/"
 
 
@@ -74,6 +78,7 @@
         self._record = record
         self._table = table
         self._timers = timer_service
+        self._lock = threading.Lock()
         self._confirmed_at: float | None = None
 
     @property
@@ -91,64 +96,97 @@
             return False
         return self._timers.now() < self._confirmed_at + SESSION_TTL_S
 
+    def is_registered(self) -> bool:
+        """Returns whether the row was written and is not closed."""
+        is_closed = self._record.state is SessionState.CLOSED
+        return self._confirmed_at is not None and not is_closed
+
     def renew(
-        self,
-        config_version: int,
-        state: SessionState = SessionState.LIVE,
+        self, config_version: int, state: SessionState | None = None
     ) -> result.Result[int, errors.TableError]:
-        """Writes the next counter, the configuration version and the state."""
-        sent_at = self._timers.now()
-        self._record = dataclasses.replace(
-            self._record,
-            counter=self._record.counter + 1,
-            config_version=config_version,
-            state=state,
-        )
-        key = format_key(self._record.zone, self._record.vm)
-        value = wire.encode(self._record).decode()
-        reply = self._table.commit([], [tables.Write(key, value)])
-        if isinstance(reply, result.Success):
-            self._confirmed_at = sent_at
-        return reply
+        """Writes the next counter, the configuration version and the state.
+
+        Args:
+            config_version: Version in force; a lower one than before is not
+                written, since renewals may overtake each other.
+            state: New state; None for no change.
+        """
+        with self._lock:
+            sent_at = self._timers.now()
+            self._record = dataclasses.replace(
+                self._record,
+                counter=self._record.counter + 1,
+                config_version=max(config_version, self._record.config_version),
+                state=state or self._record.state,
+            )
+            key = format_key(self._record.zone, self._record.vm)
+            value = wire.encode(self._record).decode()
+            reply = self._table.commit([], [tables.Write(key, value)])
+            if isinstance(reply, result.Success):
+                self._confirmed_at = sent_at
+            return reply
 
 
 @dataclasses.dataclass(slots=True)
 class _Observation:
     record: SessionRecord
     version: int
-    seen_at: float
+    since: float  # When this observer first read this version of the row.
+    checked_at: float  # When it last read it.
+    first_seen_at: float  # When it first read the incarnation.
 
 
 class SessionObserver:
     """Judges which sessions have lapsed, by this process's own clock.
 
-    A session has lapsed when its row has not changed for `SESSION_TTL_S`
-    since this observer first read it. No clocks are compared.
+    A session has lapsed when its row did not change in reads that span
+    `SESSION_TTL_S` without a gap. No clocks are compared.
     """
 
     def __init__(self, timer_service: timers.TimerService):
         """Creates an observer that has seen nothing."""
         self._timers = timer_service
+        self._lock = threading.Lock()
         self._seen: dict[str, _Observation] = {}
+        self._read_at: dict[str, float] = {}
 
-    def observe(self, prefix: str, rows: list[tables.Row]) -> None:
-        """Takes in all session rows below a prefix."""
-        keys = {row.key for row in rows}
-        for key in list(self._seen):
-            if key.startswith(prefix) and key not in keys:
-                del self._seen[key]
-        for row in rows:
-            known = self._seen.get(row.key)
-            if known is not None and known.version == row.version:
-                continue
-            record = wire.decode(SessionRecord, row.value)
-            self._seen[row.key] = _Observation(
-                record, row.version, self._timers.now()
-            )
+    def observe(
+        self, prefix: str, rows: list[tables.Row], period_s: float = 2.0
+    ) -> None:
+        """Takes in all session rows below a prefix.
+
+        Args:
+            prefix: The prefix that was read.
+            rows: The rows.
+            period_s: Seconds between reads of this prefix.
+        """
+        now = self._timers.now()
+        with self._lock:
+            last = self._read_at.get(prefix, now)
+            has_gap = now - last > GAP_PERIODS * period_s
+            self._read_at[prefix] = now
+            keys = {row.key for row in rows}
+            for key in list(self._seen):
+                if key.startswith(prefix) and key not in keys:
+                    del self._seen[key]
+            for row in rows:
+                self._seen[row.key] = self._note(row, now, has_gap)
+
+    def _note(self, row: tables.Row, now: float, has_gap: bool) -> _Observation:
+        known = self._seen.get(row.key)
+        if known is not None and known.version == row.version:
+            known.checked_at = now
+            known.since = now if has_gap else known.since
+            return known
+        record = wire.decode(SessionRecord, row.value)
+        first_seen_at = now
+        if known and known.record.incarnation == record.incarnation:
+            first_seen_at = known.first_seen_at
+        return _Observation(record, row.version, now, now, first_seen_at)
 
     def list_sessions(self, zone: str | None = None) -> list[SessionRecord]:
         """Returns all sessions seen, live or not, of one zone or all."""
-        records = (o.record for o in self._seen.values())
+        records = (o.record for o in list(self._seen.values()))
         return [r for r in records if zone is None or r.zone == zone]
 
     def list_live(self, zone: str | None = None) -> list[SessionRecord]:
@@ -166,7 +204,21 @@
             return True
         if seen.record.state is SessionState.CLOSED:
             return True
-        return self._timers.now() >= seen.seen_at + SESSION_TTL_S
+        return seen.checked_at - seen.since >= SESSION_TTL_S
+
+    def measure_age(self, record: SessionRecord) -> float:
+        """Returns for how many seconds a session has been observed."""
+        seen = self._seen.get(format_key(record.zone, record.vm))
+        return self._timers.now() - seen.first_seen_at if seen else 0.0
+
+    def measure_silence(self, record: SessionRecord) -> float:
+        """Returns for how many seconds a session's row has not changed."""
+        seen = self._seen.get(format_key(record.zone, record.vm))
+        return seen.checked_at - seen.since if seen else 0.0
+
+    def get_version(self, record: SessionRecord) -> int:
+        """Returns the version of a session's row as last read."""
+        return self._seen[format_key(record.zone, record.vm)].version
 
     def find(self, zone: str, vm: str) -> SessionRecord | None:
         """Returns the session of an entry VM as last read."""
--- a/packages/persimmonpath/persimmonpath/shards.py
+++ b/packages/persimmonpath/persimmonpath/shards.py
@@ -26,10 +26,13 @@
     runner: runner.JobRunner
 
     def apply_workers(
-        self, listed: list[inventory.Worker], create_client: ClientFactory
+        self,
+        listed: list[inventory.Worker],
+        create_client: ClientFactory,
+        retired: list[inventory.Worker] | None = None,
     ) -> None:
         """Makes the fleet match the inventory."""
-        self.fleet.apply_workers(listed, create_client)
+        self.fleet.apply_workers(listed, create_client, retired)
 
 
 def create_owned_shard(
@@ -39,6 +42,7 @@
     timer_service: timers.TimerService,
     store: jobs.JobStore,
     policy: rules.Policy,
+    takeover: fleet.Takeover = fleet.NOTHING_BEFORE,
 ) -> OwnedShard:
     """Returns a shard without workers.
 
@@ -49,8 +53,9 @@
         timer_service: Source of time.
         store: Job rows.
         policy: Settings of the policies.
+        takeover: What is known of the time before the epoch.
     """
-    shard_fleet = fleet.Fleet(epoch, owner, timer_service)
+    shard_fleet = fleet.Fleet(epoch, owner, timer_service, takeover)
     return OwnedShard(
         shard,
         shard_fleet,
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/succession.py
@@ -0,0 +1,248 @@
+"""Decides which shards an entry VM claims and which it hands over."""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import threading
+
+from absl import logging
+from returns import result
+
+from persimmonpath import configuration
+from persimmonpath import errors
+from persimmonpath import holdings
+from persimmonpath import identifiers
+from persimmonpath import membership
+from persimmonpath import ownership
+from persimmonpath import peers
+from persimmonpath import probes
+from persimmonpath import sessions
+
+# A VM that just joined gets shards only once it has lasted this long, so that
+# one that keeps restarting does not move shards each time.
+SETTLE_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What succession works with.
+
+    Attributes:
+        session: Session of this VM.
+        members: Sessions and shards as last read.
+        probes: What other VMs told while the table could not be read.
+        holdings: Shards held here.
+        applied: Configuration in force.
+        peers: Calls to other entry VMs.
+        refresh_config: Applies the highest version; returns whether the table
+            could be read.
+    """
+
+    session: sessions.Session
+    members: membership.Membership
+    probes: probes.Probes
+    holdings: holdings.Holdings
+    applied: configuration.AppliedConfiguration
+    peers: peers.Peers
+    refresh_config: Callable[[], bool]
+
+
+class Succession:
+    """Claims shards that have no owner, and hands over those of others."""
+
+    def __init__(self, parts: Parts):
+        """Creates a succession that has claimed nothing."""
+        self._parts = parts
+        self._members = parts.members
+        self._probes = parts.probes
+        self._holdings = parts.holdings
+        self._lock = threading.Lock()
+        # Highest epoch claimed without the table, of each shard of the zone.
+        self._tried: dict[identifiers.ShardId, int] = {}
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Claims nothing from now on and hands every shard over."""
+        self._is_leaving = True
+        self.hand_over_shards()
+
+    def is_leaving(self) -> bool:
+        """Returns whether this VM is about to leave."""
+        return self._is_leaving or self._me.vm in self._members.list_leaving()
+
+    def claim_shards(self) -> None:
+        """Claims the shards that this VM should own, through the table."""
+        if self.is_leaving() or not self._parts.session.is_live():
+            return
+        candidates = self._members.list_candidates()
+        for shard in self._list_shards():
+            if self._holdings.is_held(shard) or not self._is_free(shard):
+                continue
+            ranked = sessions.rank_candidates(shard, candidates)
+            if ranked and ranked[0].vm == self._me.vm:
+                self._claim(shard)
+            else:
+                # Does nothing unless the row still names this process.
+                self._directory.release(shard)
+
+    def claim_without_table(self) -> None:
+        """Claims shards whose owner is silent while the table is down."""
+        is_outage = self._members.measure_outage() >= sessions.SESSION_TTL_S
+        if not is_outage or self.is_leaving():
+            return
+        if not self._parts.session.is_registered():
+            return
+        # A peer that reaches the table claims there. A VM that reaches no
+        # other entry VM is more likely cut off than the only one left.
+        if self._probes.has_connected_peer() or not self._probes.has_answer():
+            return
+        for shard in self._list_shards():
+            is_closed = self._holdings.is_held(shard)
+            if is_closed or not self._holdings.may_claim(shard):
+                continue
+            if self._is_owner_silent(shard) and self._ranks_first(shard):
+                self._claim_tableless(shard)
+
+    def hand_over_shards(self) -> None:
+        """Hands over the shards for which another VM ranks first."""
+        me = self._me.vm
+        others = [r for r in self._members.list_candidates() if r.vm != me]
+        for owned in self._holdings.list_placing():
+            ranked = sessions.rank_candidates(owned.id, [*others, self._me])
+            if self.is_leaving():
+                ranked = [r for r in ranked if r.vm != me]
+            if not ranked or ranked[0].vm == me:
+                continue
+            if self.is_leaving() or self._has_settled(ranked[0]):
+                self._hand_over(owned.id, ranked[0])
+
+    def take_offer(self, shard: identifiers.ShardId) -> futures.Future:
+        """Claims a shard that its owner has released for this VM.
+
+        Returns:
+            A future of the epoch, once the workers are listed, or of a
+            `NotOwnerError`.
+        """
+        future: futures.Future = futures.Future()
+        refused = result.Failure(errors.NotOwnerError(str(shard)))
+        if self.is_leaving() or shard not in self._list_shards():
+            future.set_result(refused)
+            return future
+        self._directory.refresh_shard(shard)
+        if not self._holdings.is_held(shard) and self._is_free(shard):
+            self._claim(shard)
+        if not self._holdings.is_held(shard):
+            future.set_result(refused)
+            return future
+
+        def answer() -> None:
+            owned = self._holdings.find(shard)
+            future.set_result(
+                result.Success(owned.fleet.epoch) if owned else refused
+            )
+
+        self._holdings.wait_owned(shard, answer)
+        return future
+
+    @property
+    def _me(self) -> sessions.SessionRecord:
+        return self._parts.session.record
+
+    @property
+    def _directory(self) -> ownership.ShardDirectory:
+        return self._members.get_directory(self._me.zone)
+
+    def _list_shards(self) -> list[identifiers.ShardId]:
+        shards = self._parts.applied.config.inventory.list_shards()
+        return [s for s in shards if s.zone == self._me.zone]
+
+    def _is_free(self, shard: identifiers.ShardId) -> bool:
+        return ownership.is_free(
+            shard,
+            self._directory.find(shard),
+            self._me.incarnation,
+            self._members.observer,
+        )
+
+    def _has_settled(self, record: sessions.SessionRecord) -> bool:
+        is_old = self._members.observer.measure_age(record) >= SETTLE_S
+        version = self._parts.applied.config.version
+        return is_old and record.config_version >= version
+
+    def _claim(self, shard: identifiers.ShardId) -> None:
+        """Claims a shard; one claim at a time.
+
+        The configuration is read again after the claim: workers that the old
+        owner used were added by a version that was committed before.
+        """
+        with self._lock:
+            if self._holdings.is_held(shard):
+                return
+            if not self._parts.refresh_config():
+                return
+            config = self._parts.applied.config
+            claimed = self._directory.claim(
+                shard, config.version, config.find_last_removal(shard)
+            )
+            if isinstance(claimed, result.Failure):
+                logging.info("event=claim_failed shard=%s", shard)
+                return
+            is_current = self._parts.refresh_config()
+            self._holdings.take_over(shard, claimed.unwrap(), is_current)
+
+    def _is_owner_silent(self, shard: identifiers.ShardId) -> bool:
+        if self._probes.find_owner(shard) is not None:
+            return False
+        record = self._directory.find(shard)
+        if record is None or not record.vm:
+            return True
+        owner = self._members.find_owner(shard)
+        if owner is None or record.incarnation == self._me.incarnation:
+            return True
+        return self._probes.is_silent(owner)
+
+    def _ranks_first(self, shard: identifiers.ShardId) -> bool:
+        alive = [
+            record
+            for record in self._members.observer.list_sessions(self._me.zone)
+            if record.state is sessions.SessionState.LIVE
+            and record.vm != self._me.vm
+            and self._probes.is_alive(record)
+        ]
+        ranked = sessions.rank_candidates(shard, [*alive, self._me])
+        return ranked[0].vm == self._me.vm
+
+    def _claim_tableless(self, shard: identifiers.ShardId) -> None:
+        row = self._directory.find(shard)
+        known = max(
+            row.epoch if row else 0,
+            self._probes.find_epoch(shard),
+            self._tried.get(shard, 0),
+        )
+        epoch = ownership.compute_tableless_epoch(known)
+        self._tried[shard] = epoch
+        record = ownership.ShardRecord(
+            self._me.vm,
+            self._me.incarnation,
+            epoch,
+            self._parts.applied.config.version,
+            epoch,
+        )
+        self._holdings.take_over(shard, record, False)
+
+    def _hand_over(
+        self, shard: identifiers.ShardId, successor: sessions.SessionRecord
+    ) -> None:
+        self._holdings.hand_over(shard)
+        call = self._parts.peers.offer_shard(successor.peer_address, shard)
+        call.add_done_callback(lambda f: self._take_answer(shard, f.result()))
+
+    def _take_answer(
+        self, shard: identifiers.ShardId, reply: result.Result
+    ) -> None:
+        if isinstance(reply, result.Failure):
+            # The successor sees the released row at its next read.
+            logging.warning("event=offer_failed shard=%s", shard)
+            return
+        self._directory.refresh_shard(shard)
+        self._holdings.review()
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -20,6 +20,8 @@
 from persimmonpath_daemon import peers_pb2_grpc
 
 CALL_TIMEOUT_S = 1.0
+# A shard that is offered is claimed and its workers are listed.
+OFFER_TIMEOUT_S = 5.0
 # Time that the owner's answer may take on its way beyond the request's own.
 ANSWER_MARGIN_S = 0.2
 MAX_MESSAGE_BYTES = 8 << 20
@@ -175,6 +177,19 @@
             ),
         )
 
+    def offer_shard(self, address, shard):
+        """Offers a shard that was released to an entry VM of its zone."""
+
+        def read(reply: peers_pb2.OfferShardReply) -> result.Result:
+            if reply.not_owner:
+                return result.Failure(errors.NotOwnerError(str(shard)))
+            return result.Success(reply.epoch)
+
+        message = peers_pb2.OfferShardRequest(
+            zone=shard.zone, shard=shard.index
+        )
+        return self._call(address, "OfferShard", message, OFFER_TIMEOUT_S, read)
+
     def notify_job(self, address, shard, job_id):
         """Tells the owner of a shard of a new or changed job."""
         message = peers_pb2.NotifyJobRequest(
@@ -254,6 +269,7 @@
         incarnation=probe.incarnation,
         config_version=probe.config_version,
         has_session=probe.has_session,
+        is_connected=probe.is_connected,
     )
     for load in probe.shards:
         reply.shards.add(
@@ -282,6 +298,7 @@
             )
             for load in reply.shards
         ],
+        reply.is_connected,
     )
 
 
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -11,6 +11,7 @@
 import pydantic
 from returns import result
 
+from persimmonpath import acceptance
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
 from persimmonpath import identifiers
@@ -81,6 +82,30 @@
     }
 
 
+def describe_status(status: acceptance.Status) -> Reply:
+    """Returns the reply that tells the status of a configuration."""
+    match status:
+        case acceptance.Accepted(version):
+            return Reply(200, {"version": version, "state": "accepted"})
+        case acceptance.Pending(version, zones, vms):
+            body = {
+                "version": version,
+                "state": "pending",
+                "zones": zones,
+                "vms": vms,
+            }
+            return Reply(200, body)
+    return Reply(
+        409,
+        {
+            "error": "conflict",
+            "version": status.version,
+            "author": status.author,
+            "message": f"version {status.version} of {status.author} won",
+        },
+    )
+
+
 class Application:
     """WSGI application of an entry VM."""
 
@@ -99,6 +124,11 @@
             ("DELETE", re.compile(r"/v1/jobs/([^/]+)"), self._cancel_job),
             ("GET", re.compile(r"/v1/config"), self._show_config),
             ("POST", re.compile(r"/v1/config"), self._commit_config),
+            (
+                "GET",
+                re.compile(r"/v1/config/status"),
+                self._show_config_status,
+            ),
             ("GET", re.compile(r"/v1/vms"), self._show_vms),
             ("GET", re.compile(r"/healthz"), self._check_health),
             ("GET", re.compile(r"/readyz"), self._check_ready),
@@ -222,7 +252,15 @@
         )
         if isinstance(reply, result.Failure):
             return _describe_table_error(reply.failure())
-        return Reply(200, {"version": reply.unwrap().version})
+        return describe_status(reply.unwrap())
+
+    def _show_config_status(self, body: bytes) -> Reply:
+        del body
+        version = self._entry.applied.config.version
+        reply = self._entry.read_config_status(version)
+        if isinstance(reply, result.Failure):
+            return _describe_table_error(reply.failure())
+        return describe_status(reply.unwrap())
 
     def _show_vms(self, body: bytes) -> Reply:
         del body
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -68,8 +68,9 @@
         str(settings.peer),
         settings.threads.peer,
     )
+    counter = node_module.CallCounter(httpapi.Application(entry, router))
     http_server = httpapi.create_server(
-        httpapi.Application(entry, router),
+        counter,
         str(settings.http.host),
         settings.http.port,
         settings.threads.http,
@@ -89,7 +90,7 @@
         settings.peer,
     )
     stopping.wait()
-    node_module.leave(entry, settings.drain_s)
+    node_module.leave(entry, counter, settings.notice_s, settings.drain_s)
     http_server.stop()
     peer_server.stop(2.0).wait()
     logging.info("event=stopped vm=%s", settings.vm)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/node.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/node.py
@@ -15,7 +15,7 @@
 from persimmonpath_daemon import grpcpeers
 from persimmonpath_daemon import settings as settings_module
 
-PERIODIC_THREADS = 8
+PERIODIC_THREADS = 10
 DRAIN_CHECK_S = 0.05
 
 
@@ -84,20 +84,80 @@
         peers=grpcpeers.create_peers(),
         create_client=create_client,
         repeat=create_repeat(timer_service, executors.periodic),
+        machines=httpplatform.HttpMachines(
+            str(settings.platform.url), settings.platform.timeout_s
+        ),
+        seeds=tuple(str(seed) for seed in settings.seeds),
     )
     return entry_module.EntryVm(identity, surroundings)
 
 
-def leave(entry: entry_module.EntryVm, drain_s: float) -> None:
-    """Waits until no request is in flight and gives the shards up.
+class CallCounter:
+    """WSGI filter that counts calls in progress.
+
+    Once the process is leaving, it asks callers to close their connections, so
+    that none is idle, and about to be used again, when the server stops.
+    """
+
+    def __init__(self, application: Callable):
+        """Creates a filter before an application."""
+        self._application = application
+        self._lock = threading.Lock()
+        self._count = 0
+        self._is_leaving = False
+
+    def __call__(self, environ, start_response):
+        """Passes a call on."""
+
+        def start(status, headers, *extra):
+            if self._is_leaving:
+                headers = [*headers, ("Connection", "close")]
+            return start_response(status, headers, *extra)
+
+        with self._lock:
+            self._count += 1
+        try:
+            return self._application(environ, start)
+        finally:
+            with self._lock:
+                self._count -= 1
+
+    def begin_leaving(self) -> None:
+        """Closes each connection after its next answer."""
+        self._is_leaving = True
+
+    def count(self) -> int:
+        """Returns the calls in progress."""
+        return self._count
+
+
+def leave(
+    entry: entry_module.EntryVm,
+    counter: CallCounter,
+    notice_s: float,
+    drain_s: float,
+) -> None:
+    """Hands the shards over and waits until nothing is in flight.
 
     Args:
         entry: The entry VM.
+        counter: Counts the calls of callers.
+        notice_s: Least time to go on accepting calls in seconds.
         drain_s: Longest time to wait in seconds.
     """
+    started = entry.timers.now()
     entry.begin_leaving()
-    deadline = entry.timers.now() + drain_s
+    counter.begin_leaving()
     pause = threading.Event()
-    while entry.timers.now() < deadline and entry.count_in_flight():
+    while entry.timers.now() < started + drain_s:
+        is_noticed = entry.timers.now() >= started + notice_s
+        if is_noticed and not counter.count() and not entry.count_in_flight():
+            break
         pause.wait(DRAIN_CHECK_S)
+    logging.info(
+        "event=drained vm=%s calls=%d in_flight=%d",
+        entry.identity.vm,
+        counter.count(),
+        entry.count_in_flight(),
+    )
     entry.finish_leaving()
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -2,6 +2,8 @@
 
 from concurrent import futures
 
+from returns import result
+
 from persimmonpath import entry as entry_module
 from persimmonpath import identifiers
 from persimmonpath import outcomes
@@ -66,6 +68,19 @@
             version=config.version, content=wire.encode(config)
         )
 
+    def OfferShard(self, request, context):  # noqa: N802
+        """Claims a shard that its owner has released."""
+        shard = identifiers.ShardId(request.zone, request.shard)
+        try:
+            reply = self._entry.take_offer(shard).result(
+                context.time_remaining()
+            )
+        except futures.TimeoutError:
+            return peers_pb2.OfferShardReply(not_owner=True)
+        if isinstance(reply, result.Failure):
+            return peers_pb2.OfferShardReply(not_owner=True)
+        return peers_pb2.OfferShardReply(epoch=reply.unwrap())
+
     def NotifyJob(self, request, context):  # noqa: N802
         """Has the runner of a shard read its jobs again."""
         del context
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -64,7 +64,11 @@
         http: Address for callers.
         peer: Address for other entry VMs.
         platform: The platform's services.
+        seeds: Peer addresses of entry VMs of the zone; one of them vouches for
+            this VM if it starts while the platform is unavailable.
         threads: Bounds on concurrent work.
+        notice_s: Seconds that a graceful shutdown goes on accepting requests,
+            so that the load balancer sees that it is not ready.
         drain_s: Longest time that a graceful shutdown waits, in seconds.
         log_level: `debug`, `info`, `warning` or `error`.
     """
@@ -74,7 +78,9 @@
     http: Address
     peer: Address
     platform: PlatformSettings
+    seeds: Annotated[tuple[Address, ...], pydantic.Field(max_length=16)] = ()
     threads: ThreadSettings = ThreadSettings()
+    notice_s: Annotated[float, pydantic.Field(ge=0, le=60)] = 2.0
     drain_s: Annotated[float, pydantic.Field(gt=0, le=600)] = 30.0
     log_level: Annotated[
         str, pydantic.Field(pattern="^(debug|info|warning|error)$")
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,9 +6,12 @@
 
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
+from persimmonpath import inventory
+from persimmonpath import machines
 from persimmonpath import memoryworkers
 from persimmonpath import peers
 from persimmonpath import resources
+from persimmonpath import rules
 from persimmonpath import tables
 from persimmonpath import timers
 from persimmonpath import workers
@@ -95,6 +98,10 @@
         """Returns the configuration that an entry VM applies."""
         return self._call(address, lambda entry: entry.applied.config)
 
+    def offer_shard(self, address, shard):
+        """Offers a shard to an entry VM of its zone."""
+        return self._call(address, lambda entry: entry.take_offer(shard))
+
     def notify_job(self, address, shard, job_id):
         """Has the runner of a shard read its jobs again."""
         del job_id
@@ -123,13 +130,9 @@
             self._fail_later(future, timeout_s)
         elif isinstance(value, futures.Future):
             self._fail_later(future, timeout_s)
-            value.add_done_callback(
-                lambda f: settle(future, result.Success(f.result()))
-            )
-        elif isinstance(value, result.Result):
-            future.set_result(value)
+            value.add_done_callback(lambda f: settle(future, _wrap(f.result())))
         else:
-            future.set_result(result.Success(value))
+            future.set_result(_wrap(value))
         return future
 
     def _fail_later(self, future, timeout_s):
@@ -243,7 +246,9 @@
         timers: Moves everything.
         table: The shared table service.
         network: Connects the entry VMs.
+        machines: The platform's VM list; it lists every VM at first.
         workers: Workers by name.
+        clients: The last client of each entry VM and worker, by their names.
         entries: Entry VMs by name.
     """
 
@@ -252,7 +257,9 @@
         self.store = tables.create_memory_table()
         self.table = FaultyTable(self.store)
         self.network = Network(self.timers)
+        self.machines = machines.create_memory_machines()
         self.workers = {}
+        self.clients = {}
         self.entries = {}
         self._paused = set()
 
@@ -266,6 +273,7 @@
             plan or (lambda start: memoryworkers.Plan(0.01, True, b"ok")),
         )
         self.workers[name] = worker
+        self.machines.mark(name, machines.MachineState.LIVE)
         return worker
 
     def add_entry(self, name, zone="zone-a", table=None):
@@ -277,6 +285,7 @@
             identity, self.create_surroundings(name, table or self.table)
         )
         self.entries[name] = entry
+        self.machines.mark(name, machines.MachineState.LIVE)
         self.network.entries[f"{name}:1"] = entry
         entry.start()
         return entry
@@ -287,14 +296,51 @@
             timers=self.timers,
             table=table,
             peers=self.network.create_peers(f"{name}:1"),
-            create_client=lambda worker: FaultyWorker(
-                self.workers[worker.name], self.timers
-            ),
+            create_client=lambda worker: self._create_client(name, worker),
+            machines=self.machines,
+            seeds=tuple(a for a in self.network.entries if a != f"{name}:1"),
             repeat=lambda period_s, action: self._repeat(
                 name, period_s, action
             ),
         )
 
+    def import_inventory(self, shards=2, draining=(), rules_set=None):
+        """Commits an inventory of all workers through the first entry VM."""
+        zones = sorted({e.identity.zone for e in self.entries.values()})
+        content = inventory.validate_inventory(
+            {
+                "zones": [{"name": z, "shards": shards} for z in zones],
+                "workers": [
+                    {
+                        "name": name,
+                        "zone": zones[0],
+                        "rack": "rack-0",
+                        "host": "127.0.0.1",
+                        "port": 1,
+                        "cpu_millis": WORKER_SIZE.cpu_millis,
+                        "memory_mib": WORKER_SIZE.memory_mib,
+                        "draining": name in draining,
+                    }
+                    for name in self.workers
+                ],
+            }
+        )
+        entry = next(iter(self.entries.values()))
+        return entry.commit_config(
+            entry.applied.config.version,
+            "operator",
+            content,
+            rules_set or rules.Rules(),
+        )
+
+    def list_owners(self):
+        """Returns the names of the entry VMs that own each shard."""
+        owners = {}
+        for name, entry in self.entries.items():
+            for owned in entry.list_owned():
+                owners.setdefault(owned.id, []).append(name)
+        return owners
+
     def pause(self, name):
         """Stops the periodic tasks of an entry VM, and calls to it."""
         self._paused.add(name)
@@ -305,6 +351,11 @@
         self._paused.discard(name)
         self.network.entries[f"{name}:1"] = self.entries[name]
 
+    def _create_client(self, name, worker):
+        client = FaultyWorker(self.workers[worker.name], self.timers)
+        self.clients[name, worker.name] = client
+        return client
+
     def _repeat(self, name, period_s, action):
         def run():
             if name not in self._paused:
@@ -320,5 +371,9 @@
         future.set_result(value)
 
 
+def _wrap(value):
+    return value if isinstance(value, result.Result) else result.Success(value)
+
+
 def _reject(name):
     return result.Failure(errors.NotOwnerError(str(name)))
