Test ownership, sessions, configuration and starts under failures

A VM that resumed after a pause, or that was dead before a table outage, counted as old enough to be handed shards, because its age ran on through silence and unread time; the age now starts again with both.

--- a/packages/persimmonpath/persimmonpath/sessions.py
+++ b/packages/persimmonpath/persimmonpath/sessions.py
@@ -133,7 +133,7 @@
     version: int
     since: float  # When this observer first read this version of the row.
     checked_at: float  # When it last read it.
-    first_seen_at: float  # When it first read the incarnation.
+    settled_since: float  # Start of the time in which it was surely alive.
 
 
 class SessionObserver:
@@ -176,13 +176,17 @@
         known = self._seen.get(row.key)
         if known is not None and known.version == row.version:
             known.checked_at = now
-            known.since = now if has_gap else known.since
+            if has_gap:
+                known.since = now
+                known.settled_since = now
             return known
         record = wire.decode(SessionRecord, row.value)
-        first_seen_at = now
+        settled_since = now
         if known and known.record.incarnation == record.incarnation:
-            first_seen_at = known.first_seen_at
-        return _Observation(record, row.version, now, now, first_seen_at)
+            was_silent = known.checked_at - known.since >= SESSION_TTL_S
+            if not has_gap and not was_silent:
+                settled_since = known.settled_since
+        return _Observation(record, row.version, now, now, settled_since)
 
     def list_sessions(self, zone: str | None = None) -> list[SessionRecord]:
         """Returns all sessions seen, live or not, of one zone or all."""
@@ -207,9 +211,9 @@
         return seen.checked_at - seen.since >= SESSION_TTL_S
 
     def measure_age(self, record: SessionRecord) -> float:
-        """Returns for how many seconds a session has been observed."""
+        """Returns for how many seconds a session was surely not lapsed."""
         seen = self._seen.get(format_key(record.zone, record.vm))
-        return self._timers.now() - seen.first_seen_at if seen else 0.0
+        return self._timers.now() - seen.settled_since if seen else 0.0
 
     def measure_silence(self, record: SessionRecord) -> float:
         """Returns for how many seconds a session's row has not changed."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes at the interfaces of an entry VM, for tests with manual timers."""
 
+import collections
 from concurrent import futures
 
 from returns import result
@@ -14,10 +15,12 @@
 from persimmonpath import rules
 from persimmonpath import tables
 from persimmonpath import timers
+from persimmonpath import work
 from persimmonpath import workers
 
 CALL_TIMEOUT_S = 1.0
 WORKER_SIZE = resources.Resources(16_000, 32_768, 0)
+REQUEST_SIZE = resources.Resources(100, 64, 0)
 
 
 class Network:
@@ -249,6 +252,7 @@
         machines: The platform's VM list; it lists every VM at first.
         workers: Workers by name.
         clients: The last client of each entry VM and worker, by their names.
+        tables: The way of each entry VM to the table; faults are its own.
         entries: Entry VMs by name.
     """
 
@@ -260,7 +264,9 @@
         self.machines = machines.create_memory_machines()
         self.workers = {}
         self.clients = {}
+        self.tables = {}
         self.entries = {}
+        self._cut = set()
         self._paused = set()
 
     def add_worker(self, name, plan=None, slots=8):
@@ -278,11 +284,12 @@
 
     def add_entry(self, name, zone="zone-a", table=None):
         """Creates and starts an entry VM."""
+        self.tables[name] = FaultyTable(table or self.table)
         identity = entry_module.create_identity(
             name, zone, f"{name}:1", f"{name}:2"
         )
         entry = entry_module.EntryVm(
-            identity, self.create_surroundings(name, table or self.table)
+            identity, self.create_surroundings(name, self.tables[name])
         )
         self.entries[name] = entry
         self.machines.mark(name, machines.MachineState.LIVE)
@@ -341,6 +348,38 @@
                 owners.setdefault(owned.id, []).append(name)
         return owners
 
+    def cut_workers(self, entry_name, worker_names):
+        """Makes workers silent for all clients of an entry VM from now on."""
+        self._cut |= {(entry_name, name) for name in worker_names}
+        for key, client in self.clients.items():
+            client.is_cut = client.is_cut or key in self._cut
+
+    def set_run_time(self, run_s):
+        """Sets how long attempts run that start from now on."""
+        for worker in self.workers.values():
+            worker._plan = lambda start: memoryworkers.Plan(run_s, True, b"ok")
+
+    def submit(self, entry_name, shard, timeout_s=60.0):
+        """Submits a request with a fresh id to a shard's owner."""
+        owned = self.entries[entry_name].find_owned(shard)
+        (request_id,) = owned.dispatcher.issue_ids(1)
+        request = work.Request(
+            "kind", "team", False, REQUEST_SIZE, b"", timeout_s
+        )
+        return owned.dispatcher.submit(request_id, request)
+
+    def count_runs(self):
+        """Returns the starts of all attempts; fails if one id ran twice."""
+        runs = collections.Counter()
+        for worker in self.workers.values():
+            runs.update(worker.runs)
+        assert not runs or max(runs.values()) == 1, runs
+        return sum(runs.values())
+
+    def leave_by_list(self, name):
+        """Has the platform list a VM as leaving."""
+        self.machines.mark(name, machines.MachineState.LEAVING)
+
     def pause(self, name):
         """Stops the periodic tasks of an entry VM, and calls to it."""
         self._paused.add(name)
@@ -353,6 +392,7 @@
 
     def _create_client(self, name, worker):
         client = FaultyWorker(self.workers[worker.name], self.timers)
+        client.is_cut = (name, worker.name) in self._cut
         self.clients[name, worker.name] = client
         return client
 
