Renew a worker sooner after a start, then at doubling periods

Cause: the ends of job tasks are learned by renewals, and a worker that was idle had its next one up to 5 s away when a task started on it.

--- a/packages/persimmonpath/persimmonpath/holdings.py
+++ b/packages/persimmonpath/persimmonpath/holdings.py
@@ -325,7 +325,7 @@
                     self._held_off[shard] = self._timers.now() + HOLD_OFF_S
             else:
                 return
-        logging.warning(
+        logging.info(
             "event=shard_given_up shard=%s epoch=%d",
             shard,
             claim.record.epoch,
@@ -344,5 +344,6 @@
         has_owner = row is not None and row.epoch > claim.record.epoch
         held_s = self._timers.now() - self._handed_over[shard]
         if has_owner or held_s >= HANDOVER_LIMIT_S:
+            logging.info("event=shard_left shard=%s taken=%s", shard, has_owner)
             self._give_up(claim)
             self.tend_retired()
--- a/packages/persimmonpath/persimmonpath/holds.py
+++ b/packages/persimmonpath/persimmonpath/holds.py
@@ -55,6 +55,7 @@
         refuses_work: Whether it says itself that it is leaving.
         is_removed: Whether the inventory no longer has it.
         is_called: Whether a fence or renewal is in progress.
+        period_s: Seconds between the last renewals.
         due_at: When the next fence or renewal is due.
     """
 
@@ -73,6 +74,7 @@
     refuses_work: bool = False
     is_removed: bool = False
     is_called: bool = False
+    period_s: float = 5.0
     due_at: float = 0.0
 
     def is_listed(self) -> bool:
--- a/packages/persimmonpath/persimmonpath/renewals.py
+++ b/packages/persimmonpath/persimmonpath/renewals.py
@@ -12,9 +12,10 @@
 from persimmonpath import workers
 
 RENEW_PERIOD_S = 5.0
-# Ends of tasks are learned by renewals, so a worker that runs any is asked
-# more often.
-BUSY_PERIOD_S = 3.0
+# Ends of tasks are learned by renewals. After a start the next renewal comes
+# after this time and the following ones at doubling periods, so the end of a
+# short task is learned soon and long tasks cost nothing extra.
+FIRST_PERIOD_S = 1.0
 RETRY_PERIOD_S = 2.0
 CONTROL_TIMEOUT_S = 2.0
 
@@ -89,6 +90,11 @@
                 started.is_uncertain = isinstance(
                     error, errors.WorkerUnreachableError
                 )
+            record = reply.value_or(None)
+            if record and record.state is workers.AttemptState.RUNNING:
+                hold.period_s = FIRST_PERIOD_S
+                next_at = self._timers.now() + FIRST_PERIOD_S
+                hold.due_at = min(hold.due_at, next_at)
             if reason == workers.Refusal.LEAVING:
                 hold.refuses_work = True
             if reason == workers.Refusal.LEASE_LAPSED:
@@ -162,10 +168,9 @@
 
     def _confirm(self, hold: holds.Hold) -> None:
         """Notes that a worker has granted a lease; needs the lock."""
-        period_s = BUSY_PERIOD_S if hold.attempts else RENEW_PERIOD_S
-        if hold.lease.is_cut_short():
-            period_s = 0.0
-        hold.due_at = self._timers.now() + period_s
+        hold.period_s = min(RENEW_PERIOD_S, 2 * hold.period_s)
+        is_short = hold.lease.is_cut_short()
+        hold.due_at = self._timers.now() + (0.0 if is_short else hold.period_s)
         hold.is_fenced = True
         hold.lease.confirm()
         self._held.update_open(hold)
