--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/attempts.py
@@ -0,0 +1,199 @@
+"""Attempts of requests at workers: start, answer, close."""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import fleet
+from persimmonpath import identifiers
+from persimmonpath import outcomes
+from persimmonpath import retries
+from persimmonpath import timers
+from persimmonpath import work
+from persimmonpath import workers
+
+START_WITHIN_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+# Interval of further questions once the caller has been answered `unknown`.
+LATE_CLOSE_PERIOD_S = 5.0
+
+# Refusals after which the attempt certainly did not start. A repeated id means
+# that an attempt of that name exists, so only its record tells.
+_NOT_STARTED = frozenset(workers.Refusal) - {
+    workers.Refusal.REPEATED,
+    workers.Refusal.STALE_EPOCH,
+}
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request.
+
+    Attributes:
+        id: Attempt id, `ID#N`.
+        worker: Name of the worker.
+        started: When it was sent, in monotonic seconds.
+        closes: Number of questions whether it started.
+        is_closing: Whether a question is in flight or due.
+        is_ended: Whether nothing of it is awaited any more.
+        straggle: Timer that tells that it overran.
+    """
+
+    id: str
+    worker: str
+    started: float
+    closes: int = 0
+    is_closing: bool = False
+    is_ended: bool = False
+    straggle: timers.Subscription | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended.
+
+    Attributes:
+        cause: What is certain of it.
+        reason: In a word, for the outcome.
+        record: The worker's record, if there is one.
+    """
+
+    cause: retries.Cause
+    reason: str
+    record: workers.AttemptRecord | None = None
+
+
+def read_record(record: workers.AttemptRecord, worker: str) -> outcomes.Outcome:
+    """Returns the outcome that the record of an ended attempt stands for."""
+    if record.state is workers.AttemptState.CLOSED:
+        return outcomes.NotRun("not_started")
+    if record.state is not workers.AttemptState.SUCCEEDED:
+        return outcomes.Failed(record.reason or record.state.value, worker)
+    if len(record.answer) > work.MAX_ANSWER_BYTES:
+        return outcomes.Failed("answer_too_large", worker)
+    return outcomes.Done(record.answer, worker)
+
+
+def judge_record(record: workers.AttemptRecord) -> Ending | None:
+    """Returns how an attempt ended, None while it runs."""
+    if record.state is workers.AttemptState.RUNNING:
+        return None
+    if record.state is workers.AttemptState.CLOSED:
+        return Ending(retries.Cause.NOT_STARTED, "not_started", record)
+    reason = record.reason or record.state.value
+    return Ending(retries.Cause.FAILED, reason, record)
+
+
+def judge_start_error(error: errors.WorkerError) -> Ending | None:
+    """Returns how a start ended that got no record, None when uncertain."""
+    if isinstance(error, errors.WorkerNotContactedError):
+        return Ending(retries.Cause.NOT_STARTED, "worker_unreachable")
+    if not isinstance(error, errors.StartRefusedError):
+        return None
+    if error.reason in _NOT_STARTED:
+        return Ending(retries.Cause.NOT_STARTED, str(error.reason))
+    return None
+
+
+def is_fenced(error: errors.WorkerError) -> bool:
+    """Returns whether an error shows that another owner took over."""
+    if isinstance(error, errors.StartRefusedError):
+        return error.reason == workers.Refusal.STALE_EPOCH
+    return isinstance(error, errors.StaleEpochError)
+
+
+def create_start(
+    attempt: str, epoch: int, digest: str, request: work.Request
+) -> workers.StartTask:
+    """Returns the message that starts an attempt of a request."""
+    return workers.StartTask(
+        attempt=attempt,
+        epoch=epoch,
+        start_within_s=min(START_WITHIN_S, request.timeout_s),
+        size=request.size,
+        payload=request.payload,
+        digest=digest,
+        kind=request.kind,
+        trace=request.trace,
+    )
+
+
+def parse_attempt(
+    attempt: str,
+) -> tuple[identifiers.RequestId, int] | None:
+    """Returns the request id and number of an attempt, None for a task's."""
+    task_id, number = identifiers.split_attempt(attempt)
+    if not identifiers.is_request_id(task_id):
+        return None
+    return identifiers.parse_request_id(task_id), number
+
+
+class Closer:
+    """Asks a worker about a silent attempt until its fate is certain."""
+
+    def __init__(
+        self,
+        shard_fleet: fleet.Fleet,
+        on_end: Callable[[Attempt, Ending], None],
+        on_fenced: Callable[[], None],
+    ):
+        """Creates a closer.
+
+        Args:
+            shard_fleet: Workers of the shard.
+            on_end: Called when an attempt has certainly ended.
+            on_fenced: Called when a worker has another owner.
+        """
+        self._fleet = shard_fleet
+        self._on_end = on_end
+        self._on_fenced = on_fenced
+
+    def close(self, attempt: Attempt, is_late: Callable[[], bool]) -> None:
+        """Prevents the start if it has not happened, else awaits the end.
+
+        Args:
+            attempt: The attempt.
+            is_late: Tells whether no caller waits any more.
+        """
+        if attempt.is_closing or attempt.is_ended:
+            return
+        attempt.is_closing = True
+        self._ask(attempt, is_late)
+
+    def _ask(self, attempt: Attempt, is_late: Callable[[], bool]) -> None:
+        if attempt.is_ended:
+            return
+        attempt.closes += 1
+        future = self._fleet.get_client(attempt.worker).close(
+            attempt.id, self._fleet.epoch, CLOSE_TIMEOUT_S
+        )
+        future.add_done_callback(lambda f: self._take(attempt, is_late, f))
+
+    def _take(
+        self,
+        attempt: Attempt,
+        is_late: Callable[[], bool],
+        future: futures.Future,
+    ) -> None:
+        reply = future.result()
+        if isinstance(reply, result.Failure):
+            if is_fenced(reply.failure()):
+                self._on_fenced()
+                return
+            ending = None
+            if self._fleet.has_lapsed(attempt.worker):
+                ending = Ending(retries.Cause.ENDED, "worker_lost")
+        else:
+            ending = judge_record(reply.unwrap())
+        if ending is not None:
+            self._on_end(attempt, ending)
+            return
+        delay_s = retries.compute_delay(attempt.closes)
+        if is_late():
+            delay_s = LATE_CLOSE_PERIOD_S
+        self._fleet.timers.call_later(
+            delay_s, lambda: self._ask(attempt, is_late)
+        )
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -0,0 +1,251 @@
+"""Requests of a shard that wait, and the choice of which starts where."""
+
+import dataclasses
+from typing import Any
+
+from persimmonpath import attempts
+from persimmonpath import errors
+from persimmonpath import estimates
+from persimmonpath import fleet
+from persimmonpath import identifiers
+from persimmonpath import limits
+from persimmonpath import pipeline
+from persimmonpath import queues
+from persimmonpath import rules
+from persimmonpath import work
+from persimmonpath import workers
+
+# A run that takes this many times its high estimate is a straggler.
+STRAGGLER_RATIO = 2.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """A request that waits or has started.
+
+    Attributes:
+        id: Its id.
+        request: Its content.
+        item: Its place in the queue.
+        value: What the dispatcher attaches.
+        starts: Number of attempts so far.
+    """
+
+    id: identifiers.RequestId
+    request: work.Request
+    item: queues.Item
+    value: Any
+    starts: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """A request that starts now, and its reservation."""
+
+    entry: Entry
+    attempt: str
+    worker: str
+
+
+class Backlog:
+    """Queue, estimates and limits of a shard; every call needs its lock."""
+
+    def __init__(self, shard_fleet: fleet.Fleet, policy: rules.Policy):
+        """Creates an empty backlog.
+
+        Args:
+            shard_fleet: Workers of the shard.
+            policy: Settings of the policies.
+        """
+        self._fleet = shard_fleet
+        self._timers = shard_fleet.timers
+        self._policy = policy
+        self._queue = queues.FairQueue(policy.queue_limit)
+        self._run_times = estimates.RunTimes()
+        self._limits = limits.Limits(policy.short_slots_share)
+        self._in_flight = 0
+        # Whether nothing that waits can start before something changes.
+        self._is_blocked = False
+        self._filters = [
+            self._check_fit,
+            pipeline.check_time_left,
+            pipeline.create_wait_check(
+                self._queue, self._describe, self._count_slots
+            ),
+        ]
+
+    def create_entry(
+        self,
+        request_id: identifiers.RequestId,
+        request: work.Request,
+        value: Any,
+    ) -> Entry:
+        """Returns the entry of a request that has arrived now."""
+        arrival = self._create_arrival(request_id, request)
+        entry = Entry(request_id, request, self._describe(arrival), value)
+        entry.item.value = entry
+        return entry
+
+    def admit(self, entry: Entry) -> tuple[str | None, Any | None]:
+        """Queues a request unless it could not end before its deadline.
+
+        Returns:
+            The reason against it, if any, and what the dispatcher attached to
+            an entry that had to leave the full queue, if any.
+        """
+        arrival = self._create_arrival(entry.id, entry.request)
+        reason = pipeline.apply(self._filters, arrival)
+        if reason is not None:
+            return reason, None
+        if self._queue.is_lane_empty(entry.item):
+            self._is_blocked = False
+        displaced = self._queue.push(entry.item)
+        if displaced is entry.item:
+            return "overloaded", None
+        return None, displaced.value.value if displaced else None
+
+    def readmit(self, entry: Entry) -> None:
+        """Queues a request for a further attempt, at its first place."""
+        self._queue.push(entry.item, is_forced=True)
+        self._is_blocked = False
+
+    def remove(self, entry: Entry | None) -> bool:
+        """Removes an entry; returns whether it was waiting."""
+        return entry is not None and self._queue.remove(entry.item)
+
+    def select(self) -> tuple[Found | None, list[Any]]:
+        """Reserves a worker for the first request that can start.
+
+        Returns:
+            The request that starts, if any, and what the dispatcher attached
+            to those removed since they cannot end before their deadline.
+        """
+        hopeless: list[Any] = []
+
+        def take(item: queues.Item) -> Found | None:
+            estimate = self._estimate(item.value.request)
+            needed_s = estimate.typical_s if estimate.is_learned else 0.0
+            if item.deadline < self._timers.now() + needed_s:
+                self._queue.remove(item)
+                hopeless.append(item.value.value)
+                return None
+            return self._reserve(item.value)
+
+        while not self._is_blocked and len(self._queue):
+            dropped = len(hopeless)
+            selected = self._queue.select(take)
+            if selected is not None:
+                return selected[1], hopeless
+            self._is_blocked = len(hopeless) == dropped
+        return None, hopeless
+
+    def watch(self, entry: Entry, attempt: attempts.Attempt) -> None:
+        """Counts an attempt that overruns as long work from then on."""
+        estimate = self._estimate(entry.request)
+        overrun_s = max(
+            STRAGGLER_RATIO * estimate.high_s, self._policy.short_run_s
+        )
+
+        def straggle() -> None:
+            with self._fleet.lock:
+                if attempt.is_ended:
+                    return
+                self._run_times.observe(entry.request.kind, overrun_s)
+                self._limits.mark_long(attempt.id)
+
+        attempt.straggle = self._timers.call_later(overrun_s, straggle)
+
+    def release(self, attempt: attempts.Attempt) -> None:
+        """Gives back what an attempt held, once it certainly does not run."""
+        if attempt.straggle is not None:
+            attempt.straggle.cancel()
+            self._in_flight -= 1
+        self._fleet.release(attempt.worker, attempt.id)
+        self._limits.release(attempt.id)
+        self._is_blocked = False
+
+    def observe(
+        self,
+        entry: Entry | None,
+        attempt: attempts.Attempt,
+        record: workers.AttemptRecord,
+    ) -> None:
+        """Learns from the record of an attempt that ended."""
+        if entry is None or record.state is workers.AttemptState.CLOSED:
+            return
+        elapsed_s = self._timers.now() - attempt.started
+        run_s = record.run_s or elapsed_s
+        estimate = self._estimate(entry.request)
+        # Records of attempts that fell silent arrive late by any time.
+        latency_s = run_s if attempt.closes else elapsed_s
+        if estimate.is_learned and estimate.typical_s > 0:
+            ratio = latency_s / estimate.typical_s
+            self._limits.observe(attempt.worker, ratio)
+        self._run_times.observe(entry.request.kind, run_s)
+
+    def take_error(
+        self, attempt: attempts.Attempt, error: errors.WorkerError
+    ) -> None:
+        """Keeps work off a worker that did not take an attempt."""
+        reason = getattr(error, "reason", "")
+        if reason == workers.Refusal.OVERLOADED:
+            self._limits.observe_refusal(attempt.worker)
+        else:
+            self._limits.pause(attempt.worker, self._timers.now())
+            # Nothing else says that the worker may be tried again.
+            self._timers.call_later(limits.PAUSE_S, self._fleet.notify)
+
+    def refresh(self) -> None:
+        """Takes in that workers or free capacity may have changed."""
+        for worker in self._fleet.list_workers():
+            self._limits.set_slots(worker.name, worker.slots)
+        self._is_blocked = False
+
+    def _reserve(self, entry: Entry) -> Found | None:
+        is_short = entry.item.is_short
+        excluded = self._limits.list_excluded(is_short, self._timers.now())
+        attempt = identifiers.format_attempt(str(entry.id), entry.starts + 1)
+        name = self._fleet.reserve(attempt, entry.request.size, excluded)
+        if name is None:
+            return None
+        entry.starts += 1
+        self._in_flight += 1
+        self._limits.acquire(name, attempt, is_short)
+        return Found(entry, attempt, name)
+
+    def _create_arrival(
+        self, request_id: identifiers.RequestId, request: work.Request
+    ) -> pipeline.Arrival:
+        estimate = self._estimate(request)
+        return pipeline.Arrival(
+            request_id, request, self._timers.now(), estimate
+        )
+
+    def _describe(self, arrival: pipeline.Arrival) -> queues.Item:
+        request, estimate = arrival.request, arrival.estimate
+        # A kind that has never run is not trusted with the slots of short
+        # work, whatever it declares.
+        is_short = estimate.is_learned and (
+            estimate.high_s <= self._policy.short_run_s
+        )
+        return queues.Item(
+            team=request.team,
+            is_short=is_short,
+            needs_accelerators=request.size.accelerators > 0,
+            expected_s=estimate.typical_s,
+            arrived=arrival.now,
+            deadline=arrival.now + request.timeout_s,
+        )
+
+    def _estimate(self, request: work.Request) -> estimates.Estimate:
+        return self._run_times.estimate(request.kind, request.run_s)
+
+    def _count_slots(self) -> int:
+        return self._fleet.count_free_slots() + self._in_flight
+
+    def _check_fit(self, arrival: pipeline.Arrival) -> str | None:
+        size = arrival.request.size
+        for worker in self._fleet.list_workers():
+            if size.fits_in(worker.capacity):
+                return None
+        return "fits_no_worker"
--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -310,3 +310,4 @@
             logging.warning("event=shard_lost shard=%s", owned.id)
             with self._lock:
                 self._owned.pop(owned.id, None)
+            owned.dispatcher.retire()
--- a/packages/persimmonpath/persimmonpath/errors.py
+++ b/packages/persimmonpath/persimmonpath/errors.py
@@ -23,6 +23,28 @@
         self.allowed = allowed
 
 
+class IdReusedError(InputError):
+    """The id belongs to a request with other content."""
+
+    def __init__(self, request_id: str):
+        super().__init__(
+            "id",
+            f"{request_id} was used for a request with other content",
+            "one id for each request",
+        )
+
+
+class IdNotIssuedError(InputError):
+    """No owner of the shard issued the id."""
+
+    def __init__(self, request_id: str):
+        super().__init__(
+            "id",
+            f"{request_id} was not issued",
+            "an id issued by POST /v1/ids",
+        )
+
+
 class TableError(PersimmonError):
     """A call to the table service did not succeed."""
 
@@ -96,4 +118,13 @@
 
 
 class NotOwnerError(PersimmonError):
-    """This entry VM does not own the shard that the call is for."""
+    """The callee does not own the shard that the call is for.
+
+    Attributes:
+        has_run: Whether the callee may have started the request while it
+            still owned the shard.
+    """
+
+    def __init__(self, message: str, has_run: bool = False):
+        super().__init__(message)
+        self.has_run = has_run
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -1,6 +1,7 @@
 """The workers of one shard as their owner holds them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import threading
 
 from absl import logging
@@ -50,6 +51,8 @@
         self._listed: dict[str, int] = {}
         self._placement = placement.Placement()
         self._draining: set[str] = set()
+        self._workers: dict[str, inventory.Worker] = {}
+        self._lapsed: set[str] = set()
         self._is_fenced = False
         self._record_listeners: list[RecordListener] = []
         self._change_listeners: list[Callable[[], None]] = []
@@ -97,6 +100,7 @@
         """Adds a worker and fences it; it is placed on once it is listed."""
         with self.lock:
             self._clients[worker.name] = client
+            self._workers[worker.name] = worker
             self._placement.add_worker(worker)
         self.fence(worker.name)
 
@@ -119,13 +123,23 @@
         """Returns the client of a worker."""
         return self._clients[name]
 
-    def reserve(self, attempt: str, size: resources.Resources) -> str | None:
+    def reserve(
+        self,
+        attempt: str,
+        size: resources.Resources,
+        excluded: Collection[str] = (),
+    ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
+        Args:
+            attempt: The attempt.
+            size: What it needs.
+            excluded: Workers not to choose.
+
         Returns:
             Name of the worker, or None when no worker has room now.
         """
-        name = self._placement.choose(size)
+        name = self._placement.choose(size, excluded)
         if name is not None:
             self._placement.reserve(name, attempt, size)
             self._placement.ensure_capacity(name)
@@ -136,6 +150,18 @@
         with self.lock:
             self._placement.release(name, attempt)
 
+    def has_lapsed(self, name: str) -> bool:
+        """Returns whether a worker's owner lease has certainly lapsed.
+
+        Only then is it certain that nothing runs on a worker that is silent:
+        a renewal without an answer may have extended the lease.
+        """
+        return name in self._lapsed
+
+    def list_workers(self) -> list[inventory.Worker]:
+        """Returns every worker, as it was when it was added."""
+        return list(self._workers.values())
+
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
         return len(self._listed) == len(self._clients)
@@ -181,9 +207,12 @@
         with self.lock:
             self._acknowledged[name] = listing.last_event
             self._listed[name] = listing.complete_since_epoch
+            self._lapsed.discard(name)
             for record in listing.records:
                 if record.state is workers.AttemptState.RUNNING:
                     self._placement.reserve(name, record.attempt, record.size)
+                else:
+                    self._placement.release(name, record.attempt)
                 self._report(name, record)
             self._update_open(name, True)
         logging.info(
@@ -221,6 +250,7 @@
                 self._is_fenced = True
             if isinstance(error, errors.LeaseLapsedError):
                 self._listed.pop(name, None)
+                self._lapsed.add(name)
 
     def _update_open(self, name: str, is_usable: bool) -> None:
         is_open = is_usable and name not in self._draining
--- a/packages/persimmonpath/persimmonpath/httpworkers.py
+++ b/packages/persimmonpath/persimmonpath/httpworkers.py
@@ -11,10 +11,19 @@
 
 from persimmonpath import errors
 from persimmonpath import wire
+from persimmonpath import work
 from persimmonpath import workers
 
 MAX_CONNECTIONS = 32
 CONNECT_TIMEOUT_S = 1.0
+# Base64 in JSON takes 4/3 of the bytes; the rest of a record is small.
+MAX_RECORD_BYTES = work.MAX_ANSWER_BYTES * 3 // 2 + (64 << 10)
+MAX_LISTING_BYTES = 64 << 20
+_BODY_LIMITS = {
+    workers.AttemptRecord: MAX_RECORD_BYTES,
+    workers.Renewal: MAX_LISTING_BYTES,
+    workers.Listing: MAX_LISTING_BYTES,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -211,7 +220,9 @@
                 timeout=timeout,
                 retries=False,
                 pool_timeout=timeout_s,
+                preload_content=False,
             )
+            data = _read_body(reply, _BODY_LIMITS[kind])
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -220,24 +231,42 @@
             return result.Failure(errors.WorkerNotContactedError(str(error)))
         except urllib3.exceptions.HTTPError as error:
             return result.Failure(errors.WorkerUnreachableError(str(error)))
-        return _parse_reply(reply, kind, attempt)
+        return _parse_reply(reply.status, data, kind, attempt)
+
+
+def _read_body(reply: urllib3.BaseHTTPResponse, limit: int) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+        urllib3.exceptions.HTTPError: If it is longer than `limit` bytes,
+            shorter than announced, or does not come in time.
+    """
+    data = reply.read(limit + 1)
+    if len(data) > limit:
+        reply.close()
+        raise urllib3.exceptions.HTTPError(f"answer exceeds {limit} bytes")
+    reply.drain_conn()
+    reply.release_conn()
+    return data
 
 
 def _parse_reply(
-    reply: urllib3.BaseHTTPResponse, kind: type, attempt: str
+    status: int, data: bytes, kind: type, attempt: str
 ) -> result.Result[Any, errors.WorkerError]:
     try:
-        if reply.status == 409:
-            body = wire.decode(ErrorBody, reply.data)
+        if status == 409:
+            body = wire.decode(ErrorBody, data)
             create = _ERRORS.get(body.error, errors.WorkerUnreachableError)
             return result.Failure(create(body.reason))
-        if reply.status != 200:
+        if status != 200:
             return result.Failure(
-                errors.WorkerUnreachableError(f"status {reply.status}")
+                errors.WorkerUnreachableError(f"status {status}")
             )
-        value = wire.decode(kind, reply.data)
+        value = wire.decode(kind, data)
     except errors.InputError as error:
         return result.Failure(errors.WorkerUnreachableError(str(error)))
+    if not all(map(workers.is_whole, _list_records(value))):
+        return result.Failure(errors.WorkerUnreachableError("answer damaged"))
     # An answer to another request must never reach this caller.
     if attempt and value.attempt != attempt:
         return result.Failure(
@@ -246,6 +275,17 @@
     return result.Success(value)
 
 
+def _list_records(value: Any) -> list[workers.AttemptRecord]:
+    match value:
+        case workers.AttemptRecord():
+            return [value]
+        case workers.Listing():
+            return value.records
+        case workers.Renewal():
+            return value.finished
+    return []
+
+
 def create_http_worker(
     host: str, port: int, starts: futures.Executor, control: futures.Executor
 ) -> workers.WorkerClient:
--- a/packages/persimmonpath/persimmonpath/ledger.py
+++ b/packages/persimmonpath/persimmonpath/ledger.py
@@ -5,9 +5,12 @@
 import enum
 
 from persimmonpath import identifiers
+from persimmonpath import invariants
 from persimmonpath import outcomes
 
 MAX_ENTRIES = 100_000
+# 100,000 answers of the largest size would take 100 GB.
+MAX_ANSWER_BYTES_HELD = 32 << 20
 
 
 class Verdict(enum.Enum):
@@ -18,20 +21,38 @@
     REUSED = "reused"
     UNCERTAIN = "uncertain"
     NOT_ISSUED = "not_issued"
+    LATER_EPOCH = "later_epoch"
 
 
 @dataclasses.dataclass(slots=True)
 class Entry:
-    """What is known of one id; `outcome` is None while it is not final."""
+    """What is known of one id.
+
+    Attributes:
+        digest: Digest of the request's content; empty while unknown.
+        outcome: None while the request is in progress; `Unknown` may still
+            become final.
+        attempt: Number of the attempt that a listing told of; 0 for none.
+        failure: Failure of an earlier attempt, final unless another worker
+            lists a later attempt.
+    """
 
     digest: str
     outcome: outcomes.Outcome | None = None
+    attempt: int = 0
+    failure: outcomes.Failed | None = None
+
+    def is_final(self) -> bool:
+        """Returns whether the outcome can no longer change."""
+        return isinstance(self.outcome, outcomes.FINAL)
 
 
 class Ledger:
     """Ids issued in the owner's epoch and ids rebuilt from listings.
 
-    An id that is neither held nor certainly fresh is never run again.
+    An id of the owner's epoch is new once. An id of an earlier epoch that is
+    not held is never run: a duplicate of it may have been answered `not_run`
+    by the earlier owner.
     """
 
     def __init__(
@@ -39,24 +60,36 @@
         shard: identifiers.ShardId,
         epoch: int,
         max_entries: int = MAX_ENTRIES,
+        max_answer_bytes: int = MAX_ANSWER_BYTES_HELD,
     ):
         """Creates an empty ledger.
 
         Args:
             shard: The shard.
             epoch: Epoch of the owner.
-            max_entries: Bound on the entries held.
+            max_entries: Bound on the entries that are not in progress.
+            max_answer_bytes: Bound on the answers held, in bytes.
         """
         self._shard = shard
         self._epoch = epoch
         self._max_entries = max_entries
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
         self._next_sequence = 1
         self._evicted_through = 0
         # Ids of epochs below this one may have run without a record here.
         self._complete_since = epoch
-        self._entries: collections.OrderedDict[identifiers.RequestId, Entry] = (
+        self._evicted_epoch = 0
+        self._entries: dict[identifiers.RequestId, Entry] = {}
+        # Ids that are not in progress, in the order in which they ended.
+        self._ended: collections.OrderedDict[identifiers.RequestId, None] = (
             collections.OrderedDict()
         )
+        # Ids whose entry holds a `failure`; emptied when all are listed.
+        self._unsettled: set[identifiers.RequestId] = set()
+
+    def __len__(self) -> int:
+        return len(self._entries)
 
     def issue(self, count: int) -> list[identifiers.RequestId]:
         """Returns `count` fresh ids."""
@@ -67,9 +100,21 @@
             for sequence in range(first, first + count)
         ]
 
-    def set_complete_since(self, epoch: int) -> None:
-        """States that every id of that epoch or later that ran is held."""
+    def set_complete_since(self, epoch: int, is_listed: bool = True) -> None:
+        """States that every id of that epoch or later that ran is held.
+
+        Args:
+            epoch: The epoch.
+            is_listed: Whether every worker of the shard has been listed.
+        """
         self._complete_since = min(epoch, self._epoch)
+        if not is_listed:
+            return
+        for request_id in self._unsettled:
+            entry = self._entries.get(request_id)
+            if entry is not None and not entry.is_final():
+                entry.outcome = entry.failure
+        self._unsettled.clear()
 
     def admit(self, request_id: identifiers.RequestId, digest: str) -> Verdict:
         """Classifies an id that comes in and, when new, adds it.
@@ -83,77 +128,134 @@
             if entry.digest and digest and entry.digest != digest:
                 return Verdict.REUSED
             return Verdict.DUPLICATE
-        verdict = self._classify(request_id)
+        verdict = self.classify(request_id)
         if verdict is Verdict.NEW:
-            self._add(request_id, Entry(digest))
+            if request_id.epoch < self._epoch:
+                outcome = outcomes.NotRun("issued_by_earlier_owner")
+                self._end(request_id, Entry(digest, outcome))
+                return Verdict.DUPLICATE
+            self._entries[request_id] = Entry(digest)
         return verdict
 
     def find(self, request_id: identifiers.RequestId) -> Entry | None:
         """Returns the entry of an id, if held."""
         return self._entries.get(request_id)
 
-    def close(self, request_id: identifiers.RequestId) -> outcomes.Outcome:
-        """Makes an id that was never admitted final as not run.
+    def classify(self, request_id: identifiers.RequestId) -> Verdict:
+        """Returns what is known of an id that is not held."""
+        if request_id.epoch > self._epoch:
+            return Verdict.LATER_EPOCH
+        if request_id.epoch == self._epoch:
+            if not 0 < request_id.sequence < self._next_sequence:
+                return Verdict.NOT_ISSUED
+            if request_id.sequence <= self._evicted_through:
+                return Verdict.UNCERTAIN
+            return Verdict.NEW
+        if request_id.epoch <= self._evicted_epoch:
+            return Verdict.UNCERTAIN
+        if request_id.epoch >= self._complete_since:
+            return Verdict.NEW
+        return Verdict.UNCERTAIN
 
-        Returns:
-            The outcome as far as known; `Unknown` while it is running or when
-            the id may have run without a record.
-        """
-        entry = self._entries.get(request_id)
-        if entry is not None:
-            return entry.outcome or outcomes.Unknown("in_progress")
-        if self._classify(request_id) is not Verdict.NEW:
-            return outcomes.Unknown("no_record")
+    def close(self, request_id: identifiers.RequestId) -> outcomes.NotRun:
+        """Makes an id final as not run; `classify` must have said `NEW`."""
         outcome = outcomes.NotRun("never_received")
-        self._add(request_id, Entry("", outcome))
+        self._end(request_id, Entry("", outcome))
         return outcome
 
     def finish(
         self, request_id: identifiers.RequestId, outcome: outcomes.Outcome
     ) -> None:
-        """Records a final outcome."""
+        """Records an outcome of an id that is held.
+
+        Raises:
+            errors.InvariantError: If this would change a final outcome.
+        """
         entry = self._entries[request_id]
+        invariants.ensure(
+            not entry.is_final() or entry.outcome == outcome,
+            f"final outcome of {request_id} would change from"
+            f" {entry.outcome} to {outcome}",
+        )
+        if entry.is_final():
+            return
         entry.outcome = outcome
-        self._evict()
+        self._end(request_id, entry)
 
     def restore(
         self,
         request_id: identifiers.RequestId,
         digest: str,
+        attempt: int,
         outcome: outcomes.Outcome | None,
-    ) -> None:
-        """Adds an id found in a worker's listing."""
-        self._add(request_id, Entry(digest, outcome))
+    ) -> bool:
+        """Takes in an attempt of an earlier owner from a worker's listing.
 
-    def _classify(self, request_id: identifiers.RequestId) -> Verdict:
-        if request_id.epoch > self._epoch:
-            return Verdict.NOT_ISSUED
-        if request_id.epoch == self._epoch:
-            if request_id.sequence >= self._next_sequence:
-                return Verdict.NOT_ISSUED
-            if request_id.sequence <= self._evicted_through:
-                return Verdict.UNCERTAIN
-            return Verdict.NEW
-        if request_id.epoch >= self._complete_since:
-            return Verdict.NEW
-        return Verdict.UNCERTAIN
+        Listings arrive in any order. A later attempt exists only if every
+        earlier one failed or ended without an outcome, so a failure is final
+        only once every worker was listed.
+
+        Args:
+            request_id: The id.
+            digest: Digest of the request's content.
+            attempt: Number of the attempt.
+            outcome: None while the attempt is running.
+
+        Returns:
+            Whether this was news.
+
+        Raises:
+            errors.InvariantError: If the id was stated not to have run.
+        """
+        entry = self._entries.get(request_id)
+        if entry is None:
+            entry = Entry(digest)
+        invariants.ensure(
+            not isinstance(entry.outcome, outcomes.NotRun),
+            f"{request_id} ran after it was stated not to run",
+        )
+        if entry.is_final() or attempt < entry.attempt:
+            return False
+        entry.attempt = attempt
+        entry.digest = entry.digest or digest
+        if isinstance(outcome, outcomes.Failed):
+            entry.failure = outcome
+            entry.outcome = outcomes.Unknown("not_all_workers_listed")
+            self._unsettled.add(request_id)
+        else:
+            entry.outcome = outcome
+            self._unsettled.discard(request_id)
+        if outcome is None:
+            self._entries[request_id] = entry
+            self._ended.pop(request_id, None)
+        else:
+            self._end(request_id, entry)
+        return True
 
-    def _add(self, request_id: identifiers.RequestId, entry: Entry) -> None:
+    def _end(self, request_id: identifiers.RequestId, entry: Entry) -> None:
         self._entries[request_id] = entry
-        self._evict()
+        self._ended.pop(request_id, None)
+        self._ended[request_id] = None
+        self._answer_bytes += _count_bytes(entry)
+        while len(self._ended) > 1 and (
+            len(self._ended) > self._max_entries
+            or self._answer_bytes > self._max_answer_bytes
+        ):
+            self._evict()
 
     def _evict(self) -> None:
-        excess = len(self._entries) - self._max_entries
-        if excess <= 0:
-            return
-        final = [k for k, e in self._entries.items() if e.outcome is not None]
-        for request_id in final[:excess]:
-            del self._entries[request_id]
-            if request_id.epoch == self._epoch:
-                self._evicted_through = max(
-                    self._evicted_through, request_id.sequence
-                )
-            else:
-                self._complete_since = max(
-                    self._complete_since, request_id.epoch + 1
-                )
+        request_id, _ = self._ended.popitem(last=False)
+        self._answer_bytes -= _count_bytes(self._entries.pop(request_id))
+        self._unsettled.discard(request_id)
+        if request_id.epoch == self._epoch:
+            self._evicted_through = max(
+                self._evicted_through, request_id.sequence
+            )
+        else:
+            self._evicted_epoch = max(self._evicted_epoch, request_id.epoch)
+
+
+def _count_bytes(entry: Entry) -> int:
+    if isinstance(entry.outcome, outcomes.Done):
+        return len(entry.outcome.answer)
+    return 0
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/limits.py
@@ -0,0 +1,121 @@
+"""Concurrency limits of workers, and the slots that long work may take."""
+
+import dataclasses
+
+# A run this many times longer than its kind's typical run counts as slow.
+SLOW_RATIO = 2.0
+# Weight of the newest run in the average; single outliers must not count.
+SMOOTHING = 0.2
+DECREASE = 0.8
+REFUSED_DECREASE = 0.7
+PAUSE_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Worker:
+    slots: int
+    limit: float
+    ratio: float = 1.0
+    paused_until: float = 0.0
+    in_flight: int = 0
+    long: int = 0
+
+
+class Limits:
+    """Concurrency limits of a shard's workers.
+
+    Additive increase and multiplicative decrease: a limit falls while runs on
+    the worker take longer than usual for their kind, and rises again by one
+    for each full round of runs in usual time.
+    """
+
+    def __init__(self, short_share: float):
+        """Creates limits without workers.
+
+        Args:
+            short_share: Share of a worker's slots kept for short work.
+        """
+        self._short_share = short_share
+        self._workers: dict[str, _Worker] = {}
+        self._attempts: dict[str, tuple[str, bool]] = {}
+
+    def set_slots(self, name: str, slots: int) -> None:
+        """Adds a worker, or changes its number of slots."""
+        worker = self._workers.get(name)
+        if worker is None:
+            self._workers[name] = _Worker(slots, float(slots))
+        else:
+            worker.slots = slots
+            worker.limit = min(worker.limit, float(slots))
+
+    def list_excluded(self, is_short: bool, now: float) -> set[str]:
+        """Returns the workers that may not take another attempt now.
+
+        Args:
+            is_short: Whether the attempt is expected to be short.
+            now: Monotonic seconds.
+        """
+        return {
+            name
+            for name, worker in self._workers.items()
+            if worker.paused_until > now
+            or worker.in_flight >= int(worker.limit)
+            or (not is_short and worker.long >= self.count_long_slots(name))
+        }
+
+    def count_long_slots(self, name: str) -> int:
+        """Returns the slots of a worker that long work may take."""
+        slots = self._workers[name].slots
+        return max(1, slots - round(slots * self._short_share))
+
+    def acquire(self, name: str, attempt: str, is_short: bool) -> None:
+        """Counts an attempt that is about to start."""
+        worker = self._workers[name]
+        worker.in_flight += 1
+        worker.long += not is_short
+        self._attempts[attempt] = name, is_short
+
+    def mark_long(self, attempt: str) -> None:
+        """Counts an attempt as long from now on, since it overran."""
+        name, is_short = self._attempts.get(attempt, ("", False))
+        if is_short:
+            self._workers[name].long += 1
+            self._attempts[attempt] = name, False
+
+    def release(self, attempt: str) -> None:
+        """Ends the count of an attempt; does nothing when it has none."""
+        name, is_short = self._attempts.pop(attempt, ("", False))
+        if name:
+            worker = self._workers[name]
+            worker.in_flight -= 1
+            worker.long -= not is_short
+
+    def observe(self, name: str, ratio: float) -> None:
+        """Adapts a worker's limit to a finished run.
+
+        Args:
+            name: The worker.
+            ratio: Time from start to answer over the typical run time.
+        """
+        worker = self._workers[name]
+        worker.ratio += SMOOTHING * (min(ratio, 10.0) - worker.ratio)
+        if worker.ratio > SLOW_RATIO:
+            worker.limit = max(1.0, worker.limit * DECREASE)
+            # The next cut waits for runs that started under this limit.
+            worker.ratio = 1.0
+        else:
+            raised = worker.limit + 1.0 / max(1.0, worker.limit)
+            worker.limit = min(float(worker.slots), raised)
+
+    def observe_refusal(self, name: str) -> None:
+        """Lowers the limit of a worker that refused a start as overloaded."""
+        worker = self._workers[name]
+        worker.limit = max(1.0, worker.limit * REFUSED_DECREASE)
+
+    def pause(self, name: str, now: float) -> None:
+        """Keeps new attempts off a worker that could not be reached."""
+        self._workers[name].paused_until = now + PAUSE_S
+
+    def get_limit(self, name: str) -> int:
+        """Returns the attempts that a worker may run at once."""
+        return int(self._workers[name].limit)
--- a/packages/persimmonpath/persimmonpath/memoryworkers.py
+++ b/packages/persimmonpath/persimmonpath/memoryworkers.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from persimmonpath import errors
+from persimmonpath import outcomes
 from persimmonpath import resources
 from persimmonpath import timers
 from persimmonpath import workers
@@ -261,7 +262,12 @@
         if running.end is not None:
             running.end.cancel()
         record = dataclasses.replace(
-            self._describe(running), state=state, answer=answer, reason=reason
+            self._describe(running),
+            state=state,
+            answer=answer,
+            length=len(answer),
+            checksum=outcomes.compute_checksum(answer),
+            reason=reason,
         )
         self._keep(record)
         self._last_event += 1
--- a/packages/persimmonpath/persimmonpath/outcomes.py
+++ b/packages/persimmonpath/persimmonpath/outcomes.py
@@ -37,6 +37,9 @@
 
 Outcome = Done | Failed | NotRun | Unknown
 
+# An outcome of one of these types never changes.
+FINAL = (Done, Failed, NotRun)
+
 NAMES = {Done: "done", Failed: "failed", NotRun: "not_run", Unknown: "unknown"}
 
 
@@ -48,3 +51,8 @@
 def compute_checksum(body: bytes) -> str:
     """Returns the xxh64 checksum of an answer in hexadecimal."""
     return xxhash.xxh64_hexdigest(body)
+
+
+def is_whole(body: bytes, length: int, checksum: str) -> bool:
+    """Returns whether an answer arrived as it was sent."""
+    return len(body) == length and compute_checksum(body) == checksum
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/pipeline.py
@@ -0,0 +1,120 @@
+"""Filters that every request passes before it waits for a worker."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from persimmonpath import errors
+from persimmonpath import estimates
+from persimmonpath import identifiers
+from persimmonpath import inventory
+from persimmonpath import queues
+from persimmonpath import work
+
+MAX_TIMEOUT_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request at the owner of its shard.
+
+    Attributes:
+        id: Its id.
+        request: Its content.
+        now: When it arrived, in monotonic seconds.
+        estimate: Its expected run time.
+    """
+
+    id: identifiers.RequestId
+    request: work.Request
+    now: float
+    estimate: estimates.Estimate
+
+
+# Returns the reason for which a request is not run, or None to pass it on.
+Filter = Callable[[Arrival], str | None]
+
+
+def apply(filters: Iterable[Filter], arrival: Arrival) -> str | None:
+    """Returns the first reason against a request, or None."""
+    for check in filters:
+        reason = check(arrival)
+        if reason is not None:
+            return reason
+    return None
+
+
+def check_time_left(arrival: Arrival) -> str | None:
+    """Refuses a request whose caller gives up before it can end."""
+    if arrival.request.timeout_s <= 0:
+        return "deadline_passed"
+    estimate = arrival.estimate
+    if estimate.is_learned and estimate.typical_s > arrival.request.timeout_s:
+        return "deadline_too_short"
+    return None
+
+
+def create_wait_check(
+    queue: queues.FairQueue,
+    describe: Callable[[Arrival], queues.Item],
+    count_slots: Callable[[], int],
+) -> Filter:
+    """Returns a filter that refuses what cannot end before its deadline.
+
+    Args:
+        queue: What the request would wait in.
+        describe: Returns the queue's item for a request.
+        count_slots: Returns the requests that can run at once.
+    """
+
+    def check(arrival: Arrival) -> str | None:
+        wait_s = queue.estimate_wait(describe(arrival), count_slots())
+        needed_s = wait_s + arrival.estimate.typical_s
+        # An empty queue means no wait whatever the guess says.
+        if wait_s > 0 and needed_s > arrival.request.timeout_s:
+            return "overloaded"
+        return None
+
+    return check
+
+
+def check_request(request: work.Request) -> None:
+    """Checks the values of a request.
+
+    Raises:
+        errors.InputError: If one is out of range.
+    """
+    if len(request.payload) > work.MAX_PAYLOAD_BYTES:
+        raise errors.InputError(
+            "payload",
+            f"{len(request.payload)} bytes",
+            f"at most {work.MAX_PAYLOAD_BYTES} bytes",
+        )
+    if not 0 < request.timeout_s <= MAX_TIMEOUT_S:
+        raise errors.InputError(
+            "timeout", f"{request.timeout_s} s", f"0 to {MAX_TIMEOUT_S} s"
+        )
+    size = request.size
+    if size.is_negative() or request.run_s < 0:
+        raise errors.InputError("resources", "a value is negative", "0 or more")
+
+
+def check_shard(
+    request_id: identifiers.RequestId, content: inventory.Inventory
+) -> None:
+    """Checks that an id names a shard of the inventory.
+
+    Raises:
+        errors.InputError: If it does not.
+    """
+    for zone in content.zones:
+        if zone.name == request_id.shard.zone:
+            if request_id.shard.index < zone.shards:
+                return
+            raise errors.InputError(
+                "id", f"{request_id} names no shard", f"0 to {zone.shards - 1}"
+            )
+    names = ", ".join(zone.name for zone in content.zones)
+    raise errors.InputError(
+        "id", f"{request_id} names no availability zone", names
+    )
--- a/packages/persimmonpath/persimmonpath/placement.py
+++ b/packages/persimmonpath/persimmonpath/placement.py
@@ -1,5 +1,6 @@
 """Choice of a worker for a task."""
 
+from collections.abc import Collection
 import dataclasses
 
 from persimmonpath import invariants
@@ -38,13 +39,24 @@
         if name in self._loads:
             self._loads[name].is_open = is_open
 
-    def choose(self, size: resources.Resources) -> str | None:
-        """Returns the open worker that fits best, or None when none fits."""
+    def choose(
+        self,
+        size: resources.Resources,
+        excluded: Collection[str] = (),
+    ) -> str | None:
+        """Returns the open worker that fits best, or None when none fits.
+
+        Args:
+            size: What the task needs.
+            excluded: Workers not to choose.
+        """
         best = None
         best_left = None
         for load in self._loads.values():
             if not load.is_open or load.free_slots < 1:
                 continue
+            if load.worker.name in excluded:
+                continue
             if not size.fits_in(load.free):
                 continue
             left = load.free - size
--- a/packages/persimmonpath/persimmonpath/router.py
+++ b/packages/persimmonpath/persimmonpath/router.py
@@ -9,9 +9,15 @@
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
 from persimmonpath import identifiers
+from persimmonpath import journeys
 from persimmonpath import outcomes
+from persimmonpath import pipeline
+from persimmonpath import retries
 from persimmonpath import work
 
+# A shard that refused a request as overloaded is tried last for this long.
+FULL_S = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -24,7 +30,8 @@
 class Router:
     """Routes the requests that callers send to one entry VM.
 
-    Every call returns at once with a future.
+    Every call returns at once with a future. The future fails with an
+    `InputError` when the owner of the shard finds fault with the id.
     """
 
     def __init__(self, entry: entry_module.EntryVm, generator: random.Random):
@@ -36,6 +43,10 @@
         """
         self._entry = entry
         self._random = generator
+        self._budget = retries.Budget(
+            entry.applied.config.rules.policy.retry_share
+        )
+        self._full_until: dict[identifiers.ShardId, float] = {}
 
     def issue_ids(self, count: int) -> "futures.Future[list[str]]":
         """Returns fresh ids of one shard, an empty list when none can."""
@@ -53,23 +64,19 @@
             request: The request.
 
         Raises:
-            errors.InputError: If the id has a wrong form.
+            errors.InputError: If the id or the request is not acceptable.
         """
+        pipeline.check_request(request)
+        deadline = self._entry.timers.now() + request.timeout_s
         future: futures.Future = futures.Future()
+        policy = self._entry.applied.config.rules.policy
+        self._budget.set_share(policy.retry_share)
+        self._budget.record_first()
         if request_id:
-            parsed = identifiers.parse_request_id(request_id)
-            self._run_with_id(parsed, request, False, future)
-            return future
-
-        def take(ids: list[str]) -> None:
-            if not ids:
-                outcome = outcomes.NotRun("no_shard_reachable")
-                future.set_result(Answer("", outcome))
-                return
-            parsed = identifiers.parse_request_id(ids[0])
-            self._run_with_id(parsed, request, True, future)
-
-        self.issue_ids(1).add_done_callback(lambda f: take(f.result()))
+            parsed = self._parse(request_id)
+            self._travel(parsed, request, deadline, False, 1, future)
+        else:
+            self._run_fresh(request, deadline, 1, None, future)
         return future
 
     def ask(
@@ -78,64 +85,143 @@
         """Returns what became of a request.
 
         Raises:
-            errors.InputError: If the id has a wrong form.
+            errors.InputError: If the id is not acceptable.
         """
-        parsed = identifiers.parse_request_id(request_id)
+        parsed = self._parse(request_id)
         future: futures.Future = futures.Future()
-        owned = self._entry.find_owned(parsed.shard)
-        if owned is not None:
-            outcome = owned.dispatcher.ask(parsed, close)
-            future.set_result(Answer(request_id, outcome))
-            return future
-        address = self._entry.find_owner_address(parsed.shard)
-        unreachable = outcomes.Unknown("shard_unreachable")
-        if address is None:
-            future.set_result(Answer(request_id, unreachable))
-            return future
-        reply = self._entry.peers.ask(address, parsed, close)
-        reply.add_done_callback(
-            lambda f: future.set_result(
-                Answer(request_id, f.result().value_or(unreachable))
+
+        def take(reply: result.Result) -> None:
+            error = (
+                None if isinstance(reply, result.Success) else (reply.failure())
             )
-        )
+            if isinstance(error, errors.InputError):
+                future.set_exception(error)
+                return
+            unreachable = outcomes.Unknown("shard_unreachable")
+            future.set_result(Answer(request_id, reply.value_or(unreachable)))
+
+        asked = journeys.ask_owner(self._entry, parsed, close)
+        asked.add_done_callback(lambda f: take(f.result()))
         return future
 
-    def _run_with_id(
+    def _parse(self, request_id: str) -> identifiers.RequestId:
+        parsed = identifiers.parse_request_id(request_id)
+        pipeline.check_shard(parsed, self._entry.applied.config.inventory)
+        return parsed
+
+    def _run_fresh(
+        self,
+        request: work.Request,
+        deadline: float,
+        attempts: int,
+        last: Answer | None,
+        future: futures.Future,
+    ) -> None:
+        """Has an id issued and runs the request under it.
+
+        Args:
+            request: The request.
+            deadline: When the caller gives up.
+            attempts: Number of this id.
+            last: Answer under the id before, which certainly was not run.
+            future: Takes the answer.
+        """
+
+        def take(ids: list[str]) -> None:
+            if ids:
+                parsed = identifiers.parse_request_id(ids[0])
+                self._travel(parsed, request, deadline, True, attempts, future)
+                return
+            outcome = outcomes.NotRun("no_shard_reachable")
+            future.set_result(last or Answer("", outcome))
+
+        self.issue_ids(1).add_done_callback(lambda f: take(f.result()))
+
+    def _travel(
         self,
         request_id: identifiers.RequestId,
         request: work.Request,
+        deadline: float,
         is_fresh: bool,
+        attempts: int,
         future: futures.Future,
     ) -> None:
-        def finish(outcome: outcomes.Outcome) -> None:
-            future.set_result(Answer(str(request_id), outcome))
-
-        owned = self._entry.find_owned(request_id.shard)
-        if owned is not None:
-            local = owned.dispatcher.submit(request_id, request)
-            local.add_done_callback(lambda f: finish(f.result()))
-            return
-        address = self._entry.find_owner_address(request_id.shard)
-        if address is None:
-            finish(_judge_unsent(is_fresh))
-            return
-        reply = self._entry.peers.run(address, request_id, request)
-        reply.add_done_callback(
-            lambda f: finish(_read_reply(f.result(), is_fresh))
+        def take(reply: result.Result) -> None:
+            if isinstance(reply, result.Failure):
+                future.set_exception(reply.failure())
+                return
+            answer = Answer(str(request_id), reply.unwrap())
+            self._note_load(request_id.shard, answer.outcome)
+            if is_fresh and self._should_move(
+                request, answer.outcome, deadline, attempts
+            ):
+                self._run_fresh(request, deadline, attempts + 1, answer, future)
+            else:
+                future.set_result(answer)
+
+        journey = journeys.Journey(
+            self._entry, request_id, request, deadline, is_fresh
+        )
+        journey.future.add_done_callback(lambda f: take(f.result()))
+        journey.start()
+
+    def _note_load(
+        self, shard: identifiers.ShardId, outcome: outcomes.Outcome
+    ) -> None:
+        reasons = ("overloaded", "shard_unreachable")
+        if isinstance(outcome, outcomes.NotRun) and outcome.reason in reasons:
+            self._full_until[shard] = self._entry.timers.now() + FULL_S
+
+    def _should_move(
+        self,
+        request: work.Request,
+        outcome: outcomes.Outcome,
+        deadline: float,
+        attempts: int,
+    ) -> bool:
+        """Returns whether a request that was not run goes to another shard.
+
+        The id was issued here, so nobody else can use it, and the request may
+        run under another one.
+        """
+        if not isinstance(outcome, outcomes.NotRun):
+            return False
+        if outcome.reason not in journeys.MOVABLE_REASONS:
+            return False
+        return retries.should_retry(
+            request,
+            retries.Cause.NOT_STARTED,
+            attempts,
+            deadline - self._entry.timers.now(),
+            self._budget,
         )
 
     def _rank_shards(self) -> list[identifiers.ShardId]:
-        """Returns shards in the order in which to try them."""
-        owned = [
-            (o.fleet.count_free_slots(), o.id) for o in self._entry.list_owned()
-        ]
-        ranked = [s for free, s in sorted(owned, reverse=True) if free > 0]
-        inventory = self._entry.applied.config.inventory
-        others = [s for s in inventory.list_shards() if s not in ranked]
-        self._random.shuffle(others)
+        """Returns shards in the order in which to try them.
+
+        Shards of the own zone come first, owned ones with free slots before
+        the others; shards that were full a moment ago come last.
+        """
+        config = self._entry.applied.config
         zone = self._entry.identity.zone
-        others.sort(key=lambda shard: shard.zone != zone)
-        return ranked + others
+        shards = config.inventory.list_shards()
+        if not config.rules.policy.spill_to_zones:
+            shards = [s for s in shards if s.zone == zone]
+        free = {
+            owned.id: owned.fleet.count_free_slots()
+            for owned in self._entry.list_owned()
+        }
+        now = self._entry.timers.now()
+        self._random.shuffle(shards)
+        shards.sort(
+            key=lambda shard: (
+                self._full_until.get(shard, 0.0) > now,
+                shard.zone != zone,
+                free.get(shard, 0) <= 0,
+                -free.get(shard, 0),
+            )
+        )
+        return shards
 
     def _issue_from(
         self,
@@ -169,32 +255,14 @@
             if isinstance(reply, result.Success):
                 future.set_result([str(i) for i in reply.unwrap()])
             else:
+                now = self._entry.timers.now()
+                self._full_until[shard] = now + FULL_S
                 self._issue_from(rest, count, future)
 
         reply = self._entry.peers.issue_ids(address, shard, count)
         reply.add_done_callback(lambda f: take(f.result()))
 
 
-def _read_reply(reply: result.Result, is_fresh: bool) -> outcomes.Outcome:
-    if isinstance(reply, result.Success):
-        return reply.unwrap()
-    error = reply.failure()
-    if isinstance(error, errors.NotOwnerError) or not error.sent:
-        return _judge_unsent(is_fresh)
-    return outcomes.Unknown("owner_silent")
-
-
-def _judge_unsent(is_fresh: bool) -> outcomes.Outcome:
-    """Returns the outcome of a request that this VM did not pass on.
-
-    Only an id issued here for this very request certainly reached nobody; an
-    id from the caller may have been sent through another entry VM before.
-    """
-    if is_fresh:
-        return outcomes.NotRun("shard_unreachable")
-    return outcomes.Unknown("shard_unreachable")
-
-
 def create_router(
     entry: entry_module.EntryVm, seed: int | None = None
 ) -> Router:
--- a/packages/persimmonpath/persimmonpath/rules.py
+++ b/packages/persimmonpath/persimmonpath/rules.py
@@ -48,6 +48,7 @@
         quarantine_failures: Consecutive failures that quarantine a worker.
         quarantine_share: Most of a zone's workers that may be quarantined.
         retry_share: Retries allowed per first attempt.
+        retry_failed: Whether an idempotent request that failed is retried.
         gang_hold_s: Longest time that a waiting gang holds resources.
         urgent_start_s: Time in which urgent work should start.
         spill_to_zones: Whether requests may go to another zone when full.
@@ -59,6 +60,7 @@
     quarantine_failures: Annotated[int, pydantic.Field(ge=2, le=100)] = 5
     quarantine_share: Share = 0.34
     retry_share: Share = 0.1
+    retry_failed: bool = True
     gang_hold_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 2.0
     urgent_start_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 9.1
     spill_to_zones: bool = True
--- a/packages/persimmonpath/persimmonpath/shards.py
+++ b/packages/persimmonpath/persimmonpath/shards.py
@@ -54,6 +54,6 @@
     return OwnedShard(
         shard,
         shard_fleet,
-        dispatch.Dispatcher(shard, shard_fleet, policy.queue_limit),
+        dispatch.Dispatcher(shard, shard_fleet, policy),
         runner.JobRunner(shard, shard_fleet, store),
     )
--- a/packages/persimmonpath/persimmonpath/work.py
+++ b/packages/persimmonpath/persimmonpath/work.py
@@ -6,6 +6,7 @@
 from persimmonpath import resources
 
 MAX_PAYLOAD_BYTES = 1 << 20
+MAX_ANSWER_BYTES = 1 << 20
 MAX_TASKS_PER_JOB = 1000
 
 
--- a/packages/persimmonpath/persimmonpath/workers.py
+++ b/packages/persimmonpath/persimmonpath/workers.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from persimmonpath import errors
+from persimmonpath import outcomes
 from persimmonpath import resources
 from persimmonpath import wire
 
@@ -86,6 +87,8 @@
         digest: Digest of the request's content.
         kind: Kind of work.
         answer: The whole answer, once it succeeded.
+        length: Length of the answer as the worker sent it, in bytes.
+        checksum: xxh64 of the answer as the worker sent it.
         reason: Why it failed or was stopped.
         checkpoint: Name of the object with its last checkpoint.
         run_s: Seconds that it ran, or has run so far.
@@ -98,6 +101,8 @@
     digest: str = ""
     kind: str = ""
     answer: bytes = b""
+    length: int = 0
+    checksum: str = ""
     reason: str = ""
     checkpoint: str = ""
     run_s: float = 0.0
@@ -143,6 +148,13 @@
     usage: Usage
 
 
+def is_whole(record: AttemptRecord) -> bool:
+    """Returns whether the answer in a record arrived as it was sent."""
+    if record.state is not AttemptState.SUCCEEDED:
+        return True
+    return outcomes.is_whole(record.answer, record.length, record.checksum)
+
+
 Reply = futures.Future
 
 
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -21,7 +21,9 @@
 
 CALL_TIMEOUT_S = 1.0
 # Time that the owner's answer may take on its way beyond the request's own.
+# It is less than what the caller keeps to ask again.
 ANSWER_MARGIN_S = 0.2
+ANSWER_MARGIN_SHARE = 0.1
 MAX_MESSAGE_BYTES = 8 << 20
 
 _OPTIONS = [
@@ -29,7 +31,16 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.enable_retries", 0),
     ("grpc.so_reuseport", 0),
+    # Channels to one address share a connection by default, so that a new
+    # channel would meet the same silent connection again.
+    ("grpc.use_local_subchannel_pool", 1),
 ]
+_FAULTS = {
+    "id_reused": errors.IdReusedError,
+    "id_not_issued": errors.IdNotIssuedError,
+}
+# Of all statuses, only these certainly come before the callee's code runs.
+_NOT_SENT_DETAILS = ("failed to connect", "concurrent rpc limit exceeded")
 
 
 def encode_request(
@@ -79,6 +90,7 @@
         case outcomes.Done(answer, worker):
             reply.answer = answer
             reply.worker = worker
+            reply.length = len(answer)
             reply.checksum = outcomes.compute_checksum(answer)
         case outcomes.Failed(reason, worker):
             reply.reason = reason
@@ -96,7 +108,9 @@
         return outcomes.Unknown("answer_for_another_request")
     match reply.outcome:
         case "done":
-            if outcomes.compute_checksum(reply.answer) != reply.checksum:
+            if not outcomes.is_whole(
+                reply.answer, reply.length, reply.checksum
+            ):
                 return outcomes.Unknown("answer_damaged")
             return outcomes.Done(reply.answer, reply.worker)
         case "failed":
@@ -124,7 +138,8 @@
             address,
             "Run",
             encode_request(str(request_id), request),
-            request.timeout_s + ANSWER_MARGIN_S,
+            request.timeout_s
+            + min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * request.timeout_s),
             lambda m: _read_reply(str(request_id), m),
         )
 
@@ -236,14 +251,38 @@
     # UNAVAILABLE is also reported when a connection breaks after the call was
     # sent, so only a failure to connect counts as not sent.
     detail = (error.details() or "").lower()
-    return errors.PeerError(
-        error.code().name, "failed to connect" not in detail
-    )
+    is_sent = not any(text in detail for text in _NOT_SENT_DETAILS)
+    return errors.PeerError(error.code().name, is_sent)
+
+
+def encode_reply(request_id: str, reply: result.Result) -> peers_pb2.RunReply:
+    """Returns the message for an outcome or the error instead of it."""
+    if isinstance(reply, result.Success):
+        return encode_outcome(request_id, reply.unwrap())
+    match reply.failure():
+        case errors.NotOwnerError(has_run=has_run):
+            return peers_pb2.RunReply(
+                id=request_id, not_owner=True, has_run=has_run
+            )
+        case errors.IdReusedError():
+            return peers_pb2.RunReply(id=request_id, fault="id_reused")
+        case errors.IdNotIssuedError():
+            return peers_pb2.RunReply(id=request_id, fault="id_not_issued")
+    raise reply.failure()
 
 
 def _read_reply(request_id: str, reply: peers_pb2.RunReply) -> result.Result:
+    # Only an answer to this very request may say anything of it.
+    if reply.id != request_id:
+        return result.Failure(
+            errors.PeerError(f"answer for {reply.id[:80]!r}", True)
+        )
     if reply.not_owner:
-        return result.Failure(errors.NotOwnerError(request_id))
+        error = errors.NotOwnerError(request_id, reply.has_run)
+        return result.Failure(error)
+    if reply.fault:
+        create = _FAULTS.get(reply.fault, errors.IdNotIssuedError)
+        return result.Failure(create(request_id))
     return result.Success(decode_outcome(request_id, reply))
 
 
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -1,8 +1,12 @@
 """Answers the calls of other entry VMs."""
 
 from concurrent import futures
+import dataclasses
+
+from returns import result
 
 from persimmonpath import entry as entry_module
+from persimmonpath import errors
 from persimmonpath import identifiers
 from persimmonpath import outcomes
 from persimmonpath import wire
@@ -10,6 +14,9 @@
 from persimmonpath_daemon import peers_pb2
 from persimmonpath_daemon import peers_pb2_grpc
 
+# The dispatcher answers at the deadline; this only bounds the wait for it.
+WAIT_MARGIN_S = 0.1
+
 
 class PeerServicer(peers_pb2_grpc.PeerServicer):
     """The callee's side of every call."""
@@ -20,28 +27,28 @@
 
     def Run(self, request, context):  # noqa: N802
         """Runs a request of a shard owned here."""
-        del context
         parsed = identifiers.parse_request_id(request.id)
         owned = self._entry.find_owned(parsed.shard)
         if owned is None:
-            return peers_pb2.RunReply(id=request.id, not_owner=True)
+            return _reject(request.id)
         decoded = grpcpeers.decode_request(request)
+        # A call that waited for a thread has less time left.
+        left_s = min(decoded.timeout_s, context.time_remaining() or 0.0)
+        decoded = dataclasses.replace(decoded, timeout_s=left_s)
+        if left_s <= 0:
+            outcome = outcomes.Unknown("deadline_passed")
+            return grpcpeers.encode_outcome(request.id, outcome)
         future = owned.dispatcher.submit(parsed, decoded)
-        try:
-            outcome = future.result(decoded.timeout_s)
-        except futures.TimeoutError:
-            outcome = outcomes.Unknown("still_running")
-        return grpcpeers.encode_outcome(request.id, outcome)
+        return _wait(request.id, future, left_s + WAIT_MARGIN_S)
 
     def Ask(self, request, context):  # noqa: N802
         """Tells what became of a request."""
-        del context
         parsed = identifiers.parse_request_id(request.id)
         owned = self._entry.find_owned(parsed.shard)
         if owned is None:
-            return peers_pb2.RunReply(id=request.id, not_owner=True)
-        outcome = owned.dispatcher.ask(parsed, request.close)
-        return grpcpeers.encode_outcome(request.id, outcome)
+            return _reject(request.id)
+        future = owned.dispatcher.ask(parsed, request.close)
+        return _wait(request.id, future, context.time_remaining() or 0.0)
 
     def IssueIds(self, request, context):  # noqa: N802
         """Issues request ids."""
@@ -74,3 +81,18 @@
         if owned is not None:
             owned.runner.poll()
         return peers_pb2.NotifyJobReply()
+
+
+def _reject(request_id: str) -> peers_pb2.RunReply:
+    error = errors.NotOwnerError(request_id)
+    return grpcpeers.encode_reply(request_id, result.Failure(error))
+
+
+def _wait(
+    request_id: str, future: futures.Future, timeout_s: float
+) -> peers_pb2.RunReply:
+    try:
+        reply = future.result(timeout_s)
+    except futures.TimeoutError:
+        reply = result.Success(outcomes.Unknown("still_running"))
+    return grpcpeers.encode_reply(request_id, reply)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -123,13 +123,9 @@
             self._fail_later(future, timeout_s)
         elif isinstance(value, futures.Future):
             self._fail_later(future, timeout_s)
-            value.add_done_callback(
-                lambda f: settle(future, result.Success(f.result()))
-            )
-        elif isinstance(value, result.Result):
-            future.set_result(value)
+            value.add_done_callback(lambda f: settle(future, _wrap(f.result())))
         else:
-            future.set_result(result.Success(value))
+            future.set_result(_wrap(value))
         return future
 
     def _fail_later(self, future, timeout_s):
@@ -320,5 +316,11 @@
         future.set_result(value)
 
 
+def _wrap(value):
+    if isinstance(value, result.Result):
+        return value
+    return result.Success(value)
+
+
 def _reject(name):
     return result.Failure(errors.NotOwnerError(str(name)))
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,338 @@
+"""Failures between the owner of a shard and its workers."""
+
+from concurrent import futures
+import dataclasses
+import unittest
+
+from returns import result
+
+from persimmonpath import dispatch
+from persimmonpath import errors
+from persimmonpath import fleet
+from persimmonpath import identifiers
+from persimmonpath import inventory
+from persimmonpath import memoryworkers
+from persimmonpath import outcomes
+from persimmonpath import resources
+from persimmonpath import rules
+from persimmonpath import timers
+from persimmonpath import work
+from persimmonpath import workers
+from tests import fakes
+
+SHARD = identifiers.ShardId("zone-a", 0)
+SIZE = resources.Resources(1000, 1024, 0)
+REQUEST = work.Request("kind", "team", False, SIZE, b"x", 5.0)
+IDEMPOTENT = dataclasses.replace(REQUEST, idempotent=True)
+
+
+class FailingClient(fakes.FaultyWorker):
+    """Fails calls by name: lost before or after they take effect, or not sent.
+
+    Attributes:
+        faults: Kind of fault by method name.
+    """
+
+    def __init__(self, worker, timer_service):
+        super().__init__(worker, timer_service)
+        self.faults = {}
+
+    def _call(self, method, timeout_s, *arguments):
+        fault = self.faults.get(method)
+        if fault == "not_sent":
+            return _settled(result.Failure(errors.WorkerNotContactedError("")))
+        if isinstance(fault, str) and fault.startswith("refused:"):
+            error = errors.StartRefusedError(fault.partition(":")[2])
+            return _settled(result.Failure(error))
+        self.is_cut = fault == "lost"
+        self.loses_answers = fault == "answer_lost"
+        return super()._call(method, timeout_s, *arguments)
+
+
+class Shard:
+    """A shard with one or more workers on manual timers."""
+
+    def __init__(self, count=1, run_s=0.1, slots=8, policy=None, succeeds=True):
+        self.timers = timers.create_manual_timers()
+        self.plan = memoryworkers.Plan(run_s, succeeds, b"ok", "broke")
+        self.workers = []
+        self.clients = {}
+        self.policy = policy or rules.Policy()
+        for index in range(count):
+            self.workers.append(
+                memoryworkers.MemoryWorker(
+                    f"worker-{index}",
+                    fakes.WORKER_SIZE,
+                    slots,
+                    self.timers,
+                    lambda start: self.plan,
+                )
+            )
+        self.slots = slots
+        self.own(1)
+
+    def own(self, epoch):
+        """Makes a new owner take over."""
+        self.fleet = fleet.Fleet(epoch, f"owner-{epoch}", self.timers)
+        self.dispatcher = dispatch.Dispatcher(SHARD, self.fleet, self.policy)
+        for worker in self.workers:
+            self.clients[worker.name] = FailingClient(worker, self.timers)
+        self.fleet.apply_workers(
+            [
+                inventory.Worker(
+                    name=worker.name,
+                    zone="zone-a",
+                    rack="rack",
+                    host="127.0.0.1",
+                    port=1,
+                    cpu_millis=fakes.WORKER_SIZE.cpu_millis,
+                    memory_mib=fakes.WORKER_SIZE.memory_mib,
+                    slots=self.slots,
+                )
+                for worker in self.workers
+            ],
+            lambda worker: self.clients[worker.name],
+        )
+        return self.dispatcher
+
+    def fail(self, **faults):
+        """Sets the faults of every client."""
+        for client in self.clients.values():
+            client.faults = faults
+
+    def submit(self, request=REQUEST, request_id=None):
+        """Submits and returns the id and the future."""
+        request_id = request_id or self.dispatcher.issue_ids(1)[0]
+        return request_id, self.dispatcher.submit(request_id, request)
+
+    def ask(self, request_id, close=False):
+        """Asks and returns the outcome."""
+        future = self.dispatcher.ask(request_id, close)
+        self.timers.advance(0.6)
+        return future.result(0).unwrap()
+
+    def count_runs(self):
+        """Returns the starts of all requests on all workers."""
+        return sum(sum(w.runs.values()) for w in self.workers)
+
+
+def name(future):
+    """Returns the wire name of the outcome in a future that is done."""
+    return outcomes.name_outcome(future.result(0).unwrap())
+
+
+def _settled(value):
+    future = futures.Future()
+    future.set_result(value)
+    return future
+
+
+class DispatcherTest(unittest.TestCase):
+    def test_outcome_for_each_fault_of_a_worker(self):
+        """An outcome must never claim more than is certain."""
+        # Faults, run time, idempotent, outcome, runs, outcome when healed.
+        cases = [
+            ({}, 0.1, False, "done", 1, "done"),
+            ({"start": "not_sent"}, 0.1, False, "not_run", 0, "not_run"),
+            ({"start": "refused:leaving"}, 0.1, False, "not_run", 0, "not_run"),
+            ({"start": "refused:late"}, 0.1, False, "not_run", 0, "not_run"),
+            ({"start": "lost"}, 0.1, False, "not_run", 0, "not_run"),
+            ({"start": "answer_lost"}, 0.1, False, "done", 1, "done"),
+            ({"start": "answer_lost"}, 7.0, False, "unknown", 1, "done"),
+            ({"start": "answer_lost"}, 7.0, True, "unknown", 1, "done"),
+            (
+                {"start": "lost", "close": "lost"},
+                0.1,
+                True,
+                "unknown",
+                0,
+                "not_run",
+            ),
+            (
+                {"start": "answer_lost", "close": "answer_lost"},
+                0.1,
+                False,
+                "unknown",
+                1,
+                "done",
+            ),
+            ({}, 7.0, False, "unknown", 1, "done"),
+        ]
+        for faults, run_s, idempotent, first, runs, later in cases:
+            with self.subTest(faults=faults, run_s=run_s):
+                shard = Shard(run_s=run_s)
+                shard.fail(**faults)
+                request = IDEMPOTENT if idempotent else REQUEST
+                request_id, future = shard.submit(request)
+                shard.timers.advance(REQUEST.timeout_s)
+                self.assertEqual(name(future), first)
+                self.assertEqual(shard.count_runs(), runs)
+                shard.fail()
+                for _ in range(5):
+                    shard.fleet.renew()
+                    shard.timers.advance(3.0)
+                outcome = shard.ask(request_id)
+                self.assertEqual(outcomes.name_outcome(outcome), later)
+                self.assertEqual(shard.fleet.count_free_slots(), 8)
+                self.assertEqual(shard.count_runs(), runs)
+
+    def test_failed_attempt_is_repeated_only_when_idempotent(self):
+        """A second run of a non-idempotent request does harm."""
+        for request, most in ((REQUEST, 1), (IDEMPOTENT, 4)):
+            shard = Shard(succeeds=False)
+            _, future = shard.submit(request)
+            shard.timers.advance(5.0)
+            self.assertEqual(name(future), "failed")
+            self.assertEqual(shard.count_runs(), most)
+
+    def test_refusal_after_a_failed_attempt_is_not_stated_as_not_run(self):
+        """The first attempt ran, so `not_run` would be false."""
+        shard = Shard(succeeds=False)
+        _, future = shard.submit(IDEMPOTENT)
+        shard.fail(start="refused:leaving")
+        shard.timers.advance(5.0)
+        self.assertEqual(name(future), "failed")
+        self.assertEqual(shard.count_runs(), 1)
+
+    def test_worker_whose_lease_lapsed_reports_the_stopped_attempt(self):
+        """The fence after a lapse must end the request and its reservation."""
+        shard = Shard(run_s=60.0)
+        patient = dataclasses.replace(REQUEST, timeout_s=30.0)
+        request_id, future = shard.submit(patient)
+        shard.timers.advance(16.0)
+        self.assertEqual(name(future), "failed")
+        shard.fleet.renew()
+        shard.fleet.renew()
+        self.assertEqual(shard.fleet.count_free_slots(), 8)
+        outcome = shard.ask(request_id)
+        self.assertEqual(outcomes.name_outcome(outcome), "failed")
+
+    def test_close_of_a_queued_request_makes_it_not_run(self):
+        """A queued request must not start after it was stated not to run."""
+        shard = Shard(run_s=1.0, slots=1)
+        shard.submit()
+        queued, future = shard.submit()
+        self.assertEqual(shard.ask(queued, True), outcomes.NotRun("cancelled"))
+        self.assertEqual(name(future), "not_run")
+        shard.timers.advance(5.0)
+        self.assertNotIn(str(queued), shard.workers[0].runs)
+
+    def test_close_of_a_started_request_closes_it_at_the_worker(self):
+        """A start that is still on its way must be refused after a close."""
+        shard = Shard()
+        shard.fail(start="lost")
+        request_id, future = shard.submit()
+        outcome = shard.ask(request_id, True)
+        self.assertEqual(outcomes.name_outcome(outcome), "not_run")
+        self.assertEqual(name(future), "not_run")
+        late = workers.StartTask(f"{request_id}#1", 1, 2.0, SIZE)
+        reply = shard.workers[0].start(late, False, 1.0).result()
+        self.assertEqual(reply.failure().reason, workers.Refusal.CLOSED)
+
+    def test_close_of_an_id_not_seen_refuses_its_late_arrival(self):
+        """The forwarded request may arrive after the question."""
+        shard = Shard()
+        request_id = shard.dispatcher.issue_ids(1)[0]
+        outcome = shard.ask(request_id, True)
+        self.assertEqual(outcomes.name_outcome(outcome), "not_run")
+        _, future = shard.submit(REQUEST, request_id)
+        self.assertEqual(name(future), "not_run")
+        self.assertEqual(shard.count_runs(), 0)
+
+    def test_fault_of_the_caller_is_no_outcome_of_the_id(self):
+        """`not_run` for a reused id would deny the run of the first use."""
+        shard = Shard()
+        request_id, future = shard.submit()
+        other = dataclasses.replace(REQUEST, payload=b"other")
+        _, reused = shard.submit(other, request_id)
+        error = reused.result(0).failure()
+        self.assertIsInstance(error, errors.IdReusedError)
+        forged = identifiers.RequestId(SHARD, 1, 999)
+        error = shard.submit(REQUEST, forged)[1].result(0).failure()
+        self.assertIsInstance(error, errors.IdNotIssuedError)
+        later = identifiers.RequestId(SHARD, 2, 1)
+        error = shard.submit(REQUEST, later)[1].result(0).failure()
+        self.assertIsInstance(error, errors.NotOwnerError)
+        shard.timers.advance(1.0)
+        self.assertEqual(name(future), "done")
+
+    def test_duplicates_get_the_answer_of_one_run(self):
+        """A retry while the first is in progress must not run again."""
+        shard = Shard()
+        request_id, first = shard.submit()
+        _, second = shard.submit(REQUEST, request_id)
+        shard.timers.advance(1.0)
+        _, third = shard.submit(REQUEST, request_id)
+        self.assertEqual(
+            [name(f) for f in (first, second, third)], 3 * ["done"]
+        )
+        self.assertEqual(shard.count_runs(), 1)
+
+
+class TakeoverTest(unittest.TestCase):
+    def test_old_owner_answers_that_it_was_replaced(self):
+        """`not_run` or `failed` of a replaced owner may contradict the next."""
+        shard = Shard(run_s=1.0, slots=1)
+        _, running = shard.submit()
+        _, queued = shard.submit()
+        old = shard.dispatcher
+        next_id = old.issue_ids(1)[0]
+        shard.own(2)
+        sent = old.submit(next_id, REQUEST)
+        shard.timers.advance(1.5)
+        for future, has_run in ((queued, False), (sent, False)):
+            error = future.result(0).failure()
+            self.assertIsInstance(error, errors.NotOwnerError)
+            self.assertEqual(error.has_run, has_run)
+        self.assertEqual(name(running), "done")
+
+    def test_new_owner_knows_each_id_from_the_listings(self):
+        """A duplicate after the loss of the owner must not run again."""
+        shard = Shard(count=2, run_s=1.0)
+        done, _ = shard.submit()
+        shard.timers.advance(2.0)
+        running, _ = shard.submit()
+        unused = shard.dispatcher.issue_ids(1)[0]
+        shard.own(2)
+        again = {i: shard.submit(REQUEST, i)[1] for i in (done, running)}
+        shard.timers.advance(0.5)
+        self.assertEqual(name(again[done]), "done")
+        self.assertFalse(again[running].done())
+        shard.timers.advance(0.6)
+        shard.fleet.renew()
+        self.assertEqual(name(again[running]), "done")
+        self.assertEqual(name(shard.submit(REQUEST, unused)[1]), "not_run")
+        self.assertEqual(shard.count_runs(), 2)
+
+    def test_id_is_unknown_until_every_worker_is_listed(self):
+        """The worker that is not listed may have run it."""
+        shard = Shard(count=2)
+        request_id, _ = shard.submit()
+        shard.timers.advance(1.0)
+        ran = next(w for w in shard.workers if w.runs)
+        shard.fleet = fleet.Fleet(2, "next", shard.timers)
+        shard.dispatcher = dispatch.Dispatcher(SHARD, shard.fleet)
+        shard.clients[ran.name].faults = {"fence": "lost"}
+        shard.fleet.apply_workers(
+            [
+                inventory.Worker(
+                    name=worker.name,
+                    zone="zone-a",
+                    rack="rack",
+                    host="127.0.0.1",
+                    port=1,
+                    cpu_millis=1000,
+                    memory_mib=1000,
+                )
+                for worker in shard.workers
+            ],
+            lambda worker: shard.clients[worker.name],
+        )
+        shard.timers.advance(3.0)
+        _, future = shard.submit(REQUEST, request_id)
+        self.assertEqual(name(future), "unknown")
+        shard.fail()
+        shard.fleet.renew()
+        _, future = shard.submit(REQUEST, request_id)
+        self.assertEqual(name(future), "done")
+        self.assertEqual(shard.count_runs(), 1)
