--- a/packages/persimmonpath/persimmonpath/dispatch.py
+++ b/packages/persimmonpath/persimmonpath/dispatch.py
@@ -96,6 +96,10 @@
         self._outbox: list[tuple[futures.Future, Reply]] = []
         self._is_retired = False
         shard_fleet.subscribe(self._take_record, self._take_change)
+        # Later, so that the refused start itself is judged first.
+        shard_fleet.subscribe_fenced(
+            lambda: self._timers.call_later(0.0, self.retire)
+        )
 
     def issue_ids(self, count: int) -> list[identifiers.RequestId]:
         """Returns fresh request ids of this shard."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -111,6 +111,12 @@
         self.timers.advance(0.6)
         return future.result(0).unwrap()
 
+    def advance(self, seconds):
+        """Moves time in steps, renewing the workers as an entry VM does."""
+        for _ in range(int(seconds * 4)):
+            self.timers.advance(0.25)
+            self.fleet.renew()
+
     def count_runs(self):
         """Returns the starts of all requests on all workers."""
         return sum(sum(w.runs.values()) for w in self.workers)
@@ -168,9 +174,7 @@
                 self.assertEqual(name(future), first)
                 self.assertEqual(shard.count_runs(), runs)
                 shard.fail()
-                for _ in range(5):
-                    shard.fleet.renew()
-                    shard.timers.advance(3.0)
+                shard.advance(15.0)
                 outcome = shard.ask(request_id)
                 self.assertEqual(outcomes.name_outcome(outcome), later)
                 self.assertEqual(shard.fleet.count_free_slots(), 8)
@@ -201,8 +205,7 @@
         request_id, future = shard.submit(patient)
         shard.timers.advance(16.0)
         self.assertEqual(name(future), "failed")
-        shard.fleet.renew()
-        shard.fleet.renew()
+        shard.advance(1.0)
         self.assertEqual(shard.fleet.count_free_slots(), 8)
         outcome = shard.ask(request_id)
         self.assertEqual(outcomes.name_outcome(outcome), "failed")
@@ -298,8 +301,7 @@
         shard.timers.advance(0.5)
         self.assertEqual(name(again[done]), "done")
         self.assertFalse(again[running].done())
-        shard.timers.advance(0.6)
-        shard.fleet.renew()
+        shard.advance(4.0)
         self.assertEqual(name(again[running]), "done")
         self.assertEqual(name(shard.submit(REQUEST, unused)[1]), "not_run")
         self.assertEqual(shard.count_runs(), 2)
@@ -332,7 +334,7 @@
         _, future = shard.submit(REQUEST, request_id)
         self.assertEqual(name(future), "unknown")
         shard.fail()
-        shard.fleet.renew()
+        shard.advance(3.0)
         _, future = shard.submit(REQUEST, request_id)
         self.assertEqual(name(future), "done")
         self.assertEqual(shard.count_runs(), 1)
