Test every fault on the way of a request and split the dispatcher

The tests found that the wait estimate ignored what was running: six requests of 1 s were admitted to one slot with a deadline of 5 s. It now counts the work left of running attempts and keeps 5% of the deadline as headroom.

A start that times out no longer pauses its worker, since the attempt may just run for long. Attempts known only from a listing are asked about until they end, so that they cannot stay in progress after the loss of their worker.

--- a/packages/persimmonpath/persimmonpath/attempts.py
+++ b/packages/persimmonpath/persimmonpath/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
+import hashlib
 
 from returns import result
 
@@ -12,6 +13,7 @@
 from persimmonpath import outcomes
 from persimmonpath import retries
 from persimmonpath import timers
+from persimmonpath import wire
 from persimmonpath import work
 from persimmonpath import workers
 
@@ -66,6 +68,14 @@
     record: workers.AttemptRecord | None = None
 
 
+def compute_digest(request: work.Request) -> str:
+    """Returns a digest of what a request asks for."""
+    content = dataclasses.replace(request, payload=b"", timeout_s=0.0, trace="")
+    digest = hashlib.blake2b(wire.encode(content), digest_size=16)
+    digest.update(request.payload)
+    return digest.hexdigest()
+
+
 def read_record(record: workers.AttemptRecord, worker: str) -> outcomes.Outcome:
     """Returns the outcome that the record of an ended attempt stands for."""
     if record.state is workers.AttemptState.CLOSED:
@@ -158,24 +168,28 @@
             attempt: The attempt.
             is_late: Tells whether no caller waits any more.
         """
-        if attempt.is_closing or attempt.is_ended:
-            return
+        repeats = not attempt.is_closing
         attempt.is_closing = True
-        self._ask(attempt, is_late)
+        self._ask(attempt, is_late, repeats)
 
-    def _ask(self, attempt: Attempt, is_late: Callable[[], bool]) -> None:
+    def _ask(
+        self, attempt: Attempt, is_late: Callable[[], bool], repeats: bool
+    ) -> None:
         if attempt.is_ended:
             return
         attempt.closes += 1
         future = self._fleet.get_client(attempt.worker).close(
             attempt.id, self._fleet.epoch, CLOSE_TIMEOUT_S
         )
-        future.add_done_callback(lambda f: self._take(attempt, is_late, f))
+        future.add_done_callback(
+            lambda f: self._take(attempt, is_late, repeats, f)
+        )
 
     def _take(
         self,
         attempt: Attempt,
         is_late: Callable[[], bool],
+        repeats: bool,
         future: futures.Future,
     ) -> None:
         reply = future.result()
@@ -191,9 +205,11 @@
         if ending is not None:
             self._on_end(attempt, ending)
             return
+        if not repeats:
+            return
         delay_s = retries.compute_delay(attempt.closes)
         if is_late():
             delay_s = LATE_CLOSE_PERIOD_S
         self._fleet.timers.call_later(
-            delay_s, lambda: self._ask(attempt, is_late)
+            delay_s, lambda: self._ask(attempt, is_late, True)
         )
--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -47,6 +47,22 @@
     worker: str
 
 
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """Sum over attempts that run, kept so that no sum is taken anew."""
+
+    count: int = 0
+    ends: float = 0.0
+
+    def add(self, end: float, sign: int) -> None:
+        self.count += sign
+        self.ends += sign * end
+
+    def get_left(self, now: float) -> float:
+        """Returns the seconds of work left."""
+        return max(0.0, self.ends - self.count * now)
+
+
 class Backlog:
     """Queue, estimates and limits of a shard; every call needs its lock."""
 
@@ -63,14 +79,17 @@
         self._queue = queues.FairQueue(policy.queue_limit)
         self._run_times = estimates.RunTimes()
         self._limits = limits.Limits(policy.short_slots_share)
-        self._in_flight = 0
+        # Expected end and kind of the attempts that run, one for each slot.
+        self._running: dict[str, tuple[float, _Running]] = {}
+        self._running_short = _Running()
+        self._running_long = _Running()
         # Whether nothing that waits can start before something changes.
         self._is_blocked = False
         self._filters = [
             self._check_fit,
             pipeline.check_time_left,
             pipeline.create_wait_check(
-                self._queue, self._describe, self._count_slots
+                self._queue, self._describe, self._measure_slots
             ),
         ]
 
@@ -159,7 +178,9 @@
         """Gives back what an attempt held, once it certainly does not run."""
         if attempt.straggle is not None:
             attempt.straggle.cancel()
-            self._in_flight -= 1
+        end, running = self._running.pop(attempt.id, (0.0, None))
+        if running is not None:
+            running.add(end, -1)
         self._fleet.release(attempt.worker, attempt.id)
         self._limits.release(attempt.id)
         self._is_blocked = False
@@ -186,11 +207,15 @@
     def take_error(
         self, attempt: attempts.Attempt, error: errors.WorkerError
     ) -> None:
-        """Keeps work off a worker that did not take an attempt."""
+        """Keeps work off a worker that did not take an attempt.
+
+        Silence says nothing: the attempt may just run for long.
+        """
         reason = getattr(error, "reason", "")
+        is_silent = isinstance(error, errors.WorkerUnreachableError)
         if reason == workers.Refusal.OVERLOADED:
             self._limits.observe_refusal(attempt.worker)
-        else:
+        elif not is_silent:
             self._limits.pause(attempt.worker, self._timers.now())
             # Nothing else says that the worker may be tried again.
             self._timers.call_later(limits.PAUSE_S, self._fleet.notify)
@@ -209,7 +234,10 @@
         if name is None:
             return None
         entry.starts += 1
-        self._in_flight += 1
+        running = self._running_short if is_short else self._running_long
+        end = self._timers.now() + entry.item.expected_s
+        running.add(end, 1)
+        self._running[attempt] = end, running
         self._limits.acquire(name, attempt, is_short)
         return Found(entry, attempt, name)
 
@@ -240,8 +268,14 @@
     def _estimate(self, request: work.Request) -> estimates.Estimate:
         return self._run_times.estimate(request.kind, request.run_s)
 
-    def _count_slots(self) -> int:
-        return self._fleet.count_free_slots() + self._in_flight
+    def _measure_slots(self, is_short: bool) -> tuple[int, float]:
+        free = self._fleet.count_free_slots()
+        if free:
+            return free + len(self._running), 0.0
+        left_s = self._running_short.get_left(self._timers.now())
+        if not is_short:
+            left_s += self._running_long.get_left(self._timers.now())
+        return len(self._running), left_s
 
     def _check_fit(self, arrival: pipeline.Arrival) -> str | None:
         size = arrival.request.size
--- a/packages/persimmonpath/persimmonpath/dispatch.py
+++ b/packages/persimmonpath/persimmonpath/dispatch.py
@@ -1,8 +1,6 @@
 """The owner of a shard at work: admission, ledger and attempts."""
 
 from concurrent import futures
-import dataclasses
-import hashlib
 
 from returns import result
 
@@ -13,9 +11,9 @@
 from persimmonpath import identifiers
 from persimmonpath import ledger
 from persimmonpath import outcomes
+from persimmonpath import pendings
 from persimmonpath import retries
 from persimmonpath import rules
-from persimmonpath import wire
 from persimmonpath import work
 from persimmonpath import workers
 
@@ -23,39 +21,11 @@
 CLOSE_MARGIN_S = 0.25
 # How long a question that closes an id waits for the attempt's end.
 ASK_WAIT_S = 0.5
-MAX_WAITERS = 100
 
-# An outcome, or an `InputError` of the caller, or a `NotOwnerError`.
-Reply = result.Result[outcomes.Outcome, errors.PersimmonError]
+Reply = pendings.Reply
 
 
-def compute_digest(request: work.Request) -> str:
-    """Returns a digest of what a request asks for."""
-    content = dataclasses.replace(request, payload=b"", timeout_s=0.0, trace="")
-    digest = hashlib.blake2b(wire.encode(content), digest_size=16)
-    digest.update(request.payload)
-    return digest.hexdigest()
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Pending:
-    """A request without a final outcome.
-
-    It stays after its callers were answered `unknown` while an attempt of it
-    may run. `request` is None when only a listing told of it; `earlier` is the
-    outcome of an attempt that ran before a further one was allowed.
-    """
-
-    id: identifiers.RequestId
-    request: work.Request | None
-    digest: str
-    deadline: float
-    waiting: list[futures.Future] = dataclasses.field(default_factory=list)
-    queued: backlog.Entry | None = None
-    attempt: attempts.Attempt | None = None
-    attempts: int = 0
-    earlier: outcomes.Outcome | None = None
-    is_cancelled: bool = False
+_Started = tuple[pendings.Pending, attempts.Attempt, workers.StartTask, float]
 
 
 class Dispatcher:
@@ -91,9 +61,9 @@
         self._closer = attempts.Closer(
             shard_fleet, self._take_ending, self._take_fenced
         )
-        self._pending: dict[identifiers.RequestId, _Pending] = {}
-        # Answers that are given once the lock has been let go.
-        self._outbox: list[tuple[futures.Future, Reply]] = []
+        self._pending = pendings.Pendings(
+            self._lock, self._timers, self._ledger, self._backlog.remove
+        )
         self._is_retired = False
         shard_fleet.subscribe(self._take_record, self._take_change)
         # Later, so that the refused start itself is judged first.
@@ -111,12 +81,12 @@
     ) -> "futures.Future[Reply]":
         """Runs a request, or joins or answers an earlier one with its id."""
         future: futures.Future = futures.Future()
-        digest = compute_digest(request)
+        digest = attempts.compute_digest(request)
         with self._lock:
             reply = self._admit(request_id, request, digest, future)
             if reply is not None:
-                self._outbox.append((future, reply))
-        self._flush()
+                self._pending.reply(future, reply)
+        self._pending.flush()
         self._drive()
         return future
 
@@ -134,12 +104,12 @@
         future: futures.Future = futures.Future()
         with self._lock:
             reply = self._find_reply(request_id, close)
-            pending = self._pending.get(request_id)
+            pending = self._pending.find(request_id)
             if reply is None:
                 self._cancel(pending, future)
             else:
-                self._outbox.append((future, reply))
-        self._flush()
+                self._pending.reply(future, reply)
+        self._pending.flush()
         if reply is None and pending.attempt is not None:
             self._close(pending, pending.attempt)
         return future
@@ -147,13 +117,13 @@
     def count_in_flight(self) -> int:
         """Returns the number of requests whose callers wait."""
         with self._lock:
-            return sum(1 for p in self._pending.values() if p.waiting)
+            return self._pending.count_waiting()
 
     def retire(self) -> None:
         """Answers every waiting caller that this VM lost the shard."""
         with self._lock:
             self._is_retired = True
-            for pending in list(self._pending.values()):
+            for pending in self._pending.list_all():
                 self._backlog.remove(pending.queued)
                 has_run = pending.earlier is not None
                 if pending.attempt is not None:
@@ -161,9 +131,9 @@
                     # Its reservation stays: it may be running.
                     pending.attempt.is_ended = True
                 moved = errors.NotOwnerError(str(self.shard), has_run)
-                self._answer(pending, result.Failure(moved))
+                self._pending.answer(pending, result.Failure(moved))
             self._pending.clear()
-        self._flush()
+        self._pending.flush()
 
     def _admit(
         self,
@@ -178,23 +148,11 @@
         if verdict is ledger.Verdict.NEW:
             return self._enqueue(request_id, request, digest, future)
         if verdict is ledger.Verdict.DUPLICATE:
-            pending = self._pending.get(request_id)
+            pending = self._pending.find(request_id)
             if pending is None:
                 return result.Success(self._ledger.find(request_id).outcome)
-            return self._join(pending, future, request.timeout_s)
-        return self._judge_verdict(request_id, verdict)
-
-    def _judge_verdict(
-        self, request_id: identifiers.RequestId, verdict: ledger.Verdict
-    ) -> Reply:
-        match verdict:
-            case ledger.Verdict.REUSED:
-                return result.Failure(errors.IdReusedError(str(request_id)))
-            case ledger.Verdict.NOT_ISSUED:
-                return result.Failure(errors.IdNotIssuedError(str(request_id)))
-            case ledger.Verdict.LATER_EPOCH:
-                return result.Failure(errors.NotOwnerError(str(self.shard)))
-        return result.Success(outcomes.Unknown("no_record"))
+            return self._pending.join(pending, future, request.timeout_s)
+        return pendings.judge_verdict(request_id, verdict)
 
     def _enqueue(
         self,
@@ -205,17 +163,19 @@
     ) -> Reply | None:
         self._budget.record_first()
         now = self._timers.now()
-        pending = _Pending(request_id, request, digest, now + request.timeout_s)
-        self._pending[request_id] = pending
-        self._join(pending, future, request.timeout_s)
+        pending = pendings.Pending(
+            request_id, request, digest, now + request.timeout_s
+        )
+        self._pending.add(pending)
+        self._pending.join(pending, future, request.timeout_s)
         pending.queued = self._backlog.create_entry(
             request_id, request, pending
         )
         reason, displaced = self._backlog.admit(pending.queued)
         if reason is not None:
-            self._finish(pending, outcomes.NotRun(reason))
+            self._pending.finish(pending, outcomes.NotRun(reason))
         if displaced is not None:
-            self._finish(displaced, outcomes.NotRun("overloaded"))
+            self._pending.finish(displaced, outcomes.NotRun("overloaded"))
         return None
 
     def _find_reply(
@@ -228,65 +188,45 @@
         if entry is None:
             verdict = self._ledger.classify(request_id)
             if verdict is not ledger.Verdict.NEW:
-                return self._judge_verdict(request_id, verdict)
+                return pendings.judge_verdict(request_id, verdict)
             if not close:
                 return result.Success(outcomes.Unknown("never_received"))
             return result.Success(self._ledger.close(request_id))
         if entry.is_final():
             return result.Success(entry.outcome)
-        if close and request_id in self._pending:
+        if close and self._pending.find(request_id):
             return None
         unknown = outcomes.Unknown("in_progress")
         return result.Success(entry.outcome or unknown)
 
-    def _cancel(self, pending: _Pending, future: futures.Future) -> None:
+    def _cancel(
+        self, pending: pendings.Pending, future: futures.Future
+    ) -> None:
         pending.is_cancelled = True
-        refusal = self._join(pending, future, ASK_WAIT_S)
+        refusal = self._pending.join(pending, future, ASK_WAIT_S)
         if refusal is not None:
-            self._outbox.append((future, refusal))
+            self._pending.reply(future, refusal)
         if pending.attempt is None:
             self._backlog.remove(pending.queued)
-            self._finish(pending, outcomes.NotRun("cancelled"))
-
-    def _join(
-        self, pending: _Pending, future: futures.Future, wait_s: float
-    ) -> Reply | None:
-        if len(pending.waiting) >= MAX_WAITERS:
-            return result.Success(outcomes.Unknown("too_many_duplicates"))
-        pending.waiting.append(future)
-        self._timers.call_later(wait_s, lambda: self._expire(pending, future))
-        return None
-
-    def _expire(self, pending: _Pending, future: futures.Future) -> None:
-        """Answers a caller whose deadline has come."""
-        with self._lock:
-            if future not in pending.waiting:
-                return
-            is_due = self._timers.now() >= pending.deadline
-            if is_due and self._backlog.remove(pending.queued):
-                outcome = outcomes.NotRun("deadline_passed_in_queue")
-                self._finish(pending, outcome)
-            else:
-                pending.waiting.remove(future)
-                unknown = outcomes.Unknown("still_running")
-                self._outbox.append((future, result.Success(unknown)))
-        self._flush()
+            self._pending.finish(pending, outcomes.NotRun("cancelled"))
 
     def _drive(self) -> None:
         while True:
             with self._lock:
                 started = self._take_next()
-            self._flush()
+            self._pending.flush()
             if started is None:
                 return
             self._start(*started)
 
-    def _take_next(self) -> tuple[_Pending, workers.StartTask, float] | None:
+    def _take_next(self) -> _Started | None:
         if self._is_retired:
             return None
         found, hopeless = self._backlog.select()
         for pending in hopeless:
-            self._finish(pending, outcomes.NotRun("deadline_passed_in_queue"))
+            self._pending.finish(
+                pending, outcomes.NotRun("deadline_passed_in_queue")
+            )
         if found is None:
             return None
         pending = found.entry.value
@@ -299,12 +239,16 @@
         )
         self._backlog.watch(found.entry, pending.attempt)
         left_s = pending.deadline - self._timers.now()
-        return pending, start, max(left_s - CLOSE_MARGIN_S, left_s / 2)
+        timeout_s = max(left_s - CLOSE_MARGIN_S, left_s / 2)
+        return pending, pending.attempt, start, timeout_s
 
     def _start(
-        self, pending: _Pending, start: workers.StartTask, timeout_s: float
+        self,
+        pending: pendings.Pending,
+        attempt: attempts.Attempt,
+        start: workers.StartTask,
+        timeout_s: float,
     ) -> None:
-        attempt = pending.attempt
         client = self._fleet.get_client(attempt.worker)
         future = client.start(start, True, timeout_s)
         future.add_done_callback(
@@ -312,7 +256,10 @@
         )
 
     def _take_reply(
-        self, pending: _Pending, attempt: attempts.Attempt, reply: result.Result
+        self,
+        pending: pendings.Pending,
+        attempt: attempts.Attempt,
+        reply: result.Result,
     ) -> None:
         if isinstance(reply, result.Success):
             ending = attempts.judge_record(reply.unwrap())
@@ -333,7 +280,9 @@
         else:
             self._take_ending(attempt, ending)
 
-    def _close(self, pending: _Pending, attempt: attempts.Attempt) -> None:
+    def _close(
+        self, pending: pendings.Pending, attempt: attempts.Attempt
+    ) -> None:
         self._closer.close(attempt, lambda: not pending.waiting)
 
     def _take_fenced(self) -> None:
@@ -345,7 +294,7 @@
     ) -> None:
         with self._lock:
             self._conclude(attempt, ending)
-        self._flush()
+        self._pending.flush()
         self._drive()
 
     def _conclude(
@@ -356,7 +305,7 @@
             return
         self._end_attempt(attempt)
         parsed, _ = attempts.parse_attempt(attempt.id)
-        pending = self._pending[parsed]
+        pending = self._pending.find(parsed)
         pending.attempt = None
         if ending.record is not None:
             self._backlog.observe(pending.queued, attempt, ending.record)
@@ -366,7 +315,7 @@
         if isinstance(outcome, outcomes.Done) or not self._requeue(
             pending, ending.cause
         ):
-            self._finish(pending, outcome)
+            self._pending.finish(pending, outcome)
 
     def _read_outcome(
         self, attempt: attempts.Attempt, ending: attempts.Ending
@@ -377,7 +326,7 @@
             return outcomes.NotRun(ending.reason)
         return outcomes.Unknown(ending.reason)
 
-    def _requeue(self, pending: _Pending, cause: retries.Cause) -> bool:
+    def _requeue(self, pending: pendings.Pending, cause: retries.Cause) -> bool:
         if pending.is_cancelled or pending.request is None:
             return False
         left_s = pending.deadline - self._timers.now()
@@ -397,33 +346,13 @@
         attempt.is_ended = True
         self._backlog.release(attempt)
 
-    def _finish(self, pending: _Pending, outcome: outcomes.Outcome) -> None:
-        if self._pending.pop(pending.id, None) is None:
-            return
-        if isinstance(outcome, outcomes.NotRun) and pending.earlier is not None:
-            outcome = pending.earlier
-        self._ledger.finish(pending.id, outcome)
-        self._answer(pending, result.Success(outcome))
-
-    def _answer(self, pending: _Pending, reply: Reply) -> None:
-        self._outbox.extend((future, reply) for future in pending.waiting)
-        pending.waiting.clear()
-
-    def _flush(self) -> None:
-        while True:
-            with self._lock:
-                if not self._outbox:
-                    return
-                future, reply = self._outbox.pop()
-            future.set_result(reply)
-
     def _take_change(self) -> None:
         with self._lock:
             self._backlog.refresh()
             self._ledger.set_complete_since(
                 self._fleet.get_complete_since(), self._fleet.is_fully_listed()
             )
-        self._flush()
+        self._pending.flush()
         self._drive()
 
     def _take_record(self, name: str, record: workers.AttemptRecord) -> None:
@@ -433,7 +362,7 @@
             return
         request_id, number = parsed
         ending = attempts.judge_record(record)
-        pending = self._pending.get(request_id)
+        pending = self._pending.find(request_id)
         current = pending.attempt if pending else None
         if current is not None and current.id == record.attempt:
             if ending is not None:
@@ -459,6 +388,12 @@
         )
         if is_running and is_held:
             attempt = attempts.Attempt(record.attempt, name, self._timers.now())
-            pending = _Pending(request_id, None, record.digest, 0.0)
+            pending = self._pending.find(request_id) or pendings.Pending(
+                request_id, None, record.digest, 0.0
+            )
             pending.attempt = attempt
-            self._pending[request_id] = pending
+            self._pending.add(pending)
+            self._timers.call_later(
+                attempts.LATE_CLOSE_PERIOD_S,
+                lambda: self._close(pending, attempt),
+            )
--- a/packages/persimmonpath/persimmonpath/pipeline.py
+++ b/packages/persimmonpath/persimmonpath/pipeline.py
@@ -12,6 +12,8 @@
 from persimmonpath import work
 
 MAX_TIMEOUT_S = 600.0
+# Part of the caller's time that must remain for the way of the answer.
+HEADROOM_SHARE = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,21 +59,25 @@
 def create_wait_check(
     queue: queues.FairQueue,
     describe: Callable[[Arrival], queues.Item],
-    count_slots: Callable[[], int],
+    measure_slots: Callable[[bool], tuple[int, float]],
 ) -> Filter:
     """Returns a filter that refuses what cannot end before its deadline.
 
     Args:
         queue: What the request would wait in.
         describe: Returns the queue's item for a request.
-        count_slots: Returns the requests that can run at once.
+        measure_slots: Returns, for short or for all work, the requests that
+            can run at once and the seconds of work left of those that run;
+            0.0 while a slot is free.
     """
 
     def check(arrival: Arrival) -> str | None:
-        wait_s = queue.estimate_wait(describe(arrival), count_slots())
-        needed_s = wait_s + arrival.estimate.typical_s
+        item = describe(arrival)
+        wait_s = queue.estimate_wait(item, *measure_slots(item.is_short))
+        needed_s = wait_s + arrival.estimate.high_s
         # An empty queue means no wait whatever the guess says.
-        if wait_s > 0 and needed_s > arrival.request.timeout_s:
+        usable_s = arrival.request.timeout_s * (1 - HEADROOM_SHARE)
+        if wait_s > 0 and needed_s > usable_s:
             return "overloaded"
         return None
 
--- a/packages/persimmonpath/persimmonpath/queues.py
+++ b/packages/persimmonpath/persimmonpath/queues.py
@@ -89,12 +89,13 @@
         """Returns whether nothing waits in the lane of an item."""
         return not self._lanes.get(item.lane)
 
-    def estimate_wait(self, item: Item, slots: int) -> float:
+    def estimate_wait(self, item: Item, slots: int, running_s: float) -> float:
         """Returns the seconds that a new item would wait, roughly.
 
         Args:
             item: The item.
             slots: Items that can run at once.
+            running_s: Seconds of work left of what runs now.
         """
         team = self._teams.get(item.team)
         # Short items do not wait for long ones.
@@ -104,7 +105,7 @@
             total, own = self._backlog_s, team and team.backlog_s
         active = len(self._order) + (team is None or team.count == 0)
         fair = ((own or 0.0) + item.expected_s) * active
-        return min(total, fair) / max(1, slots)
+        return (min(total, fair) + running_s) / max(1, slots)
 
     def push(self, item: Item, is_forced: bool = False) -> Item | None:
         """Adds an item.
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,212 @@
+"""Failures between entry VMs on the way to the owner of a shard."""
+
+import dataclasses
+import unittest
+
+from persimmonpath import errors
+from persimmonpath import identifiers
+from persimmonpath import inventory
+from persimmonpath import outcomes
+from persimmonpath import resources
+from persimmonpath import router as router_module
+from persimmonpath import rules
+from persimmonpath import work
+from tests import fakes
+
+SIZE = resources.Resources(1000, 1024, 0)
+REQUEST = work.Request("kind", "team", False, SIZE, b"x", 5.0)
+VMS = {"a-0": "zone-a", "a-1": "zone-a", "b-0": "zone-b"}
+
+
+class Cell:
+    """Two zones of one shard and one worker each, and a router at each VM."""
+
+    def __init__(self, plan=None, slots=8, spills=True):
+        self.fakes = fakes.FakeCell()
+        self.timers = self.fakes.timers
+        self.network = self.fakes.network
+        workers = []
+        for zone in ("zone-a", "zone-b"):
+            self.fakes.add_worker(f"{zone}-worker", plan, slots)
+            workers.append(
+                inventory.Worker(
+                    name=f"{zone}-worker",
+                    zone=zone,
+                    rack="rack",
+                    host="127.0.0.1",
+                    port=1,
+                    cpu_millis=16_000,
+                    memory_mib=32_768,
+                    slots=slots,
+                )
+            )
+        entries = {n: self.fakes.add_entry(n, z) for n, z in VMS.items()}
+        content = inventory.Inventory(
+            zones=[inventory.Zone(name=z) for z in ("zone-a", "zone-b")],
+            workers=workers,
+        )
+        policy = rules.Policy(spill_to_zones=spills)
+        self.timers.advance(2.0)
+        entries["a-0"].commit_config(
+            0, "test", content, rules.Rules(policy=policy)
+        ).unwrap()
+        self.timers.advance(10.0)
+        self.routers = {
+            name: router_module.create_router(entry, 1)
+            for name, entry in entries.items()
+        }
+        self.entries = entries
+        self.owner = next(
+            n for n, e in entries.items() if n < "b" and e.list_owned()
+        )
+        self.other = "a-1" if self.owner == "a-0" else "a-0"
+
+    def link(self, one, other):
+        """Returns the pair of addresses that the network's faults take."""
+        return f"{one}:1", f"{other}:1"
+
+    def count_runs(self):
+        """Returns the starts of all requests."""
+        return sum(sum(w.runs.values()) for w in self.fakes.workers.values())
+
+    def run(self, via, request_id="", request=REQUEST, seconds=5.5):
+        """Runs a request and returns its answer."""
+        future = self.routers[via].run(request_id, request)
+        self.timers.advance(seconds)
+        return future.result(0)
+
+
+def name(answer):
+    """Returns the wire name of an answer's outcome."""
+    return outcomes.name_outcome(answer.outcome)
+
+
+class RouterTest(unittest.TestCase):
+    def test_outcome_for_each_fault_between_entry_vms(self):
+        """An outcome must never claim more than is certain."""
+
+        def lose(cell):
+            cell.network.loses_answers.add(cell.link(cell.other, cell.owner))
+
+        def heal_later(cell, fault):
+            fault.add(cell.link(cell.other, cell.owner))
+            cell.timers.call_later(4.0, fault.clear)
+
+        # Fault, outcome of a request whose id the caller brought, runs.
+        cases = {
+            "none": (lambda cell: None, "done", 1),
+            "all answers lost": (lose, "unknown", 1),
+            "answer lost, question answered": (
+                lambda cell: heal_later(cell, cell.network.loses_answers),
+                "done",
+                1,
+            ),
+            "request lost, question answered": (
+                lambda cell: heal_later(cell, cell.network.silent),
+                "not_run",
+                0,
+            ),
+            "silent": (
+                lambda cell: cell.network.cut(
+                    *cell.link(cell.other, cell.owner)
+                ),
+                "unknown",
+                0,
+            ),
+            "owner gone": (
+                lambda cell: cell.network.entries.pop(f"{cell.owner}:1"),
+                "unknown",
+                0,
+            ),
+        }
+        for title, (fault, outcome, runs) in cases.items():
+            with self.subTest(title):
+                cell = Cell()
+                owned = cell.entries[cell.owner].list_owned()[0]
+                request_id = str(owned.dispatcher.issue_ids(1)[0])
+                fault(cell)
+                answer = cell.run(cell.other, request_id)
+                self.assertEqual(name(answer), outcome)
+                self.assertEqual(answer.id, request_id)
+                self.assertEqual(cell.count_runs(), runs)
+
+    def test_fresh_request_goes_elsewhere_when_the_owner_is_gone(self):
+        """Nobody else knows the id, so a further one does no harm."""
+        cell = Cell()
+        cell.network.entries.pop(f"{cell.owner}:1")
+        self.assertEqual(name(cell.run(cell.other)), "done")
+        self.assertEqual(cell.count_runs(), 1)
+
+    def test_retry_at_other_entry_vms_runs_once(self):
+        """Every entry VM must bring an id home to its shard."""
+        cell = Cell()
+        request_id = cell.run(cell.owner).id
+        for via in VMS:
+            self.assertEqual(name(cell.run(via, request_id)), "done")
+        self.assertEqual(cell.count_runs(), 1)
+
+    def test_retry_after_the_loss_of_the_owner_runs_once(self):
+        """The next owner must know the id from the worker's listing."""
+        cell = Cell()
+        request_id = cell.run(cell.owner).id
+        cell.fakes.pause(cell.owner)
+        cell.timers.advance(15.0)
+        self.assertTrue(cell.entries[cell.other].list_owned())
+        for via in (cell.other, "b-0"):
+            self.assertEqual(name(cell.run(via, request_id)), "done")
+        self.assertEqual(cell.count_runs(), 1)
+
+    def test_paused_owner_passes_the_request_on(self):
+        """Its worker was fenced, so its own outcome would be a guess."""
+        cell = Cell()
+        cell.fakes.pause(cell.owner)
+        cell.timers.advance(15.0)
+        answer = cell.run(cell.owner)
+        self.assertEqual(name(answer), "done")
+        self.assertEqual(cell.count_runs(), 1)
+
+    def test_outcome_that_becomes_known_later_is_given_when_asked(self):
+        """A run that ends after its deadline must not stay unknown."""
+        cell = Cell(lambda start: fakes.memoryworkers.Plan(7.0, True, b"late"))
+        answer = cell.run(cell.other)
+        self.assertEqual(name(answer), "unknown")
+        cell.timers.advance(6.0)
+        asked = cell.routers["b-0"].ask(answer.id)
+        self.assertEqual(name(asked.result(0)), "done")
+
+    def test_unacceptable_ids_are_faults_of_the_caller(self):
+        """An outcome would speak of a request that does not exist."""
+        cell = Cell()
+        for text in ("x", "zone-c.0.1.1", "zone-a.1.1.1"):
+            with self.assertRaises(errors.InputError):
+                cell.routers[cell.owner].run(text, REQUEST)
+            with self.assertRaises(errors.InputError):
+                cell.routers[cell.owner].ask(text)
+        request_id = cell.run(cell.owner).id
+        other = dataclasses.replace(REQUEST, payload=b"other")
+        for via in VMS:
+            with self.assertRaises(errors.IdReusedError):
+                cell.run(via, request_id, other)
+
+    def test_full_zone_spills_fresh_requests_only_when_allowed(self):
+        """Another zone may serve what would be refused at home."""
+        for spills, runs_away in ((True, True), (False, False)):
+            cell = Cell(
+                lambda start: fakes.memoryworkers.Plan(1.0, True, b"ok"),
+                slots=1,
+                spills=spills,
+            )
+            for _ in range(3):
+                cell.run(cell.owner, seconds=1.5)
+            futures = [
+                cell.routers[cell.owner].run("", REQUEST) for _ in range(9)
+            ]
+            cell.timers.advance(6.0)
+            away = cell.fakes.workers["zone-b-worker"].runs
+            self.assertEqual(bool(away), runs_away)
+            names = [name(f.result(0)) for f in futures]
+            self.assertGreaterEqual(names.count("done"), 8 if spills else 4)
+            ids = [
+                identifiers.parse_request_id(f.result(0).id) for f in futures
+            ]
+            self.assertEqual(len(set(ids)), 9)
