--- /dev/null
+++ b/tests/test_httpworkers.py
@@ -0,0 +1,70 @@
+"""Answers of workers over HTTP that are damaged, mixed up or too large."""
+
+from concurrent import futures
+import dataclasses
+import unittest
+
+from persimmonpath import errors
+from persimmonpath import httpworkers
+from persimmonpath import outcomes
+from persimmonpath import wire
+from persimmonpath import workers
+from tests import contracts
+from tests.standins import server
+
+ANSWER = b"whole answer"
+WHOLE = workers.AttemptRecord(
+    "a#1",
+    1,
+    workers.AttemptState.SUCCEEDED,
+    answer=ANSWER,
+    length=len(ANSWER),
+    checksum=outcomes.compute_checksum(ANSWER),
+)
+
+
+class FixedWorker(server.Application):
+    """Answers every call with the same body."""
+
+    def __init__(self):
+        self.body = b""
+
+    def answer(self, method, path, query, body):
+        return 200, self.body
+
+
+class HttpWorkerTest(unittest.TestCase):
+    def setUp(self):
+        self.worker = FixedWorker()
+        running = contracts.RunningStandIn(self.worker)
+        self.addCleanup(running.stop)
+        pool = futures.ThreadPoolExecutor(2)
+        self.addCleanup(pool.shutdown)
+        self.client = httpworkers.create_http_worker(
+            "127.0.0.1", running.port, pool, pool
+        )
+        self.addCleanup(self.client.disconnect)
+
+    def close(self, body):
+        self.worker.body = body
+        return self.client.close("a#1", 1, 5.0).result(9)
+
+    def test_whole_answer_is_taken(self):
+        self.assertEqual(self.close(wire.encode(WHOLE)).unwrap(), WHOLE)
+
+    def test_other_answers_leave_the_call_unanswered(self):
+        """None of these tells what became of the attempt."""
+        bodies = {
+            "another attempt": dataclasses.replace(WHOLE, attempt="b#1"),
+            "changed": dataclasses.replace(WHOLE, answer=ANSWER[::-1]),
+            "cut": dataclasses.replace(WHOLE, answer=ANSWER[:-1]),
+            "wrong length": dataclasses.replace(WHOLE, length=1),
+        }
+        encoded = {name: wire.encode(r) for name, r in bodies.items()}
+        encoded["cut JSON"] = wire.encode(WHOLE)[:-5]
+        encoded["too large"] = b" " * (httpworkers.MAX_RECORD_BYTES + 1)
+        for name, body in encoded.items():
+            with self.subTest(name):
+                error = self.close(body).failure()
+                self.assertIsInstance(error, errors.WorkerUnreachableError)
+        self.assertEqual(self.close(wire.encode(WHOLE)).unwrap(), WHOLE)
