--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -11,6 +11,7 @@
 from persimmonpath import limits
 from persimmonpath import pipeline
 from persimmonpath import queues
+from persimmonpath import resources
 from persimmonpath import rules
 from persimmonpath import work
 from persimmonpath import workers
@@ -26,6 +27,7 @@
     Attributes:
         id: Its id.
         request: Its content.
+        arrival: What the filters judge.
         item: Its place in the queue.
         value: What the dispatcher attaches.
         starts: Number of attempts so far.
@@ -33,6 +35,7 @@
 
     id: identifiers.RequestId
     request: work.Request
+    arrival: pipeline.Arrival
     item: queues.Item
     value: Any
     starts: int = 0
@@ -83,14 +86,14 @@
         self._running: dict[str, tuple[float, _Running]] = {}
         self._running_short = _Running()
         self._running_long = _Running()
+        # Distinct capacities of the workers; there are only a few.
+        self._capacities: set[resources.Resources] = set()
         # Whether nothing that waits can start before something changes.
         self._is_blocked = False
         self._filters = [
             self._check_fit,
             pipeline.check_time_left,
-            pipeline.create_wait_check(
-                self._queue, self._describe, self._measure_slots
-            ),
+            pipeline.create_wait_check(self._queue, self._measure_slots),
         ]
 
     def create_entry(
@@ -100,10 +103,12 @@
         value: Any,
     ) -> Entry:
         """Returns the entry of a request that has arrived now."""
-        arrival = self._create_arrival(request_id, request)
-        entry = Entry(request_id, request, self._describe(arrival), value)
-        entry.item.value = entry
-        return entry
+        now = self._timers.now()
+        estimate = self._estimate(request)
+        item = self._create_item(request, estimate, now)
+        arrival = pipeline.Arrival(request_id, request, now, estimate, item)
+        item.value = Entry(request_id, request, arrival, item, value)
+        return item.value
 
     def admit(self, entry: Entry) -> tuple[str | None, Any | None]:
         """Queues a request unless it could not end before its deadline.
@@ -112,8 +117,7 @@
             The reason against it, if any, and what the dispatcher attached to
             an entry that had to leave the full queue, if any.
         """
-        arrival = self._create_arrival(entry.id, entry.request)
-        reason = pipeline.apply(self._filters, arrival)
+        reason = pipeline.apply(self._filters, entry.arrival)
         if reason is not None:
             return reason, None
         if self._queue.is_lane_empty(entry.item):
@@ -139,24 +143,17 @@
             The request that starts, if any, and what the dispatcher attached
             to those removed since they cannot end before their deadline.
         """
-        hopeless: list[Any] = []
-
-        def take(item: queues.Item) -> Found | None:
-            estimate = self._estimate(item.value.request)
-            needed_s = estimate.typical_s if estimate.is_learned else 0.0
-            if item.deadline < self._timers.now() + needed_s:
-                self._queue.remove(item)
-                hopeless.append(item.value.value)
-                return None
-            return self._reserve(item.value)
-
-        while not self._is_blocked and len(self._queue):
-            dropped = len(hopeless)
-            selected = self._queue.select(take)
-            if selected is not None:
-                return selected[1], hopeless
-            self._is_blocked = len(hopeless) == dropped
-        return None, hopeless
+        if self._is_blocked or not len(self._queue):
+            return None, []
+        hopeless = [i.value.value for i in self._queue.drop(self._is_hopeless)]
+        selected = self._queue.select(lambda item: self._reserve(item.value))
+        self._is_blocked = selected is None
+        return selected[1] if selected else None, hopeless
+
+    def _is_hopeless(self, item: queues.Item) -> bool:
+        estimate = self._estimate(item.value.request)
+        needed_s = estimate.typical_s if estimate.is_learned else 0.0
+        return item.deadline < self._timers.now() + needed_s
 
     def watch(self, entry: Entry, attempt: attempts.Attempt) -> None:
         """Counts an attempt that overruns as long work from then on."""
@@ -222,7 +219,9 @@
 
     def refresh(self) -> None:
         """Takes in that workers or free capacity may have changed."""
-        for worker in self._fleet.list_workers():
+        listed = self._fleet.list_workers()
+        self._capacities = {worker.capacity for worker in listed}
+        for worker in listed:
             self._limits.set_slots(worker.name, worker.slots)
         self._is_blocked = False
 
@@ -241,16 +240,9 @@
         self._limits.acquire(name, attempt, is_short)
         return Found(entry, attempt, name)
 
-    def _create_arrival(
-        self, request_id: identifiers.RequestId, request: work.Request
-    ) -> pipeline.Arrival:
-        estimate = self._estimate(request)
-        return pipeline.Arrival(
-            request_id, request, self._timers.now(), estimate
-        )
-
-    def _describe(self, arrival: pipeline.Arrival) -> queues.Item:
-        request, estimate = arrival.request, arrival.estimate
+    def _create_item(
+        self, request: work.Request, estimate: estimates.Estimate, now: float
+    ) -> queues.Item:
         # A kind that has never run is not trusted with the slots of short
         # work, whatever it declares.
         is_short = estimate.is_learned and (
@@ -261,8 +253,8 @@
             is_short=is_short,
             needs_accelerators=request.size.accelerators > 0,
             expected_s=estimate.typical_s,
-            arrived=arrival.now,
-            deadline=arrival.now + request.timeout_s,
+            arrived=now,
+            deadline=now + request.timeout_s,
         )
 
     def _estimate(self, request: work.Request) -> estimates.Estimate:
@@ -278,8 +270,6 @@
         return len(self._running), left_s
 
     def _check_fit(self, arrival: pipeline.Arrival) -> str | None:
-        size = arrival.request.size
-        for worker in self._fleet.list_workers():
-            if size.fits_in(worker.capacity):
-                return None
+        if any(arrival.request.size.fits_in(c) for c in self._capacities):
+            return None
         return "fits_no_worker"
--- a/packages/persimmonpath/persimmonpath/limits.py
+++ b/packages/persimmonpath/persimmonpath/limits.py
@@ -16,7 +16,6 @@
     slots: int
     limit: float
     ratio: float = 1.0
-    paused_until: float = 0.0
     in_flight: int = 0
     long: int = 0
 
@@ -38,6 +37,10 @@
         self._short_share = short_share
         self._workers: dict[str, _Worker] = {}
         self._attempts: dict[str, tuple[str, bool]] = {}
+        # Kept up to date, since every start needs them.
+        self._full: set[str] = set()
+        self._full_of_long: set[str] = set()
+        self._paused: dict[str, float] = {}
 
     def set_slots(self, name: str, slots: int) -> None:
         """Adds a worker, or changes its number of slots."""
@@ -47,6 +50,7 @@
         else:
             worker.slots = slots
             worker.limit = min(worker.limit, float(slots))
+        self._update(name)
 
     def list_excluded(self, is_short: bool, now: float) -> set[str]:
         """Returns the workers that may not take another attempt now.
@@ -55,13 +59,10 @@
             is_short: Whether the attempt is expected to be short.
             now: Monotonic seconds.
         """
-        return {
-            name
-            for name, worker in self._workers.items()
-            if worker.paused_until > now
-            or worker.in_flight >= int(worker.limit)
-            or (not is_short and worker.long >= self.count_long_slots(name))
-        }
+        for name in [n for n, end in self._paused.items() if end <= now]:
+            del self._paused[name]
+        excluded = self._full.union(self._paused)
+        return excluded if is_short else excluded | self._full_of_long
 
     def count_long_slots(self, name: str) -> int:
         """Returns the slots of a worker that long work may take."""
@@ -74,6 +75,7 @@
         worker.in_flight += 1
         worker.long += not is_short
         self._attempts[attempt] = name, is_short
+        self._update(name)
 
     def mark_long(self, attempt: str) -> None:
         """Counts an attempt as long from now on, since it overran."""
@@ -81,6 +83,7 @@
         if is_short:
             self._workers[name].long += 1
             self._attempts[attempt] = name, False
+            self._update(name)
 
     def release(self, attempt: str) -> None:
         """Ends the count of an attempt; does nothing when it has none."""
@@ -89,6 +92,7 @@
             worker = self._workers[name]
             worker.in_flight -= 1
             worker.long -= not is_short
+            self._update(name)
 
     def observe(self, name: str, ratio: float) -> None:
         """Adapts a worker's limit to a finished run.
@@ -106,16 +110,32 @@
         else:
             raised = worker.limit + 1.0 / max(1.0, worker.limit)
             worker.limit = min(float(worker.slots), raised)
+        self._update(name)
 
     def observe_refusal(self, name: str) -> None:
         """Lowers the limit of a worker that refused a start as overloaded."""
         worker = self._workers[name]
         worker.limit = max(1.0, worker.limit * REFUSED_DECREASE)
+        self._update(name)
 
     def pause(self, name: str, now: float) -> None:
         """Keeps new attempts off a worker that could not be reached."""
-        self._workers[name].paused_until = now + PAUSE_S
+        self._paused[name] = now + PAUSE_S
 
     def get_limit(self, name: str) -> int:
         """Returns the attempts that a worker may run at once."""
         return int(self._workers[name].limit)
+
+    def _update(self, name: str) -> None:
+        worker = self._workers[name]
+        _set_member(self._full, name, worker.in_flight >= int(worker.limit))
+        _set_member(
+            self._full_of_long, name, worker.long >= self.count_long_slots(name)
+        )
+
+
+def _set_member(names: set[str], name: str, is_member: bool) -> None:
+    if is_member:
+        names.add(name)
+    else:
+        names.discard(name)
--- a/packages/persimmonpath/persimmonpath/pipeline.py
+++ b/packages/persimmonpath/persimmonpath/pipeline.py
@@ -25,12 +25,14 @@
         request: Its content.
         now: When it arrived, in monotonic seconds.
         estimate: Its expected run time.
+        item: What would wait in the queue.
     """
 
     id: identifiers.RequestId
     request: work.Request
     now: float
     estimate: estimates.Estimate
+    item: queues.Item
 
 
 # Returns the reason for which a request is not run, or None to pass it on.
@@ -58,21 +60,21 @@
 
 def create_wait_check(
     queue: queues.FairQueue,
-    describe: Callable[[Arrival], queues.Item],
     measure_slots: Callable[[bool], tuple[int, float]],
 ) -> Filter:
     """Returns a filter that refuses what cannot end before its deadline.
 
     Args:
         queue: What the request would wait in.
-        describe: Returns the queue's item for a request.
         measure_slots: Returns, for short or for all work, the requests that
             can run at once and the seconds of work left of those that run;
             0.0 while a slot is free.
     """
 
     def check(arrival: Arrival) -> str | None:
-        item = describe(arrival)
+        if not len(queue):
+            return None
+        item = arrival.item
         wait_s = queue.estimate_wait(item, *measure_slots(item.is_short))
         needed_s = wait_s + arrival.estimate.high_s
         # An empty queue means no wait whatever the guess says.
--- a/packages/persimmonpath/persimmonpath/queues.py
+++ b/packages/persimmonpath/persimmonpath/queues.py
@@ -2,14 +2,16 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 from typing import Any
 
 import sortedcontainers
 
-# Each second of expected run time puts an item behind short ones that arrive
+# Each second of expected run time puts an item behind shorter ones that arrive
 # up to this many seconds later; since time passes for all alike, every item
-# reaches the head in the end.
-AGEING = 4.0
+# reaches the head in the end. With a small factor, work of 0.4 s fills all
+# slots under overload and lookups of 0.05 s miss their deadline of 1 s.
+AGEING = 20.0
 # Candidates that are tried when those before them do not fit anywhere.
 MAX_TRIES = 8
 MIN_COST_S = 0.001
@@ -51,12 +53,36 @@
         return self.arrived + AGEING * self.expected_s, self.number
 
 
+class _Work:
+    """Seconds of work that waits, by powers of two of the run time."""
+
+    def __init__(self):
+        self._seconds: dict[int, float] = {}
+
+    def add(self, item: Item, sign: int) -> None:
+        size = _get_magnitude(item)
+        seconds = self._seconds.get(size, 0.0) + sign * item.expected_s
+        self._seconds[size] = max(0.0, seconds)
+
+    def sum_ahead(self, item: Item) -> float:
+        """Returns the seconds of work that is not longer than an item."""
+        size = _get_magnitude(item)
+        return sum(s for other, s in self._seconds.items() if other <= size)
+
+    def clear(self) -> None:
+        # Also ends the drift of sums of floating point numbers.
+        self._seconds.clear()
+
+
+def _get_magnitude(item: Item) -> int:
+    return math.frexp(item.expected_s)[1]
+
+
 @dataclasses.dataclass(slots=True)
 class _Team:
     served: float
     count: int = 0
-    backlog_s: float = 0.0
-    short_backlog_s: float = 0.0
+    work: _Work = dataclasses.field(default_factory=_Work)
 
 
 class FairQueue:
@@ -79,8 +105,7 @@
         self._served = 0.0
         self._count = 0
         self._numbers = 0
-        self._backlog_s = 0.0
-        self._short_backlog_s = 0.0
+        self._work = _Work()
 
     def __len__(self) -> int:
         return self._count
@@ -98,13 +123,11 @@
             running_s: Seconds of work left of what runs now.
         """
         team = self._teams.get(item.team)
-        # Short items do not wait for long ones.
-        if item.is_short:
-            total, own = self._short_backlog_s, team and team.short_backlog_s
-        else:
-            total, own = self._backlog_s, team and team.backlog_s
+        # Longer items come later, unless they have waited long.
+        total = self._work.sum_ahead(item)
+        own = team.work.sum_ahead(item) if team else 0.0
         active = len(self._order) + (team is None or team.count == 0)
-        fair = ((own or 0.0) + item.expected_s) * active
+        fair = (own + item.expected_s) * active
         return (min(total, fair) + running_s) / max(1, slots)
 
     def push(self, item: Item, is_forced: bool = False) -> Item | None:
@@ -144,12 +167,13 @@
         team = self._teams[item.team]
         self._count -= 1
         team.count -= 1
-        self._add_backlog(item, -item.expected_s)
+        team.work.add(item, -1)
+        self._work.add(item, -1)
         if team.count == 0:
             self._order.discard((team.served, item.team))
-            team.backlog_s = team.short_backlog_s = 0.0
+            team.work.clear()
         if self._count == 0:
-            self._backlog_s = self._short_backlog_s = 0.0
+            self._work.clear()
         return True
 
     def select(
@@ -176,6 +200,18 @@
                     return None
         return None
 
+    def drop(self, is_hopeless: Callable[[Item], bool]) -> list[Item]:
+        """Removes the heads of lanes for which it is too late.
+
+        They go before `select`, which would else take longer work instead.
+        """
+        dropped = []
+        for lane in list(self._lanes.values()):
+            while lane and is_hopeless(lane[0]):
+                dropped.append(lane[0])
+                self.remove(lane[0])
+        return dropped
+
     def _insert(self, item: Item) -> None:
         team = self._teams.get(item.team)
         if team is None:
@@ -192,7 +228,8 @@
         lane.add(item)
         self._count += 1
         team.count += 1
-        self._add_backlog(item, item.expected_s)
+        team.work.add(item, 1)
+        self._work.add(item, 1)
 
     def _charge(self, item: Item) -> None:
         team = self._teams[item.team]
@@ -204,14 +241,6 @@
         if team.count:
             self._order.add((team.served, item.team))
 
-    def _add_backlog(self, item: Item, seconds: float) -> None:
-        team = self._teams[item.team]
-        team.backlog_s += seconds
-        self._backlog_s += seconds
-        if item.is_short:
-            team.short_backlog_s += seconds
-            self._short_backlog_s += seconds
-
     def _list_lanes(self, name: str) -> list:
         lanes = []
         for is_short in (True, False):
