--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -136,6 +136,13 @@
         """Removes an entry; returns whether it was waiting."""
         return entry is not None and self._queue.remove(entry.item)
 
+    def withdraw(self) -> list[Any]:
+        """Removes all that waits; returns what the dispatcher attached."""
+        entries = [item.value for item in self._queue.list_all()]
+        for entry in entries:
+            self._queue.remove(entry.item)
+        return [entry.value for entry in entries]
+
     def select(self) -> tuple[Found | None, list[Any]]:
         """Reserves a worker for the first request that can start.
 
@@ -262,6 +269,9 @@
 
     def _measure_slots(self, is_short: bool) -> tuple[int, float]:
         free = self._fleet.count_free_slots()
+        if self._fleet.is_stopped():
+            # The next owner decides.
+            return len(self._queue), 0.0
         if free:
             return free + len(self._running), 0.0
         left_s = self._running_short.get_left(self._timers.now())
--- a/packages/persimmonpath/persimmonpath/journeys.py
+++ b/packages/persimmonpath/persimmonpath/journeys.py
@@ -13,6 +13,8 @@
 from persimmonpath import retries
 from persimmonpath import work
 
+# Outcome of a request that an owner has passed on without an answer.
+OWNERSHIP_MOVED = outcomes.Unknown("ownership_moved")
 # The owner answers at the deadline too, and knows better what to say.
 EXPIRE_GRACE_S = 0.05
 # Reasons for which a request was not run that another shard need not share.
@@ -130,7 +132,11 @@
     def _take(self, reply: result.Result) -> None:
         """Takes the answer to a request that was forwarded."""
         if isinstance(reply, result.Success):
-            self._finish(reply)
+            if reply.unwrap() == OWNERSHIP_MOVED:
+                # The next owner knows, or will know, what became of it.
+                self._settle()
+            else:
+                self._finish(reply)
             return
         error = reply.failure()
         if isinstance(error, errors.InputError):
--- a/packages/persimmonpath/persimmonpath/queues.py
+++ b/packages/persimmonpath/persimmonpath/queues.py
@@ -114,6 +114,10 @@
         """Returns whether nothing waits in the lane of an item."""
         return not self._lanes.get(item.lane)
 
+    def list_all(self) -> list[Item]:
+        """Returns everything that waits."""
+        return [item for lane in self._lanes.values() for item in lane]
+
     def estimate_wait(self, item: Item, slots: int, running_s: float) -> float:
         """Returns the seconds that a new item would wait, roughly.
 
