Add a randomized run of two zones under faults

A hypothesis state machine drives real EntryVm and Router objects of two zones on ManualTimers, with 15 kinds of faults and 4 kinds of hostile workload. The number of steps follows from SECONDS, so a seed and a length give one run.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: install run up down format lint test proto
+.PHONY: install run up down format lint test proto soak
 
 BIN = .venv/bin
 PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl
@@ -34,3 +34,9 @@
 proto: install
 	cd packages/persimmonpath_daemon && ../../$(BIN)/python -m grpc_tools.protoc -I. \
 	  --python_out=. --pyi_out=. --grpc_python_out=. persimmonpath_daemon/peers.proto
+
+SEED = 1
+SECONDS = 40
+
+soak: install
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/tests/observations.py
@@ -0,0 +1,164 @@
+"""What callers were told, checked against what the workers did."""
+
+import collections
+import json
+import logging
+
+from persimmonpath import configuration
+from persimmonpath import identifiers
+from persimmonpath import jobs
+from persimmonpath import memoryworkers
+from persimmonpath import outcomes
+from tests import soakcells
+
+
+class ViolationError(AssertionError):
+    """An invariant does not hold."""
+
+
+def expect(condition, name, *details):
+    """Raises when an invariant does not hold."""
+    if not condition:
+        raise ViolationError(
+            " ".join([f"invariant={name}", *map(str, details)])
+        )
+
+
+class _CallbackErrors(logging.Handler):
+    """Collects exceptions that callbacks of futures swallow."""
+
+    def __init__(self):
+        super().__init__()
+        self.found = []
+
+    def emit(self, record):
+        self.found.append(self.format(record))
+
+
+class Observer:
+    """Records starts and answers, and checks the invariants."""
+
+    def __init__(self, seed):
+        self.cell = soakcells.SoakCell(seed, self.plan)
+        self.failing_workers = set()
+        self.starts = collections.Counter()
+        self.requests = {}
+        self.reused = set()
+        self.final = {}
+        self.jobs = {}
+        self.answered = collections.Counter()
+        self._errors = _CallbackErrors()
+        self._logger = logging.getLogger("concurrent.futures")
+        self._logger.addHandler(self._errors)
+        self._logger.propagate = False
+        self._delayed = None
+
+    def close(self):
+        """Stops collecting."""
+        self._logger.removeHandler(self._errors)
+
+    def plan(self, worker, start):
+        """Decides what an attempt does, and checks that it may start."""
+        task_id, _ = identifiers.split_attempt(start.attempt)
+        try:
+            self._check_start(worker, task_id, start)
+        except ViolationError as violation:
+            self._delayed = self._delayed or violation
+        self.starts[task_id] += 1
+        if worker in self.failing_workers:
+            return memoryworkers.Plan(0.001, False, b"", "broken worker")
+        fields = json.loads(start.payload)
+        return memoryworkers.Plan(
+            fields["run_s"],
+            not fields.get("fails", False),
+            answer_for(start.payload),
+            "task failed",
+        )
+
+    def take_answer(self, request, answer):
+        """Records what a caller was told of the request that it sent."""
+        outcome = answer.outcome
+        self.answered[outcomes.name_outcome(outcome)] += 1
+        if answer.id:
+            self.requests.setdefault(answer.id, request)
+        try:
+            self._check_answer(request, answer.id, outcome)
+        except ViolationError as violation:
+            self._delayed = self._delayed or violation
+
+    def _check_answer(self, request, request_id, outcome):
+        if isinstance(outcome, outcomes.Unknown) or not request_id:
+            return
+        if getattr(outcome, "reason", "") == "id_reused":
+            expect(request_id in self.reused, "not_reused", request_id)
+            return
+        started = self.starts[request_id]
+        if isinstance(outcome, outcomes.NotRun):
+            expect(not started, "not_run_ran", request_id, outcome)
+        else:
+            expect(started, "answered_without_run", request_id, outcome)
+        if isinstance(outcome, outcomes.Done):
+            right = answer_for(request.payload)
+            expect(outcome.answer == right, "wrong_answer", request_id, outcome)
+        known = self.final.setdefault(request_id, outcome)
+        expect(known == outcome, "final_changed", request_id, known, outcome)
+
+    def check(self):
+        """Checks what can be seen from outside at any time."""
+        if self._delayed is not None:
+            raise self._delayed
+        expect(not self._errors.found, "callback", *self._errors.found[:1])
+        for worker in self.cell.every_worker:
+            expect(not worker.overloads, "overload", worker.name)
+        for vm in self.cell.vms.values():
+            version = vm.entry.applied.config.version
+            expect(version >= vm.highest_version, "config_back", vm.name)
+            vm.highest_version = version
+        self._check_accepted()
+
+    def read_job(self, job_id):
+        """Returns the row of a job."""
+        row = self.cell.platform.table.get(jobs.format_key(job_id)).unwrap()
+        store = jobs.JobStore(self.cell.platform.table)
+        return store.read(job_id).unwrap()[0] if row else None
+
+    def _check_start(self, worker, task_id, start):
+        for name, other in self.cell.workers.items():
+            if other is None:
+                continue
+            for attempt in other.list_running():
+                running, _ = identifiers.split_attempt(attempt)
+                expect(running != task_id, "two_places", attempt, name, worker)
+        if identifiers.is_request_id(task_id):
+            known = self.final.get(task_id)
+            expect(not isinstance(known, outcomes.NotRun), "not_run_ran", known)
+            if json.loads(start.payload).get("once"):
+                expect(not self.starts[task_id], "ran_twice", task_id, worker)
+            return
+        job_id, _, index = task_id.partition("/")
+        state = self.read_job(job_id).tasks[int(index)].state
+        expect(state is not jobs.TaskState.DONE, "finished_runs_again", task_id)
+
+    def _check_accepted(self):
+        table = self.cell.platform.table
+        row = table.get(configuration.ACCEPTED_KEY).unwrap()
+        if row is None:
+            return
+        accepted = json.loads(row.value)
+        accepted = (
+            accepted if isinstance(accepted, int) else accepted["version"]
+        )
+        for vm in self.cell.vms.values():
+            version = vm.entry.applied.config.version
+            if vm.process.state is not soakcells.State.KILLED and version:
+                expect(
+                    version >= accepted,
+                    "accepted_not_in_force",
+                    vm.name,
+                    accepted,
+                )
+
+
+def answer_for(payload):
+    """Returns the right answer to a request."""
+    return b"answer to " + payload
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,501 @@
+"""Randomized run of two zones under every kind of fault.
+
+Run by `make soak SEED=n SECONDS=s`; hypothesis shrinks a failing run and
+prints its steps.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import sys
+import traceback
+
+from absl import logging
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from returns import result
+
+from persimmonpath import identifiers
+from persimmonpath import jobs
+from persimmonpath import resources
+from persimmonpath import rules
+from persimmonpath import work
+from tests import observations
+from tests import soakcells
+
+# The length of a run is a number of steps, so that it does not depend on the
+# speed of the machine; this many steps take about a second.
+STEPS_PER_SECOND = 60
+STEPS_PER_RUN = 120
+SETTLE_S = 150.0
+FOREVER_S = None
+
+SIZES = [(100, 64), (1000, 2048), (2000, 1024), (4000, 8192)]
+RUN_S = [0.005, 0.05, 0.5, 3.0, 8.0]
+PAUSES_S = [0.001, 0.01, 0.1, 0.5, 1.0, 2.0, 4.0, 7.0]
+DURATIONS_S = [0.5, 2.0, 5.0, 9.0, 20.0, 40.0]
+
+FAULTS = (
+    "vm_killed",
+    "vm_paused",
+    "vm_replaced",
+    "worker_killed",
+    "worker_unreachable",
+    "worker_fails_everything",
+    "worker_answers_lost",
+    "worker_calls_delayed",
+    "worker_leaving",
+    "platform_down",
+    "platform_slow",
+    "commit_answers_lost",
+    "zone_cut_from_zone",
+    "zone_cut_from_platform",
+    "zone_calls_delayed",
+)
+WORKLOAD_FAULTS = (
+    "operators_racing",
+    "cancellation_wave",
+    "wrong_declaration",
+    "duplicate_elsewhere",
+)
+
+index = strategies.integers(0, 23)
+counts: collections.Counter = collections.Counter()
+totals: collections.Counter = collections.Counter()
+
+
+def _cancel(store, job_id):
+    found = store.read(job_id)
+    if isinstance(found, result.Failure) or found.unwrap() is None:
+        return
+    record, version = found.unwrap()
+    if record.state is jobs.JobState.ACCEPTED:
+        cancelled = dataclasses.replace(record, state=jobs.JobState.CANCELLING)
+        store.update(cancelled, version)
+
+
+class SoakMachine(stateful.RuleBasedStateMachine):
+    """One run: a fresh cell, random steps, then repair and final checks."""
+
+    def __init__(self):
+        super().__init__()
+        self.observer = None
+        self.number = 0
+
+    @stateful.initialize(seed=strategies.integers(0, 1 << 30))
+    def begin(self, seed):
+        totals["runs"] += 1
+        self.observer = observations.Observer(seed)
+        self.cell = self.observer.cell
+        self.cell.clock.advance(0.1)
+        vm = next(iter(self.cell.vms.values())).entry
+        content = self.cell.describe_inventory()
+        vm.commit_config(0, "operator", content, rules.Rules()).unwrap()
+        self.cell.clock.advance(6.0)
+
+    @stateful.rule(
+        vm=index,
+        run_s=strategies.sampled_from(RUN_S),
+        size=strategies.sampled_from(SIZES),
+        count=strategies.integers(1, 6),
+        is_idempotent=strategies.booleans(),
+    )
+    def send(self, vm, run_s, size, count, is_idempotent):
+        """Callers send requests, some with ids that they fetched before."""
+        for _ in range(count):
+            request = self._create_request(run_s, size, is_idempotent, run_s)
+            self._send(vm, "", request)
+
+    @stateful.rule(
+        vm=index, others=strategies.lists(index, min_size=1, max_size=3)
+    )
+    def duplicate(self, vm, others):
+        """A caller sends a request with one id through several entry VMs."""
+        counts["duplicate_elsewhere"] += 1
+        request = self._create_request(0.05, SIZES[0], False, 0.05)
+
+        def take(ids):
+            if not ids:
+                return
+            for other in (vm, *others):
+                self._send(other, ids[0], request)
+
+        router = self._pick_vm(vm).router
+        router.issue_ids(1).add_done_callback(lambda f: take(f.result()))
+
+    @stateful.rule(vm=index, which=index, is_changed=strategies.booleans())
+    def send_again(self, vm, which, is_changed):
+        """A caller repeats a request that has no final outcome yet."""
+        known = self.observer.requests
+        open_ids = [i for i in known if i not in self.observer.final]
+        if not open_ids:
+            return
+        counts["duplicate_elsewhere"] += 1
+        request_id = open_ids[-1 - which % len(open_ids)]
+        request = known[request_id]
+        if is_changed:
+            self.observer.reused.add(request_id)
+            size = dataclasses.astuple(request.size)
+            request = self._create_request(0.05, size, False, 0.05)
+        self._send(vm, request_id, request)
+
+    @stateful.rule(vm=index, which=index, close=strategies.booleans())
+    def ask(self, vm, which, close):
+        """A caller asks for an outcome, perhaps closing the id."""
+        ids = list(self.observer.requests)
+        vm = self._pick_vm(vm)
+        if not ids or vm.process.state is not soakcells.State.RUNNING:
+            return
+        request_id = ids[-1 - which % len(ids)]
+        request = self.observer.requests[request_id]
+        self._take(request, vm.router.ask(request_id, close))
+
+    @stateful.rule(
+        vm=index,
+        declared_s=strategies.sampled_from(RUN_S),
+        run_s=strategies.sampled_from(RUN_S),
+        is_too_large=strategies.booleans(),
+    )
+    def declare_wrongly(self, vm, declared_s, run_s, is_too_large):
+        """A caller declares a wrong run time, or a size that never fits."""
+        counts["wrong_declaration"] += 1
+        size = (64_000, 64) if is_too_large else SIZES[0]
+        request = self._create_request(run_s, size, True, declared_s)
+        self._send(vm, "", request)
+
+    @stateful.rule(
+        vm=index,
+        form=strategies.sampled_from(
+            [work.BatchJob, work.ServiceJob, work.GangJob]
+        ),
+        tasks=strategies.integers(1, 4),
+        run_s=strategies.sampled_from(RUN_S),
+        fails=strategies.booleans(),
+    )
+    def submit_job(self, vm, form, tasks, run_s, fails):
+        """A caller submits a job of the VM's zone."""
+        vm = self._pick_vm(vm)
+        if vm.process.state is not soakcells.State.RUNNING:
+            return
+        self.number += 1
+        is_service = form is work.ServiceJob
+        fields = {
+            "number": self.number,
+            "run_s": FOREVER_S if is_service else run_s,
+            "fails": fails and form is work.BatchJob,
+        }
+        job = form(
+            id=f"job-{self.number}",
+            kind="default",
+            team="team",
+            tasks=tasks,
+            size=resources.Resources(500, 256, 0),
+            payload=json.dumps(fields).encode(),
+        )
+        shard = identifiers.ShardId(
+            vm.zone, self.number % soakcells.SHARDS_PER_ZONE
+        )
+        record = jobs.create_record(job, f"nonce-{self.number}", shard)
+        reply = vm.entry.job_store.submit(record)
+        if isinstance(reply, result.Success):
+            self.observer.jobs[job.id] = job
+
+    @stateful.rule(vm=index, most=strategies.integers(1, 30))
+    def cancel_jobs(self, vm, most):
+        """A wave of cancellations."""
+        counts["cancellation_wave"] += 1
+        vm = self._pick_vm(vm)
+        if vm.process.state is soakcells.State.RUNNING:
+            for job_id in list(self.observer.jobs)[-most:]:
+                _cancel(vm.entry.job_store, job_id)
+
+    @stateful.rule(first=index, second=index, drained=index)
+    def race_operators(self, first, second, drained):
+        """Two operators change the configuration from the same version."""
+        counts["operators_racing"] += 1
+        names = list(self.cell.worker_links)
+        changes = ((), (names[drained % len(names)],))
+        chosen = (self._pick_vm(first), self._pick_vm(second))
+        based_on = chosen[0].entry.applied.config.version
+        committed = 0
+        for vm, draining in zip(chosen, changes, strict=True):
+            if vm.process.state is soakcells.State.RUNNING and based_on:
+                content = self.cell.describe_inventory(draining)
+                reply = vm.entry.commit_config(
+                    based_on, "operator", content, rules.Rules()
+                )
+                committed += isinstance(reply, result.Success)
+        observations.expect(committed <= 1, "both_operators_won", based_on)
+
+    @stateful.rule(seconds=strategies.sampled_from(PAUSES_S))
+    def advance(self, seconds):
+        """Time passes."""
+        self.cell.clock.advance(seconds)
+
+    @stateful.invariant()
+    def hold(self):
+        """Checks every invariant after every step."""
+        totals["steps"] += 1
+        if self.observer is not None:
+            self.observer.check()
+
+    def teardown(self):
+        """Ends every fault and checks that all accepted work finishes."""
+        if self.observer is None:
+            return
+        try:
+            if sys.exc_info()[0] is None:
+                self._settle()
+        finally:
+            self.observer.close()
+
+    def inject(self, kind, target, duration_s):
+        """Starts a fault that ends by itself."""
+        counts[kind] += 1
+        end = getattr(self, f"_start_{kind}")(target)
+        self.cell.clock.call_later(duration_s, end)
+
+    def _settle(self):
+        cell = self.cell
+        cell.heal()
+        self.observer.failing_workers.clear()
+        cell.clock.advance(1.0)
+        cell.heal()
+        vm = self._pick_vm(0)
+        for job_id, job in self.observer.jobs.items():
+            if isinstance(job, work.ServiceJob):
+                _cancel(vm.entry.job_store, job_id)
+        end = cell.clock.now() + SETTLE_S
+        while cell.clock.now() < end and self._list_unfinished():
+            cell.clock.advance(3.0)
+            self.observer.check()
+        observations.expect(
+            not self._list_unfinished(),
+            "job_not_finished",
+            *self._list_unfinished(),
+        )
+        self._probe_every_vm()
+
+    def _probe_every_vm(self):
+        """Checks that every entry VM serves again."""
+        for vm in self.cell.vms.values():
+            future = vm.router.run(
+                "", self._create_request(0.005, SIZES[0], False, 0.005)
+            )
+            self.cell.clock.advance(6.0)
+            outcome = future.result(0).outcome if future.done() else None
+            name = type(outcome).__name__
+            observations.expect(
+                name == "Done", "no_service_after_repair", vm.name, outcome
+            )
+
+    def _list_unfinished(self):
+        return [
+            job_id
+            for job_id in self.observer.jobs
+            if self.observer.read_job(job_id).state not in jobs.FINAL_STATES
+        ]
+
+    def _pick_vm(self, number):
+        names = list(self.cell.vms)
+        return self.cell.vms[names[number % len(names)]]
+
+    def _pick_worker(self, number):
+        names = list(self.cell.workers)
+        return names[number % len(names)]
+
+    def _pick_zone(self, number):
+        return soakcells.ZONES[number % len(soakcells.ZONES)]
+
+    def _create_request(self, run_s, size, is_idempotent, declared_s):
+        self.number += 1
+        fields = {
+            "number": self.number,
+            "run_s": run_s,
+            "once": not is_idempotent,
+        }
+        return work.Request(
+            kind="default",
+            team="team",
+            idempotent=is_idempotent,
+            size=resources.Resources(*size),
+            payload=json.dumps(fields).encode(),
+            timeout_s=4.0,
+            run_s=declared_s,
+        )
+
+    def _send(self, vm, request_id, request):
+        vm = self._pick_vm(vm)
+        if vm.process.state is not soakcells.State.RUNNING:
+            return
+        self._take(request, vm.router.run(request_id, request), request_id)
+
+    def _take(self, request, future, request_id=""):
+        if request_id:
+            self.observer.requests.setdefault(request_id, request)
+        future.add_done_callback(
+            lambda f: self.observer.take_answer(request, f.result())
+        )
+
+    def _start_vm_killed(self, target):
+        vm = self._pick_vm(target)
+        vm.process.state = soakcells.State.KILLED
+
+        def end():
+            if self.cell.vms[vm.name] is vm:
+                self.cell.start_vm(vm.name)
+
+        return end
+
+    def _start_vm_replaced(self, target):
+        self.cell.start_vm(self._pick_vm(target).name)
+        return lambda: None
+
+    def _start_vm_paused(self, target):
+        process = self._pick_vm(target).process
+        if process.state is soakcells.State.RUNNING:
+            process.state = soakcells.State.PAUSED
+
+        def end():
+            if process.state is soakcells.State.PAUSED:
+                process.resume()
+
+        return end
+
+    def _start_worker_killed(self, target):
+        name = self._pick_worker(target)
+        if self.cell.workers[name] is not None:
+            self.cell.kill_worker(name)
+
+        def end():
+            if self.cell.workers[name] is None:
+                self.cell.start_worker(name)
+
+        return end
+
+    def _start_worker_fails_everything(self, target):
+        name = self._pick_worker(target)
+        self.observer.failing_workers.add(name)
+        return lambda: self.observer.failing_workers.discard(name)
+
+    def _start_worker_leaving(self, target):
+        worker = self.cell.workers[self._pick_worker(target)]
+        return self._set(worker, "leaving") if worker else lambda: None
+
+    def _start_worker_unreachable(self, target):
+        return self._set(self._get_worker_link(target), "is_cut")
+
+    def _start_worker_answers_lost(self, target):
+        return self._set(self._get_worker_link(target), "loses_answers")
+
+    def _start_worker_calls_delayed(self, target):
+        return self._set(self._get_worker_link(target), "is_delayed")
+
+    def _start_platform_down(self, target):
+        del target
+        return self._set(self.cell.platform, "is_down")
+
+    def _start_platform_slow(self, target):
+        del target
+        return self._set(self.cell.platform, "is_slow")
+
+    def _start_commit_answers_lost(self, target):
+        del target
+        return self._set(self.cell.platform, "loses_answers")
+
+    def _start_zone_cut_from_zone(self, target):
+        del target
+        return self._set(self.cell.get_link(*soakcells.ZONES), "is_cut")
+
+    def _start_zone_calls_delayed(self, target):
+        del target
+        return self._set(self.cell.get_link(*soakcells.ZONES), "is_delayed")
+
+    def _start_zone_cut_from_platform(self, target):
+        zone = self._pick_zone(target)
+        self.cell.platform.cut_zones.add(zone)
+        return lambda: self.cell.platform.cut_zones.discard(zone)
+
+    def _get_worker_link(self, target):
+        return self.cell.worker_links[self._pick_worker(target)]
+
+    def _set(self, holder, name):
+        setattr(holder, name, True)
+        return lambda: setattr(holder, name, False)
+
+
+def _create_rule(kind):
+    def inject(self, which, duration_s):
+        self.inject(kind, which, duration_s)
+
+    inject.__name__ = kind
+    return stateful.rule(
+        which=index, duration_s=strategies.sampled_from(DURATIONS_S)
+    )(inject)
+
+
+for _kind in FAULTS:
+    setattr(SoakMachine, _kind, _create_rule(_kind))
+
+
+def run(seed, steps):
+    """Runs the soak and prints its counts.
+
+    Args:
+        seed: Seed of the whole run.
+        steps: Number of steps in all; decides the length.
+
+    Returns:
+        The number of violations, 0 or 1: the first one ends the run.
+    """
+    counts.clear()
+    totals.clear()
+    settings = hypothesis.settings(
+        max_examples=max(1, steps // STEPS_PER_RUN),
+        stateful_step_count=STEPS_PER_RUN,
+        deadline=None,
+        database=None,
+        report_multiple_bugs=False,
+        suppress_health_check=list(hypothesis.HealthCheck),
+        phases=[hypothesis.Phase.generate, hypothesis.Phase.shrink],
+    )
+    violations = 0
+    try:
+        stateful.run_state_machine_as_test(
+            hypothesis.seed(seed)(SoakMachine), settings=settings
+        )
+    except Exception:
+        violations = 1
+        traceback.print_exc()
+    report(seed, violations)
+    return violations
+
+
+def report(seed, violations):
+    """Prints one line of counts and the closing line."""
+    kinds = (*FAULTS, *WORKLOAD_FAULTS)
+    print("faults: " + " ".join(f"{kind}={counts[kind]}" for kind in kinds))
+    print(
+        f"soak: seed={seed} steps={totals['steps']} "
+        f"faults={sum(counts.values())} violations={violations}"
+    )
+
+
+def main():
+    """Runs from the command line; returns the exit status."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=int, default=40)
+    arguments = parser.parse_args()
+    logging.set_verbosity(logging.FATAL)
+    violations = run(arguments.seed, arguments.seconds * STEPS_PER_SECOND)
+    missing = [k for k in (*FAULTS, *WORKLOAD_FAULTS) if not counts[k]]
+    if missing:
+        print("not exercised:", *missing)
+    return 1 if violations or missing else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soakcells.py
@@ -0,0 +1,430 @@
+"""A cell of two zones on one thread whose every part can fail."""
+
+from concurrent import futures
+import enum
+import random
+
+from returns import result
+
+from persimmonpath import entry as entry_module
+from persimmonpath import errors
+from persimmonpath import inventory
+from persimmonpath import memoryworkers
+from persimmonpath import resources
+from persimmonpath import router as router_module
+from persimmonpath import tables
+from persimmonpath import timers
+from tests import fakes
+
+ZONES = ("zone-a", "zone-b")
+VMS_PER_ZONE = 2
+WORKERS_PER_ZONE = 3
+SHARDS_PER_ZONE = 2
+SLOTS = 3
+CAPACITY = resources.Resources(4_000, 8_192, 0)
+LATENCY_S = 0.002
+# Longest delay of a delayed call: longer than every call's deadline.
+DELAY_S = 6.0
+
+
+class State(enum.Enum):
+    """Whether the process of an entry VM executes."""
+
+    RUNNING = 0
+    PAUSED = 1
+    KILLED = 2
+
+
+class Process:
+    """Executes what arrives at an entry VM: now, after a pause or never."""
+
+    def __init__(self, name, generator):
+        self.name = name
+        self.state = State.RUNNING
+        self._generator = generator
+        self._held = []
+
+    def execute(self, action):
+        if self.state is State.RUNNING:
+            action()
+        elif self.state is State.PAUSED:
+            self._held.append(action)
+
+    def resume(self):
+        """Ends a pause; threads resume in any order, so the order is drawn."""
+        self.state = State.RUNNING
+        held, self._held = self._held, []
+        self._generator.shuffle(held)
+        for action in held:
+            self.execute(action)
+
+
+class ProcessTimers(timers.TimerService):
+    """The timers of one process, on the clock that all processes share."""
+
+    def __init__(self, clock, process):
+        super().__init__()
+        self._clock = clock
+        self._process = process
+
+    def now(self):
+        return self._clock.now()
+
+    def _push(self, due, subscription):
+        self._clock.call_later(
+            due - self._clock.now(),
+            lambda: self._process.execute(lambda: self._run(due, subscription)),
+        )
+
+
+class Link:
+    """Faults of the calls to one worker or between two zones."""
+
+    def __init__(self):
+        self.is_cut = False
+        self.loses_answers = False
+        self.is_delayed = False
+
+
+class Transport:
+    """Carries calls with latency and the faults of a link."""
+
+    def __init__(self, clock, generator):
+        self._clock = clock
+        self._random = generator
+
+    def call(self, source, link, timeout_s, serve, answer_of, lost, refused):
+        """Calls, and returns a future that settles in the caller's process.
+
+        Args:
+            source: Process of the caller.
+            link: Faults on the way.
+            timeout_s: Deadline of the call in seconds.
+            serve: Takes a function to answer with; returns False when nobody
+                listens.
+            answer_of: Turns an answer into a result.
+            lost: Result of a call that got no answer.
+            refused: Result of a call that certainly had no effect.
+        """
+        future = futures.Future()
+
+        def finish(value):
+            source.execute(lambda: fakes.settle(future, value))
+
+        def reply(value):
+            if not link.loses_answers and not link.is_cut:
+                self._clock.call_later(
+                    self._draw_delay(link), lambda: finish(answer_of(value))
+                )
+
+        def arrive():
+            if not link.is_cut and not serve(reply):
+                finish(lost)
+
+        self._clock.call_later(timeout_s, lambda: finish(lost))
+        if link.is_cut and self._random.random() < 0.3:
+            self._clock.call_later(LATENCY_S, lambda: finish(refused))
+        elif not link.is_cut:
+            self._clock.call_later(self._draw_delay(link), arrive)
+        return future
+
+    def _draw_delay(self, link):
+        if link.is_delayed and self._random.random() < 0.5:
+            return self._random.uniform(0.0, DELAY_S)
+        return self._random.uniform(0.5, 1.5) * LATENCY_S
+
+
+class SoakPeers(fakes.MemoryPeers):
+    """Calls to entry VMs of the cell."""
+
+    def __init__(self, cell, vm):
+        super().__init__(None, None)
+        self._cell = cell
+        self._vm = vm
+
+    def _call(self, address, serve, timeout_s=fakes.CALL_TIMEOUT_S):
+        cell = self._cell
+        target = cell.find_vm(address)
+        refused = result.Failure(errors.PeerError("refused", False))
+        if target is None or target.process.state is State.KILLED:
+            future = futures.Future()
+            future.set_result(refused)
+            return future
+
+        def answer(reply):
+            if target.process.state is State.KILLED:
+                return False
+            target.process.execute(lambda: _pass_on(serve(target.entry), reply))
+            return True
+
+        return cell.transport.call(
+            self._vm.process,
+            cell.get_link(self._vm.zone, target.zone),
+            timeout_s,
+            answer,
+            lambda v: v if isinstance(v, result.Result) else result.Success(v),
+            result.Failure(errors.PeerError("no answer", True)),
+            refused,
+        )
+
+
+class SoakClient(fakes.FaultyWorker):
+    """Calls of one entry VM to one worker."""
+
+    def __init__(self, cell, process, name):
+        self._cell = cell
+        self._process = process
+        self._name = name
+
+    def _call(self, method, timeout_s, *arguments):
+        def answer(reply):
+            worker = self._cell.workers[self._name]
+            if worker is None:
+                return False
+            call = getattr(worker, method)
+            _pass_on(call(*arguments, timeout_s), reply)
+            return True
+
+        name = self._name
+        return self._cell.transport.call(
+            self._process,
+            self._cell.worker_links[name],
+            timeout_s,
+            answer,
+            lambda value: value,
+            result.Failure(errors.WorkerUnreachableError(name)),
+            result.Failure(errors.WorkerNotContactedError(name)),
+        )
+
+
+class Platform:
+    """The table service with outages, slowness and lost answers."""
+
+    def __init__(self, clock, generator):
+        self.table = tables.create_memory_table()
+        self.is_down = False
+        self.is_slow = False
+        self.loses_answers = False
+        self.cut_zones = set()
+        self.clock = clock
+        self.random = generator
+
+
+class SoakTable(tables.Table):
+    """The table service as one entry VM reaches it.
+
+    Calls return at once on one thread, so slowness shows as commits that are
+    applied after their caller gave up, and reads that time out.
+    """
+
+    def __init__(self, platform, zone):
+        self._platform = platform
+        self._zone = zone
+
+    def get(self, key):
+        return self._read(lambda: self._platform.table.get(key))
+
+    def scan(self, prefix):
+        return self._read(lambda: self._platform.table.scan(prefix))
+
+    def commit(self, checks, writes):
+        platform = self._platform
+        lost = result.Failure(errors.TableUncertainError("no answer"))
+        if self._is_cut():
+            if platform.random.random() < 0.5:
+                return lost
+            return result.Failure(errors.TableUnavailableError("down"))
+        if platform.is_slow and platform.random.random() < 0.5:
+            platform.clock.call_later(
+                platform.random.uniform(0.1, DELAY_S),
+                lambda: platform.table.commit(checks, writes),
+            )
+            return lost
+        reply = platform.table.commit(checks, writes)
+        is_lost = platform.loses_answers and platform.random.random() < 0.5
+        return lost if is_lost else reply
+
+    def _read(self, read):
+        is_late = (
+            self._platform.is_slow and self._platform.random.random() < 0.3
+        )
+        if self._is_cut() or is_late:
+            return result.Failure(errors.TableUnavailableError("timeout"))
+        return read()
+
+    def _is_cut(self):
+        return self._platform.is_down or self._zone in self._platform.cut_zones
+
+
+class Vm:
+    """One process of an entry VM, with its router."""
+
+    def __init__(self, cell, name, zone, number):
+        self.name = name
+        self.zone = zone
+        self.address = f"{name}:{number}"
+        self.process = Process(name, cell.random)
+        self.highest_version = 0
+        own_timers = ProcessTimers(cell.clock, self.process)
+        identity = entry_module.Identity(
+            name, zone, self.address, f"{name}:80", f"{name}-{number}"
+        )
+        self.entry = entry_module.EntryVm(
+            identity, cell.create_surroundings(self, own_timers)
+        )
+        self.router = router_module.create_router(
+            self.entry, cell.random.getrandbits(32)
+        )
+        self.entry.start()
+
+
+class RestartedWorker(memoryworkers.MemoryWorker):
+    """A worker that lost the records of every earlier epoch."""
+
+    def fence(self, epoch, owner, lease_s, timeout_s):
+        if self._epoch == 0:
+            self._complete_since = epoch + 1
+        return super().fence(epoch, owner, lease_s, timeout_s)
+
+
+class SoakCell:
+    """Entry VMs, workers and the platform on one clock.
+
+    Attributes:
+        clock: Moves everything.
+        vms: Present process of each entry VM by name.
+        workers: Workers by name, None while one is down.
+        worker_links: Faults of the calls to each worker.
+        platform: The platform.
+    """
+
+    def __init__(self, seed, plan):
+        self.clock = timers.create_manual_timers()
+        self.random = random.Random(seed)
+        self.platform = Platform(self.clock, self.random)
+        self.transport = Transport(self.clock, self.random)
+        self._plan = plan
+        self._links = {
+            frozenset((one, other)): Link() for one in ZONES for other in ZONES
+        }
+        self.workers = {}
+        self.every_worker = []
+        self.worker_links = {}
+        self.vms = {}
+        self._started = 0
+        for zone in ZONES:
+            for index in range(WORKERS_PER_ZONE):
+                name = f"{zone}-worker-{index}"
+                self.worker_links[name] = Link()
+                self.start_worker(name)
+        for zone in ZONES:
+            for index in range(VMS_PER_ZONE):
+                self.start_vm(f"{zone}-entry-{index}")
+
+    def start_vm(self, name):
+        """Starts a process of an entry VM under a name; ends the one before."""
+        if name in self.vms:
+            self.vms[name].process.state = State.KILLED
+        self._started += 1
+        self.vms[name] = Vm(self, name, name[:6], self._started)
+
+    def start_worker(self, name):
+        """Starts a worker without records under a name."""
+        create = memoryworkers.MemoryWorker
+        if name in self.workers:
+            create = RestartedWorker
+        worker = create(
+            name,
+            CAPACITY,
+            SLOTS,
+            self.clock,
+            lambda start: self._plan(name, start),
+        )
+        self.workers[name] = worker
+        self.every_worker.append(worker)
+
+    def kill_worker(self, name):
+        """Ends a worker with every task that it runs."""
+        worker, self.workers[name] = self.workers[name], None
+        for running in worker._running.values():
+            if running.end is not None:
+                running.end.cancel()
+        worker._running.clear()
+
+    def find_vm(self, address):
+        """Returns the entry VM that listens on an address."""
+        name = address.partition(":")[0]
+        vm = self.vms.get(name)
+        return vm if vm is not None and vm.address == address else None
+
+    def get_link(self, zone, other):
+        """Returns the link between two zones."""
+        return self._links[frozenset((zone, other))]
+
+    def list_links(self):
+        """Returns every link."""
+        return [*self._links.values(), *self.worker_links.values()]
+
+    def create_surroundings(self, vm, own_timers):
+        """Returns what an entry VM works with."""
+
+        def repeat(period_s, action):
+            own_timers.call_later(0.0, action)
+            return own_timers.subscribe(period_s, action)
+
+        return entry_module.Surroundings(
+            timers=own_timers,
+            table=SoakTable(self.platform, vm.zone),
+            peers=SoakPeers(self, vm),
+            create_client=lambda w: SoakClient(self, vm.process, w.name),
+            repeat=repeat,
+        )
+
+    def describe_inventory(self, draining=()):
+        """Returns the inventory of all workers."""
+        return inventory.assign_shards(
+            inventory.Inventory(
+                zones=[
+                    inventory.Zone(name=zone, shards=SHARDS_PER_ZONE)
+                    for zone in ZONES
+                ],
+                workers=[
+                    inventory.Worker(
+                        name=name,
+                        zone=name[:6],
+                        rack=f"rack-{index % 2}",
+                        host="10.0.0.1",
+                        port=1000 + index,
+                        cpu_millis=CAPACITY.cpu_millis,
+                        memory_mib=CAPACITY.memory_mib,
+                        slots=SLOTS,
+                        draining=name in draining,
+                    )
+                    for index, name in enumerate(self.worker_links)
+                ],
+            )
+        )
+
+    def heal(self):
+        """Ends every fault and starts whatever is down."""
+        self.platform.is_down = self.platform.is_slow = False
+        self.platform.loses_answers = False
+        self.platform.cut_zones.clear()
+        for link in self.list_links():
+            link.is_cut = link.loses_answers = link.is_delayed = False
+        for name, worker in self.workers.items():
+            if worker is None:
+                self.start_worker(name)
+            self.workers[name].leaving = False
+        for name, vm in list(self.vms.items()):
+            if vm.process.state is State.KILLED:
+                self.start_vm(name)
+            elif vm.process.state is State.PAUSED:
+                vm.process.resume()
+
+
+def _pass_on(value, reply):
+    if isinstance(value, futures.Future):
+        value.add_done_callback(lambda f: reply(f.result()))
+    else:
+        reply(value)
