Fence a restarted worker again and reclaim a shard that the own row names

Cause: a worker that restarts without its register refuses a renewal as stale, which marked the whole shard as lost; and should_claim() never let a process claim a shard whose row names itself, so the shard had no owner for good. The same happened when the answer to a claim was lost.

--- a/packages/persimmonpath/persimmonpath/ownership.py
+++ b/packages/persimmonpath/persimmonpath/ownership.py
@@ -121,12 +121,14 @@
 ) -> bool:
     """Returns whether this entry VM should claim a shard now.
 
-    It should when the owner's session has lapsed, or there is no owner, and
-    this VM ranks first among the live sessions of the zone.
+    Called only for shards that this process does not hold. It should when the
+    owner's session has lapsed, or there is no owner, and this VM ranks first
+    among the live sessions of the zone. It also should when the row names this
+    process: the answer to its claim was lost, or a worker has fenced it.
     """
     live = observer.list_live(shard.zone)
     if record is not None and record.incarnation == me.incarnation:
-        return False
+        return True
     if record is not None and record.vm:
         owner = observer.find(shard.zone, record.vm)
         is_owner = owner is not None and owner.incarnation == record.incarnation
