--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -11,6 +11,7 @@
 import pydantic
 from returns import result
 
+from persimmonpath import acceptance
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
 from persimmonpath import identifiers
@@ -23,6 +24,7 @@
 MAX_BODY_BYTES = 4 << 20
 # Calls between entry VMs carry deadlines; this only bounds their sum.
 WAIT_LIMIT_S = 10.0
+LISTEN_BACKLOG = 128
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +82,30 @@
     }
 
 
+def describe_status(status: acceptance.Status) -> Reply:
+    """Returns the reply that tells the status of a configuration."""
+    match status:
+        case acceptance.Accepted(version):
+            return Reply(200, {"version": version, "state": "accepted"})
+        case acceptance.Pending(version, zones, vms):
+            body = {
+                "version": version,
+                "state": "pending",
+                "zones": zones,
+                "vms": vms,
+            }
+            return Reply(200, body)
+    return Reply(
+        409,
+        {
+            "error": "conflict",
+            "version": status.version,
+            "author": status.author,
+            "message": f"version {status.version} of {status.author} won",
+        },
+    )
+
+
 class Application:
     """WSGI application of an entry VM."""
 
@@ -98,6 +124,11 @@
             ("DELETE", re.compile(r"/v1/jobs/([^/]+)"), self._cancel_job),
             ("GET", re.compile(r"/v1/config"), self._show_config),
             ("POST", re.compile(r"/v1/config"), self._commit_config),
+            (
+                "GET",
+                re.compile(r"/v1/config/status"),
+                self._show_config_status,
+            ),
             ("GET", re.compile(r"/v1/vms"), self._show_vms),
             ("GET", re.compile(r"/healthz"), self._check_health),
             ("GET", re.compile(r"/readyz"), self._check_ready),
@@ -221,7 +252,15 @@
         )
         if isinstance(reply, result.Failure):
             return _describe_table_error(reply.failure())
-        return Reply(200, {"version": reply.unwrap().version})
+        return describe_status(reply.unwrap())
+
+    def _show_config_status(self, body: bytes) -> Reply:
+        del body
+        version = self._entry.applied.config.version
+        reply = self._entry.read_config_status(version)
+        if isinstance(reply, result.Failure):
+            return _describe_table_error(reply.failure())
+        return describe_status(reply.unwrap())
 
     def _show_vms(self, body: bytes) -> Reply:
         del body
@@ -297,4 +336,6 @@
     server = wsgi.Server((host, port), application, numthreads=threads)
     server.max_request_body_size = MAX_BODY_BYTES
     server.shutdown_timeout = 5
+    # A full queue drops SYNs, which the caller repeats only after a second.
+    server.request_queue_size = LISTEN_BACKLOG
     return server
--- a/tests/observations.py
+++ b/tests/observations.py
@@ -4,7 +4,7 @@
 import json
 import logging
 
-from persimmonpath import configuration
+from persimmonpath import acceptance
 from persimmonpath import identifiers
 from persimmonpath import jobs
 from persimmonpath import memoryworkers
@@ -141,13 +141,10 @@
 
     def _check_accepted(self):
         table = self.cell.platform.table
-        row = table.get(configuration.ACCEPTED_KEY).unwrap()
+        row = table.get(acceptance.ACCEPTED_KEY).unwrap()
         if row is None:
             return
-        accepted = json.loads(row.value)
-        accepted = (
-            accepted if isinstance(accepted, int) else accepted["version"]
-        )
+        accepted = json.loads(row.value)["version"]
         for vm in self.cell.vms.values():
             version = vm.entry.applied.config.version
             if vm.process.state is not soakcells.State.KILLED and version:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,10 +15,13 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+from hypothesis.internal.conjecture import engine
 from returns import result
 
+from persimmonpath import acceptance
 from persimmonpath import identifiers
 from persimmonpath import jobs
+from persimmonpath import machines
 from persimmonpath import resources
 from persimmonpath import rules
 from persimmonpath import work
@@ -228,7 +231,10 @@
                 reply = vm.entry.commit_config(
                     based_on, "operator", content, rules.Rules()
                 )
-                committed += isinstance(reply, result.Success)
+                status = reply.value_or(None)
+                committed += isinstance(
+                    status, acceptance.Accepted | acceptance.Pending
+                )
         observations.expect(committed <= 1, "both_operators_won", based_on)
 
     @stateful.rule(seconds=strategies.sampled_from(PAUSES_S))
@@ -343,7 +349,7 @@
 
     def _start_vm_killed(self, target):
         vm = self._pick_vm(target)
-        vm.process.state = soakcells.State.KILLED
+        self.cell.kill_vm(vm.name)
 
         def end():
             if self.cell.vms[vm.name] is vm:
@@ -383,8 +389,19 @@
         return lambda: self.observer.failing_workers.discard(name)
 
     def _start_worker_leaving(self, target):
-        worker = self.cell.workers[self._pick_worker(target)]
-        return self._set(worker, "leaving") if worker else lambda: None
+        name = self._pick_worker(target)
+        worker = self.cell.workers[name]
+        if worker is None:
+            return lambda: None
+        self.cell.platform.mark(name, machines.MachineState.LEAVING)
+        end = self._set(worker, "leaving")
+
+        def stay():
+            end()
+            if self.cell.workers[name] is worker:
+                self.cell.platform.mark(name, machines.MachineState.LIVE)
+
+        return stay
 
     def _start_worker_unreachable(self, target):
         return self._set(self._get_worker_link(target), "is_cut")
@@ -442,6 +459,10 @@
     setattr(SoakMachine, _kind, _create_rule(_kind))
 
 
+# Shrinking a failing run may take this long.
+engine.MAX_SHRINKING_SECONDS = 40
+
+
 def run(seed, steps):
     """Runs the soak and prints its counts.
 
--- a/tests/soakcells.py
+++ b/tests/soakcells.py
@@ -9,6 +9,7 @@
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
 from persimmonpath import inventory
+from persimmonpath import machines
 from persimmonpath import memoryworkers
 from persimmonpath import resources
 from persimmonpath import router as router_module
@@ -23,6 +24,7 @@
 SLOTS = 3
 CAPACITY = resources.Resources(4_000, 8_192, 0)
 LATENCY_S = 0.002
+LIST_LAG_S = 3.0
 # Longest delay of a delayed call: longer than every call's deadline.
 DELAY_S = 6.0
 
@@ -202,6 +204,7 @@
 
     def __init__(self, clock, generator):
         self.table = tables.create_memory_table()
+        self.machines = machines.create_memory_machines()
         self.is_down = False
         self.is_slow = False
         self.loses_answers = False
@@ -209,6 +212,12 @@
         self.clock = clock
         self.random = generator
 
+    def mark(self, name, state):
+        """Changes the list of VMs, which shows it later."""
+        self.clock.call_later(
+            LIST_LAG_S, lambda: self.machines.mark(name, state)
+        )
+
 
 class SoakTable(tables.Table):
     """The table service as one entry VM reaches it.
@@ -256,13 +265,26 @@
         return self._platform.is_down or self._zone in self._platform.cut_zones
 
 
+class SoakMachines(machines.MachineList):
+    """The platform's list as one entry VM reaches it."""
+
+    def __init__(self, platform, zone):
+        self._platform = platform
+        self._zone = zone
+
+    def read(self):
+        if self._platform.is_down or self._zone in self._platform.cut_zones:
+            return result.Failure(errors.MachineListError("down"))
+        return self._platform.machines.read()
+
+
 class Vm:
     """One process of an entry VM, with its router."""
 
     def __init__(self, cell, name, zone, number):
         self.name = name
         self.zone = zone
-        self.address = f"{name}:{number}"
+        self.address = f"{name}:1"
         self.process = Process(name, cell.random)
         self.highest_version = 0
         own_timers = ProcessTimers(cell.clock, self.process)
@@ -325,9 +347,15 @@
         """Starts a process of an entry VM under a name; ends the one before."""
         if name in self.vms:
             self.vms[name].process.state = State.KILLED
+        self.platform.mark(name, machines.MachineState.LIVE)
         self._started += 1
         self.vms[name] = Vm(self, name, name[:6], self._started)
 
+    def kill_vm(self, name):
+        """Ends an entry VM; the platform takes it off its list later."""
+        self.vms[name].process.state = State.KILLED
+        self.platform.mark(name, None)
+
     def start_worker(self, name):
         """Starts a worker without records under a name."""
         create = memoryworkers.MemoryWorker
@@ -341,11 +369,13 @@
             lambda start: self._plan(name, start),
         )
         self.workers[name] = worker
+        self.platform.mark(name, machines.MachineState.LIVE)
         self.every_worker.append(worker)
 
     def kill_worker(self, name):
         """Ends a worker with every task that it runs."""
         worker, self.workers[name] = self.workers[name], None
+        self.platform.mark(name, None)
         for running in worker._running.values():
             if running.end is not None:
                 running.end.cancel()
@@ -353,9 +383,7 @@
 
     def find_vm(self, address):
         """Returns the entry VM that listens on an address."""
-        name = address.partition(":")[0]
-        vm = self.vms.get(name)
-        return vm if vm is not None and vm.address == address else None
+        return self.vms.get(address.partition(":")[0])
 
     def get_link(self, zone, other):
         """Returns the link between two zones."""
@@ -378,6 +406,12 @@
             peers=SoakPeers(self, vm),
             create_client=lambda w: SoakClient(self, vm.process, w.name),
             repeat=repeat,
+            machines=SoakMachines(self.platform, vm.zone),
+            seeds=tuple(
+                other.address
+                for other in self.vms.values()
+                if other.zone == vm.zone and other is not vm
+            ),
         )
 
     def describe_inventory(self, draining=()):
@@ -416,6 +450,7 @@
             if worker is None:
                 self.start_worker(name)
             self.workers[name].leaving = False
+            self.platform.mark(name, machines.MachineState.LIVE)
         for name, vm in list(self.vms.items()):
             if vm.process.state is State.KILLED:
                 self.start_vm(name)
