--- a/packages/persimmonpath/persimmonpath/renewals.py
+++ b/packages/persimmonpath/persimmonpath/renewals.py
@@ -141,6 +141,9 @@
             for record in listing.records:
                 self._held.take_record(hold, record)
             self._drop_missing(hold, number, listing)
+            if hold.attempts:
+                # The attempts of an earlier owner may end soon.
+                hold.period_s = FIRST_PERIOD_S / 2
             self._confirm(hold)
         logging.info(
             "event=worker_fenced worker=%s epoch=%d records=%d",
