--- a/bench/measure.py
+++ b/bench/measure.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-MODULES = ("placement", "jobs", "requests", "membership", "cells")
+MODULES = ("placement", "jobs", "requests", "membership", "cells", "capacity")
 
 
 def main(names):
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -54,6 +54,7 @@
         if path == "/statistics":
             return 200, json.dumps(
                 {
+                    "bytes": self.bytes,
                     "runs": self.worker.runs,
                     "overloads": self.worker.overloads,
                     "running": self.worker.list_running(),
