--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -212,3 +212,12 @@
                 identifiers.parse_request_id(f.result(0).id) for f in futures
             ]
             self.assertEqual(len(set(ids)), 9)
+
+    def test_vm_without_configuration_finds_no_fault_with_ids(self):
+        """It knows no zone, so it would call every id a fault."""
+        cell = fakes.FakeCell()
+        entry = cell.add_entry("a-0")
+        router = router_module.create_router(entry, 1)
+        future = router.run("zone-a.0.1.1", REQUEST)
+        cell.timers.advance(6.0)
+        self.assertEqual(name(future.result(0)), "unknown")
