--- a/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import dataclasses
 import threading
 from typing import Any
 
@@ -124,6 +125,15 @@
     return outcomes.Unknown(reply.reason)
 
 
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """A channel, its calls in flight, and whether it takes no more calls."""
+
+    channel: grpc.Channel
+    calls: int = 0
+    is_dropped: bool = False
+
+
 class GrpcPeers(peers.Peers):
     """Calls to other entry VMs; one channel for each address.
 
@@ -134,7 +144,8 @@
     def __init__(self):
         """Creates a client without channels."""
         self._lock = threading.Lock()
-        self._channels: dict[str, grpc.Channel] = {}
+        # One for each entry VM.
+        self._links: dict[str, _Link] = {}
 
     def run(self, address, request_id, request):
         """Runs a request at the owner of its shard."""
@@ -229,16 +240,16 @@
         read: Callable[[Any], result.Result],
     ) -> futures.Future:
         future: futures.Future = futures.Future()
-        channel = self._get_channel(address)
-        stub = peers_pb2_grpc.PeerStub(channel)
+        link = self._take_link(address)
+        stub = peers_pb2_grpc.PeerStub(link.channel)
         call = getattr(stub, method).future(message, timeout=timeout_s)
 
         def take(done: grpc.Future) -> None:
+            error = done.exception()
+            self._return_link(address, link, _is_deadline(error))
             try:
                 future.set_result(read(done.result()))
             except grpc.RpcError as error:
-                if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                    self._drop_channel(address, channel)
                 future.set_result(result.Failure(_read_error(error)))
             except errors.InputError as error:
                 future.set_result(
@@ -248,20 +259,32 @@
         call.add_done_callback(take)
         return future
 
-    def _get_channel(self, address: str) -> grpc.Channel:
+    def _take_link(self, address: str) -> _Link:
         with self._lock:
-            channel = self._channels.get(address)
-            if channel is None:
-                channel = grpc.insecure_channel(address, options=_OPTIONS)
-                self._channels[address] = channel
-            return channel
-
-    def _drop_channel(self, address: str, channel: grpc.Channel) -> None:
-        # Calls still in flight on the channel may yet be answered, so it is
-        # not closed here; it closes when the last of them lets go of it.
+            link = self._links.get(address)
+            if link is None:
+                link = _Link(grpc.insecure_channel(address, options=_OPTIONS))
+                self._links[address] = link
+            link.calls += 1
+            return link
+
+    def _return_link(self, address: str, link: _Link, is_silent: bool) -> None:
         with self._lock:
-            if self._channels.get(address) is channel:
-                del self._channels[address]
+            link.calls -= 1
+            link.is_dropped |= is_silent
+            if link.is_dropped and self._links.get(address) is link:
+                del self._links[address]
+            # Calls still in flight on a silent channel may yet be answered.
+            is_unused = link.is_dropped and link.calls == 0
+        if is_unused:
+            link.channel.close()
+
+
+def _is_deadline(error: BaseException | None) -> bool:
+    return (
+        isinstance(error, grpc.RpcError)
+        and error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+    )
 
 
 def _read_error(error: grpc.RpcError) -> errors.PeerError:
