--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -265,6 +265,7 @@
 
     def _apply_workers(self, owned: shards.OwnedShard) -> None:
         listed = self.applied.config.inventory.list_workers(owned.id)
+        owned.apply_rules(self.applied.config.rules)
         owned.apply_workers(listed, self._create_client)
 
     def _get_directory(self, zone: str) -> ownership.ShardDirectory:
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -10,6 +10,7 @@
 from persimmonpath import inventory
 from persimmonpath import placement
 from persimmonpath import resources
+from persimmonpath import rules
 from persimmonpath import timers
 from persimmonpath import workers
 
@@ -119,13 +120,28 @@
         """Returns the client of a worker."""
         return self._clients[name]
 
-    def reserve(self, attempt: str, size: resources.Resources) -> str | None:
+    def apply_rules(self, cell_rules: rules.Rules) -> None:
+        """Makes later reservations follow the operator's rules."""
+        with self.lock:
+            self._placement.apply_rules(cell_rules.placement)
+
+    def reserve(
+        self,
+        attempt: str,
+        size: resources.Resources,
+        need: placement.Need = placement.ANY,
+    ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
+        Args:
+            attempt: Attempt id.
+            size: What it is placed with.
+            need: What it asks of the worker besides resources.
+
         Returns:
             Name of the worker, or None when no worker has room now.
         """
-        name = self._placement.choose(size)
+        name = self._placement.choose(size, need)
         if name is not None:
             self._placement.reserve(name, attempt, size)
             self._placement.ensure_capacity(name)
@@ -136,6 +152,10 @@
         with self.lock:
             self._placement.release(name, attempt)
 
+    def get_rack(self, name: str) -> str:
+        """Returns the rack of a worker."""
+        return self._placement.get_rack(name)
+
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
         return len(self._listed) == len(self._clients)
--- a/packages/persimmonpath/persimmonpath/shards.py
+++ b/packages/persimmonpath/persimmonpath/shards.py
@@ -31,6 +31,10 @@
         """Makes the fleet match the inventory."""
         self.fleet.apply_workers(listed, create_client)
 
+    def apply_rules(self, cell_rules: rules.Rules) -> None:
+        """Puts the operator's rules in force."""
+        self.fleet.apply_rules(cell_rules)
+
 
 def create_owned_shard(
     shard: identifiers.ShardId,
