Commit jobs in groups and split the runner

Submissions and progress go through one committer for each entry VM: at most one transaction per 50 ms, each with a marker row whose version is checked, so that a transaction whose answer was lost is sent again until its nonce shows whether it took effect. A failed check refuses only its own change. Quota usage is counted in the same transaction.

--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/attempts.py
@@ -0,0 +1,152 @@
+"""Follows the attempts of a shard's tasks by what workers tell of them."""
+
+import dataclasses
+
+from absl import logging
+
+from persimmonpath import book as book_module
+from persimmonpath import controls
+from persimmonpath import identifiers
+from persimmonpath import jobs
+from persimmonpath import policies
+from persimmonpath import progress
+from persimmonpath import starter
+from persimmonpath import timers
+from persimmonpath import workers
+
+# Pause after the first failure of a task; doubled by each further one.
+FAILURE_PAUSE_S = 0.5
+MAX_FAILURE_PAUSE_S = 60.0
+
+
+class AttemptTracker:
+    """Adopts attempts that run and concludes those that have ended."""
+
+    def __init__(
+        self,
+        book: book_module.JobBook,
+        attempt_controls: controls.AttemptControls,
+        task_starter: starter.TaskStarter,
+        timer_service: timers.TimerService,
+    ):
+        """Creates a tracker.
+
+        Args:
+            book: Jobs of the shard.
+            attempt_controls: Stops attempts that must not run.
+            task_starter: Starts tasks again.
+            timer_service: Source of time.
+        """
+        self._book = book
+        self._controls = attempt_controls
+        self._starter = task_starter
+        self._timers = timer_service
+
+    def take_record(self, name: str, record: workers.AttemptRecord) -> None:
+        """Takes in what a worker tells of an attempt; needs the lock."""
+        task_id, number = identifiers.split_attempt(record.attempt)
+        job_id, _, index_text = task_id.partition("/")
+        if not index_text:
+            return
+        if not self._book.is_loaded:
+            self._book.keep_early(name, record)
+            return
+        is_running = record.state is workers.AttemptState.RUNNING
+        if not is_running:
+            self._controls.forget(record.attempt)
+        entry = self._book.entries.get(job_id)
+        if entry is None or int(index_text) >= len(entry.tasks):
+            if is_running:
+                self._controls.stop(name, record.attempt)
+            return
+        index = int(index_text)
+        if is_running:
+            self._adopt(entry, index, name, number, record)
+        else:
+            self._conclude(entry, index, number, record)
+        self._book.update(entry)
+
+    def _adopt(
+        self,
+        entry: progress.Entry,
+        index: int,
+        name: str,
+        number: int,
+        record: workers.AttemptRecord,
+    ) -> None:
+        task = entry.tasks[index]
+        state = entry.record.tasks[index].state
+        is_unwanted = number < task.number or (
+            task.worker and number != task.number
+        )
+        if is_unwanted or state in jobs.FINAL_TASK_STATES:
+            logging.warning("event=attempt_unwanted attempt=%s", record.attempt)
+            self._controls.stop(name, record.attempt)
+            return
+        task.number = number
+        self._book.hold(entry, index, name, progress.Phase.RUNNING)
+        entry.set_progress(
+            index,
+            dataclasses.replace(
+                entry.record.tasks[index],
+                state=jobs.TaskState.RUNNING,
+                worker=name,
+            ),
+        )
+        if entry.is_cancelling:
+            self._controls.stop(name, record.attempt)
+
+    def _conclude(
+        self,
+        entry: progress.Entry,
+        index: int,
+        number: int,
+        record: workers.AttemptRecord,
+    ) -> None:
+        task = entry.tasks[index]
+        committed = entry.record.tasks[index]
+        is_final = committed.state in jobs.FINAL_TASK_STATES
+        is_current = number == task.number
+        if number <= committed.last_attempt or is_final:
+            if is_current and task.worker:
+                self._book.free(entry, index)
+            return
+        if not is_current and task.worker:
+            # An earlier attempt; only that it finished the task matters.
+            if record.state is workers.AttemptState.SUCCEEDED:
+                entry.set_progress(
+                    index, progress.judge(entry, index, number, record)
+                )
+                self._stop_if_done(entry, index)
+            return
+        name, was_preempted = task.worker, task.is_preempted
+        task.number = max(task.number, number)
+        entry.set_progress(index, progress.judge(entry, index, number, record))
+        self._book.free(entry, index)
+        if record.state is workers.AttemptState.FAILED:
+            self._note_failure(entry, index, name)
+        is_waiting = entry.record.tasks[index].state is jobs.TaskState.WAITING
+        if is_waiting and policies.starts_together(entry.job):
+            self._starter.stop_gang(entry)
+        if was_preempted:
+            self._starter.reserve_urgent()
+
+    def _stop_if_done(self, entry: progress.Entry, index: int) -> None:
+        task = entry.tasks[index]
+        state = entry.record.tasks[index].state
+        if state is jobs.TaskState.DONE and task.worker:
+            self._controls.stop(task.worker, entry.format_attempt(index))
+
+    def _note_failure(
+        self, entry: progress.Entry, index: int, name: str
+    ) -> None:
+        task = entry.tasks[index]
+        if name and name not in task.failed_on:
+            task.failed_on = (name, *task.failed_on)[
+                : progress.MAX_AVOIDED_WORKERS
+            ]
+        attempts = entry.record.tasks[index].attempts
+        pause_s = min(
+            FAILURE_PAUSE_S * 2 ** min(attempts - 1, 10), MAX_FAILURE_PAUSE_S
+        )
+        entry.retry_at = self._timers.now() + pause_s
--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -10,6 +10,7 @@
 
 from persimmonpath import configuration
 from persimmonpath import errors
+from persimmonpath import groupcommit
 from persimmonpath import identifiers
 from persimmonpath import inventory
 from persimmonpath import jobs
@@ -94,7 +95,11 @@
         self.peers = surroundings.peers
         self.applied = configuration.AppliedConfiguration()
         self.config_store = configuration.ConfigurationStore(surroundings.table)
-        self.job_store = jobs.JobStore(surroundings.table)
+        self.job_store = jobs.create_job_store(
+            f"{identity.zone}/{identity.vm}",
+            surroundings.table,
+            surroundings.timers,
+        )
         self.observer = sessions.SessionObserver(surroundings.timers)
         self.session = sessions.create_session(
             identity.vm,
@@ -122,6 +127,7 @@
             (DIRECTORY_PERIOD_S, self.refresh_directory),
             (WORKER_PERIOD_S, self.renew_workers),
             (JOB_PERIOD_S, self.poll_jobs),
+            (groupcommit.COMMIT_PERIOD_S, self.flush_jobs),
         ):
             self._subscriptions.append(self._repeat(period_s, action))
 
@@ -255,6 +261,12 @@
         for owned in self.list_owned():
             owned.runner.poll()
 
+    def flush_jobs(self) -> None:
+        """Takes in jobs of which there was a notice and commits a group."""
+        for owned in self.list_owned():
+            owned.runner.poll_if_notified()
+        self.job_store.flush()
+
     def _apply_config(self, config: configuration.Configuration) -> None:
         with self._lock:
             if not self.applied.apply(config):
--- a/packages/persimmonpath/persimmonpath/errors.py
+++ b/packages/persimmonpath/persimmonpath/errors.py
@@ -39,6 +39,14 @@
     """A check of the transaction failed; nothing was written."""
 
 
+class QuotaExceededError(TableError):
+    """The commit would take a team beyond its quota; nothing was written."""
+
+
+class UnplaceableError(PersimmonError):
+    """No worker of the inventory can ever run the work."""
+
+
 class ObjectError(PersimmonError):
     """A call to the object store did not succeed."""
 
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -152,9 +152,25 @@
         with self.lock:
             self._placement.release(name, attempt)
 
-    def get_rack(self, name: str) -> str:
-        """Returns the rack of a worker."""
-        return self._placement.get_rack(name)
+    def get_worker(self, name: str) -> inventory.Worker:
+        """Returns a worker as the inventory describes it."""
+        return self._placement.get_worker(name)
+
+    def find_rack(self, name: str) -> str:
+        """Returns the rack of a worker, empty for one that is gone."""
+        return self._placement.find_rack(name)
+
+    def list_open(self) -> list[str]:
+        """Returns the workers that are open to work; needs the lock."""
+        return self._placement.list_open()
+
+    def get_free(self, name: str) -> tuple[resources.Resources, int]:
+        """Returns free resources and slots of a worker; needs the lock."""
+        return self._placement.get_free(name)
+
+    def allows(self, name: str, kind: str, team: str) -> bool:
+        """Returns whether the rules allow work on a worker."""
+        return self._placement.allows(name, kind, team)
 
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
@@ -204,6 +220,8 @@
             for record in listing.records:
                 if record.state is workers.AttemptState.RUNNING:
                     self._placement.reserve(name, record.attempt, record.size)
+                else:
+                    self._placement.release(name, record.attempt)
                 self._report(name, record)
             self._update_open(name, True)
         logging.info(
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/groupcommit.py
@@ -0,0 +1,389 @@
+"""Many changes to one transaction of the table service."""
+
+import collections
+from collections.abc import Iterable
+from concurrent import futures
+import dataclasses
+import threading
+import uuid
+
+from absl import logging
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import quotas
+from persimmonpath import resources
+from persimmonpath import tables
+from persimmonpath import timers
+from persimmonpath import wire
+
+# At most 20 commits per second and entry VM; the table service takes several
+# hundred writes per second from all of them.
+COMMIT_PERIOD_S = 0.05
+MAX_GROUP_CHANGES = 256
+MAX_GROUP_BYTES = 2 << 20
+# Bound on the changes that wait and whose senders can be refused.
+MAX_WAITING = 20_000
+# Time after which a sender is told that its change was not committed, or that
+# this is uncertain.
+GIVE_UP_S = 3.0
+
+Reply = futures.Future
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Rows that are written together.
+
+    Attributes:
+        checks: Conditions; if one fails, only this change is refused.
+        writes: Rows to write.
+        charge: Change of a team's usage, counted in the same transaction.
+        is_kept: Whether it waits for the platform as long as it takes; the
+            sender bounds how many of these it has under way.
+        is_bulk: Whether it belongs to a wave that must not delay others.
+    """
+
+    checks: tuple[tables.Check, ...]
+    writes: tuple[tables.Write, ...]
+    charge: quotas.Charge | None = None
+    is_kept: bool = False
+    is_bulk: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiting:
+    change: Change
+    future: futures.Future
+    gives_up_at: float
+
+    def answer(self, reply: result.Result) -> None:
+        if not self.future.done():
+            self.future.set_result(reply)
+
+
+@dataclasses.dataclass(slots=True)
+class _Group:
+    """Changes sent as one transaction; resent unchanged while in doubt."""
+
+    nonce: str
+    items: list[_Waiting]
+    checks: list[tables.Check]
+    writes: list[tables.Write]
+    is_in_doubt: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Usage:
+    amount: resources.Resources
+    version: int
+
+
+class GroupCommitter:
+    """Commits the changes of one entry VM in groups.
+
+    Every transaction also writes the row `commit/NAME` with a nonce and checks
+    the version that it replaces. So of two copies of a transaction only one
+    can take effect, and one whose answer was lost is sent again until its
+    nonce shows what became of it.
+    """
+
+    def __init__(
+        self, name: str, table: tables.Table, timer_service: timers.TimerService
+    ):
+        """Creates a committer without changes.
+
+        Args:
+            name: Name of the row with the nonce; no two live processes share
+                one.
+            table: The table service.
+            timer_service: Source of time.
+        """
+        self._marker_key = f"commit/{name}"
+        self._table = table
+        self._timers = timer_service
+        self._lock = threading.Lock()
+        self._flushing = threading.Lock()
+        self._lane: collections.deque[_Waiting] = collections.deque()
+        self._bulk: collections.deque[_Waiting] = collections.deque()
+        self._group: _Group | None = None
+        self._marker: int | None = None
+        self._usage: dict[str, _Usage] = {}
+        self._next_at = 0.0
+        self.commits = 0
+
+    def add(self, change: Change) -> "Reply[result.Result]":
+        """Queues a change.
+
+        Returns:
+            A future of the version of the written rows, or of a `TableError`.
+        """
+        future: futures.Future = futures.Future()
+        waiting = _Waiting(change, future, self._timers.now() + GIVE_UP_S)
+        with self._lock:
+            lane = self._bulk if change.is_bulk else self._lane
+            is_refused = not change.is_kept and len(lane) >= MAX_WAITING
+            if not is_refused:
+                lane.append(waiting)
+        if is_refused:
+            waiting.answer(_fail(errors.TableUnavailableError("overloaded")))
+        return future
+
+    def count_waiting(self) -> int:
+        """Returns the changes that are not committed."""
+        with self._lock:
+            return len(self._lane) + len(self._bulk)
+
+    def flush(self) -> None:
+        """Commits one group, unless the last commit is too recent."""
+        if not self._flushing.acquire(blocking=False):
+            return
+        try:
+            self._give_up()
+            if self._timers.now() < self._next_at:
+                return
+            if self._group is None:
+                self._group = self._form_group()
+            if self._group is not None:
+                self._next_at = self._timers.now() + COMMIT_PERIOD_S
+                self._send(self._group)
+        finally:
+            self._flushing.release()
+
+    def _form_group(self) -> _Group | None:
+        with self._lock:
+            half = MAX_GROUP_CHANGES // 2
+            bulk = half if self._lane else MAX_GROUP_CHANGES
+            items = _take(self._bulk, bulk, MAX_GROUP_BYTES // 2, set())
+            keys = {w.key for i in items for w in i.change.writes}
+            items = (
+                _take(
+                    self._lane,
+                    MAX_GROUP_CHANGES - len(items),
+                    MAX_GROUP_BYTES,
+                    keys,
+                )
+                + items
+            )
+        if not items:
+            return None
+        if not self._read_state(items):
+            self._postpone(items, errors.TableUnavailableError("platform"))
+            return None
+        items, charged = self._charge(items)
+        if not items:
+            return None
+        nonce = uuid.uuid4().hex
+        checks = [tables.Check(self._marker_key, self._marker)]
+        writes = [tables.Write(self._marker_key, nonce)]
+        for item in items:
+            checks += item.change.checks
+            writes += item.change.writes
+        for team, amount in charged.items():
+            key = quotas.format_key(team)
+            checks.append(tables.Check(key, self._usage[team].version))
+            is_idle = amount == resources.ZERO
+            value = None if is_idle else wire.encode(amount).decode()
+            writes.append(tables.Write(key, value))
+        return _Group(nonce, items, checks, writes)
+
+    def _read_state(self, items: list[_Waiting]) -> bool:
+        """Reads the rows that this process does not know; False if it fails."""
+        if self._marker is None:
+            reply = self._table.get(self._marker_key)
+            if isinstance(reply, result.Failure):
+                return False
+            self._marker = reply.unwrap().version if reply.unwrap() else 0
+        teams = {i.change.charge.team for i in items if i.change.charge}
+        for team in teams - self._usage.keys():
+            reply = self._table.get(quotas.format_key(team))
+            if isinstance(reply, result.Failure):
+                return False
+            row = reply.unwrap()
+            self._usage[team] = (
+                _Usage(wire.decode(resources.Resources, row.value), row.version)
+                if row
+                else _Usage(resources.ZERO, 0)
+            )
+        return True
+
+    def _charge(
+        self, items: list[_Waiting]
+    ) -> tuple[list[_Waiting], dict[str, resources.Resources]]:
+        """Refuses what exceeds a quota; returns the rest and the usages."""
+        accepted = []
+        usages: dict[str, resources.Resources] = {}
+        for item in items:
+            charge = item.change.charge
+            if charge is not None:
+                before = usages.get(charge.team)
+                if before is None:
+                    before = self._usage[charge.team].amount
+                after = quotas.apply_charge(before, charge)
+                if isinstance(after, result.Failure):
+                    # The usage read may be old: a refund may have come since.
+                    self._refuse_charge(item, after)
+                    continue
+                usages[charge.team] = after.unwrap()
+            accepted.append(item)
+        return accepted, usages
+
+    def _refuse_charge(self, item: _Waiting, refusal: result.Result) -> None:
+        team = item.change.charge.team
+        known = self._usage[team]
+        row = self._table.get(quotas.format_key(team)).value_or(None)
+        if row is not None and row.version != known.version:
+            del self._usage[team]
+            self._put_back([item])
+            return
+        item.answer(refusal)
+
+    def _send(self, group: _Group) -> None:
+        reply = self._table.commit(group.checks, group.writes)
+        self.commits += 1
+        if isinstance(reply, result.Success):
+            self._finish(group, reply.unwrap())
+        elif isinstance(reply.failure(), errors.TableConflictError):
+            self._resolve_conflict(group)
+        elif isinstance(reply.failure(), errors.TableUncertainError):
+            logging.warning(
+                "event=commit_in_doubt changes=%d", len(group.items)
+            )
+            group.is_in_doubt = True
+        elif not group.is_in_doubt:
+            self._group = None
+            self._postpone(group.items, reply.failure())
+
+    def _finish(self, group: _Group, version: int) -> None:
+        self._group = None
+        self._marker = version
+        for write in group.writes:
+            if write.key.startswith(quotas.PREFIX):
+                self._usage.pop(write.key.removeprefix(quotas.PREFIX), None)
+        for item in group.items:
+            item.answer(result.Success(version))
+
+    def _resolve_conflict(self, group: _Group) -> None:
+        reply = self._table.get(self._marker_key)
+        if isinstance(reply, result.Failure):
+            # Without the marker it is not known whether an earlier copy took
+            # effect; the group is sent again.
+            return
+        row = reply.unwrap()
+        if row is not None and row.value == group.nonce:
+            self._finish(group, row.version)
+            return
+        version = row.version if row else 0
+        if group.is_in_doubt and version == self._marker:
+            self._retire_copies(group)
+            return
+        self._marker = version
+        self._group = None
+        self._usage.clear()
+        self._separate(group.items)
+
+    def _retire_copies(self, group: _Group) -> None:
+        """Writes the marker, after which no delayed copy can take effect."""
+        check = tables.Check(self._marker_key, self._marker)
+        write = tables.Write(self._marker_key, uuid.uuid4().hex)
+        reply = self._table.commit([check], [write])
+        self.commits += 1
+        if isinstance(reply, result.Success):
+            self._marker = reply.unwrap()
+            self._group = None
+            self._usage.clear()
+            self._separate(group.items)
+
+    def _separate(self, items: list[_Waiting]) -> None:
+        """Refuses the changes whose own checks fail and queues the rest."""
+        rest = []
+        for item in items:
+            failed = self._find_failed_check(item.change.checks)
+            if isinstance(failed, result.Failure):
+                self._postpone([item], failed.failure())
+            elif failed.unwrap() is not None:
+                key = failed.unwrap().key
+                item.answer(_fail(errors.TableConflictError(key)))
+            else:
+                rest.append(item)
+        self._put_back(rest)
+
+    def _find_failed_check(
+        self, checks: Iterable[tables.Check]
+    ) -> result.Result[tables.Check | None, errors.TableError]:
+        for check in checks:
+            reply = self._table.get(check.key)
+            if isinstance(reply, result.Failure):
+                return reply
+            row = reply.unwrap()
+            if (row.version if row else 0) != check.version:
+                return result.Success(check)
+        return result.Success(None)
+
+    def _postpone(
+        self, items: list[_Waiting], error: errors.TableError
+    ) -> None:
+        """Keeps what waits for the platform and refuses the rest."""
+        for item in items:
+            if not item.change.is_kept:
+                item.answer(_fail(error))
+        self._put_back([i for i in items if i.change.is_kept])
+
+    def _put_back(self, items: list[_Waiting]) -> None:
+        with self._lock:
+            for item in reversed(items):
+                lane = self._bulk if item.change.is_bulk else self._lane
+                lane.appendleft(item)
+
+    def _give_up(self) -> None:
+        """Answers the senders whose changes have waited for too long."""
+        now = self._timers.now()
+        if self._group is not None:
+            for item in self._group.items:
+                if not item.change.is_kept and now >= item.gives_up_at:
+                    item.answer(_fail(errors.TableUncertainError("in doubt")))
+        expired = []
+        with self._lock:
+            for lane in (self._lane, self._bulk):
+                while (
+                    lane
+                    and not lane[0].change.is_kept
+                    and now >= lane[0].gives_up_at
+                ):
+                    expired.append(lane.popleft())
+        for item in expired:
+            item.answer(_fail(errors.TableUnavailableError("not sent")))
+
+
+def _take(
+    lane: collections.deque[_Waiting],
+    count: int,
+    size_limit: int,
+    keys: set[str],
+) -> list[_Waiting]:
+    """Takes waiting changes, at most one for each row.
+
+    Args:
+        lane: Where from.
+        count: Most changes taken.
+        size_limit: Bytes after which no further change is taken.
+        keys: Rows that are written already.
+    """
+    taken: list[_Waiting] = []
+    skipped: list[_Waiting] = []
+    size = 0
+    while lane and len(taken) + len(skipped) < count and size < size_limit:
+        item = lane.popleft()
+        written = {write.key for write in item.change.writes}
+        if written & keys:
+            skipped.append(item)
+            continue
+        keys |= written
+        taken.append(item)
+        size += sum(len(write.value or "") for write in item.change.writes)
+    lane.extendleft(reversed(skipped))
+    return taken
+
+
+def _fail(error: errors.TableError) -> result.Result:
+    return result.Failure(error)
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/intake.py
@@ -0,0 +1,147 @@
+"""Submission and cancellation of jobs at an entry VM."""
+
+from concurrent import futures
+
+from returns import result
+import xxhash
+
+from persimmonpath import entry as entry_module
+from persimmonpath import errors
+from persimmonpath import identifiers
+from persimmonpath import inventory
+from persimmonpath import jobs
+from persimmonpath import placement
+from persimmonpath import policies
+from persimmonpath import quotas
+from persimmonpath import rules
+from persimmonpath import work
+
+# Jobs above this number in one call are cancelled behind other changes.
+BULK_THRESHOLD = 10
+
+Reply = futures.Future
+
+
+class JobIntake:
+    """Accepts jobs once they are committed, and cancellations likewise."""
+
+    def __init__(self, entry: entry_module.EntryVm):
+        """Creates the intake of an entry VM."""
+        self._entry = entry
+
+    def submit(
+        self, job: work.Job, nonce: str = ""
+    ) -> "Reply[result.Result[jobs.JobRecord, errors.PersimmonError]]":
+        """Commits a job and tells the owner of its shard.
+
+        Args:
+            job: The job.
+            nonce: Random text of the submission.
+
+        Returns:
+            A future of the record, or of `UnplaceableError` when no worker
+            can ever carry a task, or of a `TableError`.
+        """
+        config = self._entry.applied.config
+        shards = list_shards(
+            config.inventory, config.rules, job, self._entry.identity.zone
+        )
+        if not shards:
+            reason = explain_unplaceable(config.inventory, config.rules, job)
+            future: futures.Future = futures.Future()
+            future.set_result(result.Failure(errors.UnplaceableError(reason)))
+            return future
+        shard = choose_shard(shards, job)
+        record = jobs.create_record(job, nonce, shard)
+        charge = quotas.create_charge(job, config.rules)
+        reply = self._entry.job_store.submit(record, charge)
+        reply.add_done_callback(lambda done: self._notify(done.result()))
+        return reply
+
+    def cancel(
+        self, job_ids: list[str]
+    ) -> "list[Reply[result.Result[jobs.JobRecord | None, errors.TableError]]]":
+        """Commits cancellations and tells the owners of the shards."""
+        is_bulk = len(job_ids) > BULK_THRESHOLD
+        replies = []
+        for job_id in job_ids:
+            reply = self._entry.job_store.cancel(job_id, is_bulk)
+            if not is_bulk:
+                reply.add_done_callback(
+                    lambda done: self._notify(done.result())
+                )
+            replies.append(reply)
+        return replies
+
+    def _notify(self, reply: result.Result) -> None:
+        record = reply.value_or(None)
+        if record is None:
+            return
+        shard = identifiers.parse_shard_id(record.shard)
+        owned = self._entry.find_owned(shard)
+        if owned is not None:
+            owned.runner.notify()
+            return
+        address = self._entry.find_owner_address(shard)
+        if address is not None:
+            # A lost notice only delays the job: the owner scans its inbox.
+            self._entry.peers.notify_job(address, shard, record.job["id"])
+
+
+def list_shards(
+    cell: inventory.Inventory, cell_rules: rules.Rules, job: work.Job, home: str
+) -> list[identifiers.ShardId]:
+    """Returns the shards that have a worker for a job, of one zone.
+
+    The zone is the entry VM's own if that has one, else the first that has.
+    """
+    shards = {
+        worker.shard_id
+        for worker in cell.workers
+        if can_carry(worker, cell_rules, job)
+    }
+    zones = {shard.zone for shard in shards}
+    if not zones:
+        return []
+    zone = home if home in zones else min(zones)
+    return sorted(shard for shard in shards if shard.zone == zone)
+
+
+def choose_shard(
+    shards: list[identifiers.ShardId], job: work.Job
+) -> identifiers.ShardId:
+    """Returns the shard that a job belongs to."""
+    if policies.starts_together(job):
+        # One owner coordinates the gangs of a zone.
+        return shards[0]
+    return shards[xxhash.xxh64_intdigest(job.id.encode()) % len(shards)]
+
+
+def can_carry(
+    worker: inventory.Worker, cell_rules: rules.Rules, job: work.Job
+) -> bool:
+    """Returns whether an idle worker could run a task of a job."""
+    if not job.size.fits_in(worker.capacity):
+        return False
+    for rule in cell_rules.placement:
+        if not placement.matches(rule, job.kind, job.team):
+            continue
+        if rule.zones and worker.zone not in rule.zones:
+            return False
+        if rule.racks and worker.rack not in rule.racks:
+            return False
+    return True
+
+
+def explain_unplaceable(
+    cell: inventory.Inventory, cell_rules: rules.Rules, job: work.Job
+) -> str:
+    """Returns why no worker can run a job."""
+    if not cell.workers:
+        return "the inventory has no workers"
+    if not any(job.size.fits_in(w.capacity) for w in cell.workers):
+        return f"no worker is as large as {job.size}"
+    return (
+        f"placement rules allow kind {job.kind} of team {job.team} on no"
+        " worker that is large enough"
+    )
--- a/packages/persimmonpath/persimmonpath/jobs.py
+++ b/packages/persimmonpath/persimmonpath/jobs.py
@@ -1,5 +1,7 @@
 """Jobs: accepted once they are committed to the table service."""
 
+from collections.abc import Callable
+from concurrent import futures
 import dataclasses
 import enum
 import hashlib
@@ -7,8 +9,11 @@
 from returns import result
 
 from persimmonpath import errors
+from persimmonpath import groupcommit
 from persimmonpath import identifiers
+from persimmonpath import quotas
 from persimmonpath import tables
+from persimmonpath import timers
 from persimmonpath import wire
 from persimmonpath import work
 
@@ -27,12 +32,32 @@
     """State of a task as last committed."""
 
     WAITING = "waiting"
+    RUNNING = "running"
     DONE = "done"
     FAILED = "failed"
     CANCELLED = "cancelled"
 
 
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
+FINAL_TASK_STATES = frozenset(
+    {TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED}
+)
+
+
+class Notice(enum.StrEnum):
+    """Why a job is in the inbox of its shard."""
+
+    SUBMITTED = "submitted"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InboxItem:
+    """A row of a shard's inbox: a job that its owner should look at."""
+
+    job_id: str
+    notice: Notice
+    version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,15 +66,19 @@
 
     Attributes:
         state: A `TaskState`.
-        attempts: Attempts that ended without success.
-        reason: Why it failed.
+        attempts: Attempts that failed.
+        reason: Why the last of them failed.
         checkpoint: Object to resume from; empty for none.
+        last_attempt: Number of the last attempt that is known to have ended.
+        worker: Worker that runs it.
     """
 
     state: TaskState = TaskState.WAITING
     attempts: int = 0
     reason: str = ""
     checkpoint: str = ""
+    last_attempt: int = 0
+    worker: str = ""
 
 
 @wire.uses_base64
@@ -65,6 +94,7 @@
         shard: Text form of the shard whose owner runs it.
         state: A `JobState`.
         tasks: Progress of each task.
+        reason: Why no task can run now; empty when some can.
     """
 
     form: str
@@ -74,6 +104,7 @@
     shard: str
     state: JobState
     tasks: list[TaskProgress]
+    reason: str = ""
 
 
 _FORMS = {
@@ -94,6 +125,11 @@
     return f"queue/{shard}/"
 
 
+def format_inbox_prefix(shard: identifiers.ShardId) -> str:
+    """Returns the prefix of the rows that tell a shard's owner of changes."""
+    return f"inbox/{shard}/"
+
+
 def create_record(
     job: work.Job, nonce: str, shard: identifiers.ShardId
 ) -> JobRecord:
@@ -117,35 +153,90 @@
 
 
 class JobStore:
-    """Job rows in the table service."""
+    """Job rows in the table service.
+
+    The row of a job is written by the owner of its shard. Whoever submits or
+    cancels a job leaves a row in the shard's inbox, so that the owner finds
+    what changed with one small scan.
+    """
+
+    def __init__(
+        self, table: tables.Table, committer: groupcommit.GroupCommitter
+    ):
+        """Creates a store over a table.
 
-    def __init__(self, table: tables.Table):
-        """Creates a store over a table."""
+        Args:
+            table: The table service, for reading.
+            committer: Commits the changes in groups.
+        """
         self._table = table
+        self._committer = committer
+
+    def flush(self) -> None:
+        """Commits the next group of changes."""
+        self._committer.flush()
 
     def submit(
-        self, record: JobRecord
-    ) -> result.Result[JobRecord, errors.TableError]:
+        self, record: JobRecord, charge: quotas.Charge | None = None
+    ) -> "futures.Future[result.Result[JobRecord, errors.TableError]]":
         """Commits a new job.
 
+        Args:
+            record: The job.
+            charge: What its team is charged.
+
         Returns:
-            The record, also when the same job was already committed, or
-            `TableConflictError` when the id has another content.
+            A future of the record, which is the committed one when the same
+            job was submitted before, or of `TableConflictError` when the id
+            has another content, or of another `TableError`.
         """
         job_id = record.job["id"]
-        queue_key = format_queue_prefix(
-            identifiers.parse_shard_id(record.shard)
+        shard = identifiers.parse_shard_id(record.shard)
+        reply = self._committer.add(
+            groupcommit.Change(
+                (tables.Check(format_key(job_id), 0),),
+                (
+                    tables.Write(
+                        format_key(job_id), wire.encode(record).decode()
+                    ),
+                    tables.Write(format_queue_prefix(shard) + job_id, "1"),
+                    tables.Write(
+                        format_inbox_prefix(shard) + job_id, Notice.SUBMITTED
+                    ),
+                ),
+                charge,
+            )
         )
-        reply = self._table.commit(
-            [tables.Check(format_key(job_id), 0)],
-            [
-                tables.Write(format_key(job_id), wire.encode(record).decode()),
-                tables.Write(queue_key + job_id, ""),
-            ],
+        return _chain(reply, lambda done: self._resolve(job_id, record, done))
+
+    def cancel(
+        self, job_id: str, is_bulk: bool = False
+    ) -> "futures.Future[result.Result[JobRecord | None, errors.TableError]]":
+        """Asks the owner of a job's shard to cancel it.
+
+        Args:
+            job_id: The job.
+            is_bulk: Whether many are being cancelled.
+
+        Returns:
+            A future of the record in state `CANCELLING`, of the unchanged
+            record when it was final, or of None when there is no such job.
+        """
+        found = self.read(job_id)
+        if isinstance(found, result.Failure) or found.unwrap() is None:
+            return _resolved(found)
+        record, _ = found.unwrap()
+        if record.state in FINAL_STATES:
+            return _resolved(result.Success(record))
+        shard = identifiers.parse_shard_id(record.shard)
+        write = tables.Write(
+            format_inbox_prefix(shard) + job_id, Notice.CANCELLED
         )
-        if isinstance(reply, result.Success):
-            return result.Success(record)
-        return self._resolve(job_id, record, reply)
+        reply = self._committer.add(
+            groupcommit.Change((), (write,), is_bulk=is_bulk)
+        )
+        cancelling = dataclasses.replace(record, state=JobState.CANCELLING)
+        return _chain(reply, lambda done: done.map(lambda _: cancelling))
 
     def read(
         self, job_id: str
@@ -168,28 +259,91 @@
             lambda rows: [row.key.removeprefix(prefix) for row in rows]
         )
 
+    def list_inbox(
+        self, shard: identifiers.ShardId
+    ) -> result.Result[list[InboxItem], errors.TableError]:
+        """Returns the jobs that the owner of a shard should look at."""
+        prefix = format_inbox_prefix(shard)
+        return self._table.scan(prefix).map(
+            lambda rows: [
+                InboxItem(
+                    row.key.removeprefix(prefix),
+                    Notice(row.value),
+                    row.version,
+                )
+                for row in rows
+            ]
+        )
+
+    def clear_inbox(
+        self, shard: identifiers.ShardId, item: InboxItem
+    ) -> "futures.Future[result.Result[int, errors.TableError]]":
+        """Removes a row of the inbox unless it has changed since."""
+        key = format_inbox_prefix(shard) + item.job_id
+        return self._committer.add(
+            groupcommit.Change(
+                (tables.Check(key, item.version),),
+                (tables.Write(key, None),),
+                is_kept=True,
+                is_bulk=item.notice is Notice.CANCELLED,
+            )
+        )
+
     def update(
-        self, record: JobRecord, version: int
-    ) -> result.Result[int, errors.TableError]:
-        """Commits progress if the row still has that version."""
+        self,
+        record: JobRecord,
+        version: int,
+        is_bulk: bool = False,
+        notice: InboxItem | None = None,
+    ) -> "futures.Future[result.Result[int, errors.TableError]]":
+        """Commits progress if the row still has that version.
+
+        The change is kept for as long as the platform is away. A job that
+        ends leaves the shard's queue, and its team gets its quota back, in the
+        same transaction.
+
+        Args:
+            record: The whole record.
+            version: Version of the row that it replaces.
+            is_bulk: Whether many jobs change for the same reason.
+            notice: Inbox row that it answers and that is removed with it.
+
+        Returns:
+            A future of the new version, or of `TableConflictError`.
+        """
         job_id = record.job["id"]
+        checks = [tables.Check(format_key(job_id), version)]
         writes = [
             tables.Write(format_key(job_id), wire.encode(record).decode())
         ]
+        shard = identifiers.parse_shard_id(record.shard)
+        if notice is not None:
+            key = format_inbox_prefix(shard) + job_id
+            checks.append(tables.Check(key, notice.version))
+            writes.append(tables.Write(key, None))
+        refund = None
         if record.state in FINAL_STATES:
-            shard = identifiers.parse_shard_id(record.shard)
             writes.append(
                 tables.Write(format_queue_prefix(shard) + job_id, None)
             )
-        return self._table.commit(
-            [tables.Check(format_key(job_id), version)], writes
+            refund = quotas.create_refund(read_job(record))
+        return self._committer.add(
+            groupcommit.Change(
+                tuple(checks),
+                tuple(writes),
+                refund,
+                is_kept=True,
+                is_bulk=is_bulk,
+            )
         )
 
     def _resolve(
         self, job_id: str, record: JobRecord, reply: result.Result
     ) -> result.Result[JobRecord, errors.TableError]:
-        """Reads back whether a commit that was not confirmed took effect."""
-        if isinstance(reply.failure(), errors.TableUnavailableError):
+        """Finds out whether a job whose id is taken is the same job."""
+        if isinstance(reply, result.Success):
+            return result.Success(record)
+        if not isinstance(reply.failure(), errors.TableConflictError):
             return reply
         found = self.read(job_id)
         if isinstance(found, result.Failure) or found.unwrap() is None:
@@ -198,3 +352,34 @@
         if existing.digest == record.digest:
             return result.Success(existing)
         return result.Failure(errors.TableConflictError(job_id))
+
+
+def _chain(
+    reply: futures.Future, convert: Callable[[result.Result], result.Result]
+) -> futures.Future:
+    converted: futures.Future = futures.Future()
+    reply.add_done_callback(
+        lambda done: converted.set_result(convert(done.result()))
+    )
+    return converted
+
+
+def _resolved(value: result.Result) -> futures.Future:
+    future: futures.Future = futures.Future()
+    future.set_result(value)
+    return future
+
+
+def create_job_store(
+    name: str, table: tables.Table, timer_service: timers.TimerService
+) -> JobStore:
+    """Returns a store with a committer of its own.
+
+    Args:
+        name: Name of the entry VM with its zone; see `GroupCommitter`.
+        table: The table service.
+        timer_service: Source of time.
+    """
+    return JobStore(
+        table, groupcommit.GroupCommitter(name, table, timer_service)
+    )
--- a/packages/persimmonpath/persimmonpath/placement.py
+++ b/packages/persimmonpath/persimmonpath/placement.py
@@ -144,9 +144,19 @@
         """Returns the free slots of all open workers."""
         return self._open_slots
 
-    def get_rack(self, name: str) -> str:
-        """Returns the rack of a worker."""
-        return self._loads[name].worker.rack
+    def get_worker(self, name: str) -> inventory.Worker:
+        """Returns a worker as it was added."""
+        return self._loads[name].worker
+
+    def find_rack(self, name: str) -> str:
+        """Returns the rack of a worker, empty for one that is gone."""
+        load = self._loads.get(name)
+        return load.worker.rack if load else ""
+
+    def allows(self, name: str, kind: str, team: str) -> bool:
+        """Returns whether the rules allow work on a worker."""
+        racks = find_racks(self._rules, kind, team)
+        return racks is None or self._loads[name].worker.rack in racks
 
     def get_free(self, name: str) -> tuple[resources.Resources, int]:
         """Returns the free resources and slots of a worker."""
--- a/packages/persimmonpath/persimmonpath/policies.py
+++ b/packages/persimmonpath/persimmonpath/policies.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from persimmonpath import rules
 from persimmonpath import work
 
 
@@ -11,6 +12,7 @@
     raise NotImplementedError(type(item).__name__)
 
 
+@starts_together.register(work.Request)
 @starts_together.register(work.BatchJob)
 @starts_together.register(work.ServiceJob)
 def _(item) -> bool:
@@ -28,6 +30,7 @@
     raise NotImplementedError(type(item).__name__)
 
 
+@restarts_on_end.register(work.Request)
 @restarts_on_end.register(work.BatchJob)
 @restarts_on_end.register(work.GangJob)
 def _(item) -> bool:
@@ -37,3 +40,65 @@
 @restarts_on_end.register
 def _(item: work.ServiceJob) -> bool:
     return True
+
+
+@functools.singledispatch
+def get_attempt_limit(item: object) -> int | None:
+    """Returns the failures after which a task is given up; None for never."""
+    raise NotImplementedError(type(item).__name__)
+
+
+@get_attempt_limit.register
+def _(item: work.Request) -> int | None:
+    return 1
+
+
+@get_attempt_limit.register(work.BatchJob)
+@get_attempt_limit.register(work.GangJob)
+def _(item) -> int | None:
+    return item.max_attempts
+
+
+@get_attempt_limit.register
+def _(item: work.ServiceJob) -> int | None:
+    # A service runs until it is cancelled; failures only delay the restart.
+    return None
+
+
+@functools.singledispatch
+def spreads_racks(item: object) -> bool:
+    """Returns whether the tasks are spread over racks."""
+    raise NotImplementedError(type(item).__name__)
+
+
+@spreads_racks.register(work.Request)
+@spreads_racks.register(work.BatchJob)
+@spreads_racks.register(work.GangJob)
+def _(item) -> bool:
+    return False
+
+
+@spreads_racks.register
+def _(item: work.ServiceJob) -> bool:
+    return True
+
+
+@functools.singledispatch
+def get_spare_slots_share(item: object, policy: rules.Policy) -> float:
+    """Returns the share of a worker's slots that the work must leave free."""
+    raise NotImplementedError(type(item).__name__)
+
+
+@get_spare_slots_share.register(work.Request)
+def _(item, policy: rules.Policy) -> float:
+    del policy
+    return 0.0
+
+
+@get_spare_slots_share.register(work.BatchJob)
+@get_spare_slots_share.register(work.ServiceJob)
+@get_spare_slots_share.register(work.GangJob)
+def _(item, policy: rules.Policy) -> float:
+    if item.priority is work.Priority.URGENT:
+        return 0.0
+    return policy.short_slots_share
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/quotas.py
@@ -0,0 +1,71 @@
+"""Quota usage per team, counted in the commit that accepts a job."""
+
+import dataclasses
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import resources
+from persimmonpath import rules
+from persimmonpath import work
+
+PREFIX = "quota/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Charge:
+    """A change of what a team uses.
+
+    Attributes:
+        team: The team.
+        amount: What is added; negative parts are given back.
+        limit: The most that the team may use; None for no limit.
+    """
+
+    team: str
+    amount: resources.Resources
+    limit: resources.Resources | None = None
+
+
+def format_key(team: str) -> str:
+    """Returns the key of a team's usage row."""
+    return PREFIX + team
+
+
+def compute_size(job: work.Job) -> resources.Resources:
+    """Returns what all tasks of a job hold together."""
+    return resources.Resources(
+        job.size.cpu_millis * job.tasks,
+        job.size.memory_mib * job.tasks,
+        job.size.accelerators * job.tasks,
+    )
+
+
+def create_charge(job: work.Job, cell_rules: rules.Rules) -> Charge:
+    """Returns the charge for a job that is being accepted."""
+    limit = None
+    for quota in cell_rules.quotas:
+        if quota.team == job.team:
+            limit = resources.Resources(
+                quota.cpu_millis, quota.memory_mib, quota.accelerators
+            )
+    return Charge(job.team, compute_size(job), limit)
+
+
+def create_refund(job: work.Job) -> Charge:
+    """Returns the charge that gives back what a job was charged."""
+    return Charge(job.team, resources.ZERO - compute_size(job))
+
+
+def apply_charge(
+    usage: resources.Resources, charge: Charge
+) -> result.Result[resources.Resources, errors.QuotaExceededError]:
+    """Returns the usage after a charge, or why it is refused."""
+    after = usage + charge.amount
+    if charge.limit is not None and not after.fits_in(charge.limit):
+        return result.Failure(
+            errors.QuotaExceededError(
+                f"team {charge.team} would use {after} of {charge.limit}"
+            )
+        )
+    return result.Success(after)
--- a/packages/persimmonpath/persimmonpath/shards.py
+++ b/packages/persimmonpath/persimmonpath/shards.py
@@ -34,6 +34,7 @@
     def apply_rules(self, cell_rules: rules.Rules) -> None:
         """Puts the operator's rules in force."""
         self.fleet.apply_rules(cell_rules)
+        self.runner.apply_policy(cell_rules.policy)
 
 
 def create_owned_shard(
@@ -59,5 +60,5 @@
         shard,
         shard_fleet,
         dispatch.Dispatcher(shard, shard_fleet, policy.queue_limit),
-        runner.JobRunner(shard, shard_fleet, store),
+        runner.JobRunner(shard, shard_fleet, store, policy),
     )
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -5,6 +5,7 @@
 import json
 import re
 from typing import Any
+import uuid
 
 from absl import logging
 from cheroot import wsgi
@@ -13,7 +14,7 @@
 
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
-from persimmonpath import identifiers
+from persimmonpath import intake
 from persimmonpath import jobs
 from persimmonpath import outcomes
 from persimmonpath import router as router_module
@@ -70,6 +71,7 @@
         "form": record.form,
         "state": record.state.value,
         "shard": record.shard,
+        "reason": record.reason,
         "tasks": [
             {
                 "state": task.state.value,
@@ -90,6 +92,7 @@
         """Creates the application of an entry VM."""
         self._entry = entry
         self._router = router
+        self._intake = intake.JobIntake(entry)
         self._routes: list[tuple[str, re.Pattern, Callable[..., Reply]]] = [
             ("POST", re.compile(r"/v1/ids"), self._issue_ids),
             ("POST", re.compile(r"/v1/requests"), self._run),
@@ -169,22 +172,12 @@
 
     def _submit_job(self, body: bytes) -> Reply:
         job = bodies.JobBody.model_validate_json(body).convert()
-        shard = self._choose_shard(job.id)
-        record = jobs.create_record(job, "", shard)
-        reply = self._entry.job_store.submit(record)
+        future = self._intake.submit(job, uuid.uuid4().hex)
+        reply = future.result(WAIT_LIMIT_S)
         if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
+            return _describe_job_error(reply.failure())
         return Reply(200, describe_job(reply.unwrap()))
 
-    def _choose_shard(self, job_id: str) -> identifiers.ShardId:
-        config = self._entry.applied.config
-        zone = self._entry.identity.zone
-        shards = [s for s in config.inventory.list_shards() if s.zone == zone]
-        if not shards:
-            raise errors.InputError("zone", f"{zone} has no shards")
-        digest = outcomes.compute_checksum(job_id.encode())
-        return shards[int(digest, 16) % len(shards)]
-
     def _show_job(self, body: bytes, job_id: str) -> Reply:
         del body
         reply = self._entry.job_store.read(job_id)
@@ -196,19 +189,12 @@
 
     def _cancel_job(self, body: bytes, job_id: str) -> Reply:
         del body
-        reply = self._entry.job_store.read(job_id)
+        reply = self._intake.cancel([job_id])[0].result(WAIT_LIMIT_S)
         if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
+            return _describe_job_error(reply.failure())
         if reply.unwrap() is None:
             return Reply(404, {"error": "no_such_job"})
-        record, version = reply.unwrap()
-        if record.state is not jobs.JobState.ACCEPTED:
-            return Reply(200, describe_job(record))
-        cancelled = dataclasses.replace(record, state=jobs.JobState.CANCELLING)
-        update = self._entry.job_store.update(cancelled, version)
-        if isinstance(update, result.Failure):
-            return _describe_table_error(update.failure())
-        return Reply(200, describe_job(cancelled))
+        return Reply(200, describe_job(reply.unwrap()))
 
     def _show_config(self, body: bytes) -> Reply:
         del body
@@ -274,6 +260,22 @@
     }
 
 
+def _describe_job_error(error: errors.PersimmonError) -> Reply:
+    if isinstance(error, errors.UnplaceableError):
+        return Reply(
+            400,
+            {
+                "error": "unplaceable",
+                "field": "resources",
+                "message": str(error),
+                "allowed": "what a worker of the inventory can carry",
+            },
+        )
+    if isinstance(error, errors.QuotaExceededError):
+        return Reply(409, {"error": "quota_exceeded", "message": str(error)})
+    return _describe_table_error(error)
+
+
 def _describe_table_error(error: errors.TableError) -> Reply:
     if isinstance(error, errors.TableConflictError):
         return Reply(409, {"error": "conflict", "message": str(error)})
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -72,5 +72,5 @@
         shard = identifiers.ShardId(request.zone, request.shard)
         owned = self._entry.find_owned(shard)
         if owned is not None:
-            owned.runner.poll()
+            owned.runner.notify()
         return peers_pb2.NotifyJobReply()
