--- a/packages/persimmonpath/persimmonpath/placement.py
+++ b/packages/persimmonpath/persimmonpath/placement.py
@@ -82,6 +82,11 @@
         self.set_open(worker.name, False)
         self._loads[worker.name] = fits.create_load(worker)
 
+    def remove_worker(self, name: str) -> None:
+        """Forgets a worker; does nothing when it is not known."""
+        self.set_open(name, False)
+        self._loads.pop(name, None)
+
     def set_open(self, name: str, is_open: bool) -> None:
         """Opens or closes a worker to new work."""
         load = self._loads.get(name)
--- a/packages/persimmonpath/persimmonpath/runner.py
+++ b/packages/persimmonpath/persimmonpath/runner.py
@@ -104,7 +104,7 @@
 
     def drive(self) -> None:
         """Starts whatever fits now and stops what must end."""
-        if self._book.is_loaded and not self._fleet.is_fenced():
+        if self._book.is_loaded and not self._fleet.is_stopped():
             self._starter.drive()
             self._controls.drive()
 
@@ -155,7 +155,7 @@
                 if entry.is_cancelling:
                     self._cancel(entry)
         for name in overflowed:
-            self._fleet.fence(name)
+            self._fleet.relist(name)
         logging.info(
             "event=jobs_loaded shard=%s jobs=%d",
             self._shard,
--- a/packages/persimmonpath/persimmonpath/starter.py
+++ b/packages/persimmonpath/persimmonpath/starter.py
@@ -122,7 +122,7 @@
             return False
         # An earlier owner may have started tasks on a worker that is not
         # listed yet; nobody else can have started those of a new job.
-        return not entry.is_inherited or self._fleet.is_fully_listed()
+        return not entry.is_inherited or not self._fleet.may_run_unlisted()
 
     def _reserve_job(self, entry: progress.Entry) -> None:
         if policies.starts_together(entry.job):
