--- a/packages/persimmonpath/persimmonpath/attempts.py
+++ b/packages/persimmonpath/persimmonpath/attempts.py
@@ -1,152 +1,207 @@
-"""Follows the attempts of a shard's tasks by what workers tell of them."""
+"""Attempts of requests at workers: start, answer, close."""
 
+from collections.abc import Callable
+from concurrent import futures
 import dataclasses
+import hashlib
 
-from absl import logging
+from returns import result
 
-from persimmonpath import book as book_module
-from persimmonpath import controls
+from persimmonpath import errors
+from persimmonpath import fleet
 from persimmonpath import identifiers
-from persimmonpath import jobs
-from persimmonpath import policies
-from persimmonpath import progress
-from persimmonpath import starter
+from persimmonpath import outcomes
+from persimmonpath import retries
 from persimmonpath import timers
+from persimmonpath import wire
+from persimmonpath import work
 from persimmonpath import workers
 
-# Pause after the first failure of a task; doubled by each further one.
-FAILURE_PAUSE_S = 0.5
-MAX_FAILURE_PAUSE_S = 60.0
+START_WITHIN_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+# Interval of further questions once the caller has been answered `unknown`.
+LATE_CLOSE_PERIOD_S = 5.0
 
+# Refusals after which the attempt certainly did not start. A repeated id means
+# that an attempt of that name exists, so only its record tells.
+_NOT_STARTED = frozenset(workers.Refusal) - {workers.Refusal.REPEATED}
 
-class AttemptTracker:
-    """Adopts attempts that run and concludes those that have ended."""
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request.
+
+    Attributes:
+        id: Attempt id, `ID#N`.
+        worker: Name of the worker.
+        started: When it was sent, in monotonic seconds.
+        closes: Number of questions whether it started.
+        is_closing: Whether a question is in flight or due.
+        is_ended: Whether nothing of it is awaited any more.
+        straggle: Timer that tells that it overran.
+    """
+
+    id: str
+    worker: str
+    started: float
+    closes: int = 0
+    is_closing: bool = False
+    is_ended: bool = False
+    straggle: timers.Subscription | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended.
+
+    Attributes:
+        cause: What is certain of it.
+        reason: In a word, for the outcome.
+        record: The worker's record, if there is one.
+    """
+
+    cause: retries.Cause
+    reason: str
+    record: workers.AttemptRecord | None = None
+
+
+def compute_digest(request: work.Request) -> str:
+    """Returns a digest of what a request asks for."""
+    content = dataclasses.replace(
+        request, payload=b"", timeout_s=0.0, trace="", is_vouched=False
+    )
+    digest = hashlib.blake2b(wire.encode(content), digest_size=16)
+    digest.update(request.payload)
+    return digest.hexdigest()
+
+
+def read_record(record: workers.AttemptRecord, worker: str) -> outcomes.Outcome:
+    """Returns the outcome that the record of an ended attempt stands for."""
+    if record.state is workers.AttemptState.CLOSED:
+        return outcomes.NotRun("not_started")
+    if record.state is not workers.AttemptState.SUCCEEDED:
+        return outcomes.Failed(record.reason or record.state.value, worker)
+    if len(record.answer) > work.MAX_ANSWER_BYTES:
+        return outcomes.Failed("answer_too_large", worker)
+    return outcomes.Done(record.answer, worker)
+
+
+def judge_record(record: workers.AttemptRecord) -> Ending | None:
+    """Returns how an attempt ended, None while it runs."""
+    if record.state is workers.AttemptState.RUNNING:
+        return None
+    if record.state is workers.AttemptState.CLOSED:
+        return Ending(retries.Cause.NOT_STARTED, "not_started", record)
+    reason = record.reason or record.state.value
+    return Ending(retries.Cause.FAILED, reason, record)
+
+
+def judge_start_error(error: errors.WorkerError) -> Ending | None:
+    """Returns how a start ended that got no record, None when uncertain."""
+    if isinstance(error, errors.WorkerNotContactedError):
+        return Ending(retries.Cause.NOT_STARTED, "worker_unreachable")
+    if not isinstance(error, errors.StartRefusedError):
+        return None
+    if error.reason in _NOT_STARTED:
+        return Ending(retries.Cause.NOT_STARTED, str(error.reason))
+    return None
+
+
+def create_start(
+    attempt: str, epoch: int, digest: str, request: work.Request
+) -> workers.StartTask:
+    """Returns the message that starts an attempt of a request."""
+    return workers.StartTask(
+        attempt=attempt,
+        epoch=epoch,
+        start_within_s=min(START_WITHIN_S, request.timeout_s),
+        size=request.size,
+        payload=request.payload,
+        digest=digest,
+        kind=request.kind,
+        trace=request.trace,
+    )
+
+
+def parse_attempt(
+    attempt: str,
+) -> tuple[identifiers.RequestId, int] | None:
+    """Returns the request id and number of an attempt, None for a task's."""
+    task_id, number = identifiers.split_attempt(attempt)
+    if not identifiers.is_request_id(task_id):
+        return None
+    return identifiers.parse_request_id(task_id), number
+
+
+class Closer:
+    """Asks a worker about a silent attempt until its fate is certain."""
 
     def __init__(
         self,
-        book: book_module.JobBook,
-        attempt_controls: controls.AttemptControls,
-        task_starter: starter.TaskStarter,
-        timer_service: timers.TimerService,
+        shard_fleet: fleet.Fleet,
+        on_end: Callable[[Attempt, Ending], None],
+        on_fenced: Callable[[Attempt], None],
     ):
-        """Creates a tracker.
+        """Creates a closer.
 
         Args:
-            book: Jobs of the shard.
-            attempt_controls: Stops attempts that must not run.
-            task_starter: Starts tasks again.
-            timer_service: Source of time.
+            shard_fleet: Workers of the shard.
+            on_end: Called when an attempt has certainly ended.
+            on_fenced: Called when a worker has another owner.
         """
-        self._book = book
-        self._controls = attempt_controls
-        self._starter = task_starter
-        self._timers = timer_service
-
-    def take_record(self, name: str, record: workers.AttemptRecord) -> None:
-        """Takes in what a worker tells of an attempt; needs the lock."""
-        task_id, number = identifiers.split_attempt(record.attempt)
-        job_id, _, index_text = task_id.partition("/")
-        if not index_text:
-            return
-        if not self._book.is_loaded:
-            self._book.keep_early(name, record)
-            return
-        is_running = record.state is workers.AttemptState.RUNNING
-        if not is_running:
-            self._controls.forget(record.attempt)
-        entry = self._book.entries.get(job_id)
-        if entry is None or int(index_text) >= len(entry.tasks):
-            if is_running:
-                self._controls.stop(name, record.attempt)
-            return
-        index = int(index_text)
-        if is_running:
-            self._adopt(entry, index, name, number, record)
-        else:
-            self._conclude(entry, index, number, record)
-        self._book.update(entry)
+        self._fleet = shard_fleet
+        self._on_end = on_end
+        self._on_fenced = on_fenced
 
-    def _adopt(
-        self,
-        entry: progress.Entry,
-        index: int,
-        name: str,
-        number: int,
-        record: workers.AttemptRecord,
+    def close(self, attempt: Attempt, is_late: Callable[[], bool]) -> None:
+        """Prevents the start if it has not happened, else awaits the end.
+
+        Args:
+            attempt: The attempt.
+            is_late: Tells whether no caller waits any more.
+        """
+        repeats = not attempt.is_closing
+        attempt.is_closing = True
+        self._ask(attempt, is_late, repeats)
+
+    def _ask(
+        self, attempt: Attempt, is_late: Callable[[], bool], repeats: bool
     ) -> None:
-        task = entry.tasks[index]
-        state = entry.record.tasks[index].state
-        is_unwanted = number < task.number or (
-            task.worker and number != task.number
-        )
-        if is_unwanted or state in jobs.FINAL_TASK_STATES:
-            logging.warning("event=attempt_unwanted attempt=%s", record.attempt)
-            self._controls.stop(name, record.attempt)
+        if attempt.is_ended:
             return
-        task.number = number
-        self._book.hold(entry, index, name, progress.Phase.RUNNING)
-        entry.set_progress(
-            index,
-            dataclasses.replace(
-                entry.record.tasks[index],
-                state=jobs.TaskState.RUNNING,
-                worker=name,
-            ),
+        attempt.closes += 1
+        future = self._fleet.get_client(attempt.worker).close(
+            attempt.id, self._fleet.epoch, CLOSE_TIMEOUT_S
+        )
+        future.add_done_callback(
+            lambda f: self._take(attempt, is_late, repeats, f)
         )
-        if entry.is_cancelling:
-            self._controls.stop(name, record.attempt)
 
-    def _conclude(
+    def _take(
         self,
-        entry: progress.Entry,
-        index: int,
-        number: int,
-        record: workers.AttemptRecord,
+        attempt: Attempt,
+        is_late: Callable[[], bool],
+        repeats: bool,
+        future: futures.Future,
     ) -> None:
-        task = entry.tasks[index]
-        committed = entry.record.tasks[index]
-        is_final = committed.state in jobs.FINAL_TASK_STATES
-        is_current = number == task.number
-        if number <= committed.last_attempt or is_final:
-            if is_current and task.worker:
-                self._book.free(entry, index)
+        reply = future.result()
+        if isinstance(reply, result.Failure):
+            if isinstance(reply.failure(), errors.StaleEpochError):
+                self._on_fenced(attempt)
+                return
+            ending = None
+            if self._fleet.has_lapsed(attempt.worker):
+                ending = Ending(retries.Cause.ENDED, "worker_lost")
+        else:
+            ending = judge_record(reply.unwrap())
+        if ending is not None:
+            self._on_end(attempt, ending)
             return
-        if not is_current and task.worker:
-            # An earlier attempt; only that it finished the task matters.
-            if record.state is workers.AttemptState.SUCCEEDED:
-                entry.set_progress(
-                    index, progress.judge(entry, index, number, record)
-                )
-                self._stop_if_done(entry, index)
+        if not repeats:
             return
-        name, was_preempted = task.worker, task.is_preempted
-        task.number = max(task.number, number)
-        entry.set_progress(index, progress.judge(entry, index, number, record))
-        self._book.free(entry, index)
-        if record.state is workers.AttemptState.FAILED:
-            self._note_failure(entry, index, name)
-        is_waiting = entry.record.tasks[index].state is jobs.TaskState.WAITING
-        if is_waiting and policies.starts_together(entry.job):
-            self._starter.stop_gang(entry)
-        if was_preempted:
-            self._starter.reserve_urgent()
-
-    def _stop_if_done(self, entry: progress.Entry, index: int) -> None:
-        task = entry.tasks[index]
-        state = entry.record.tasks[index].state
-        if state is jobs.TaskState.DONE and task.worker:
-            self._controls.stop(task.worker, entry.format_attempt(index))
-
-    def _note_failure(
-        self, entry: progress.Entry, index: int, name: str
-    ) -> None:
-        task = entry.tasks[index]
-        if name and name not in task.failed_on:
-            task.failed_on = (name, *task.failed_on)[
-                : progress.MAX_AVOIDED_WORKERS
-            ]
-        attempts = entry.record.tasks[index].attempts
-        pause_s = min(
-            FAILURE_PAUSE_S * 2 ** min(attempts - 1, 10), MAX_FAILURE_PAUSE_S
+        delay_s = retries.compute_delay(attempt.closes)
+        if is_late():
+            delay_s = LATE_CLOSE_PERIOD_S
+        self._fleet.timers.call_later(
+            delay_s, lambda: self._ask(attempt, is_late, True)
         )
-        entry.retry_at = self._timers.now() + pause_s
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -1,6 +1,7 @@
 """The workers of one shard as their owner holds them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 
 from absl import logging
@@ -191,13 +192,15 @@
         self,
         attempt: str,
         size: resources.Resources,
+        excluded: Collection[str] = (),
         need: placement.Need = placement.ANY,
     ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
         Args:
-            attempt: Attempt id.
-            size: What it is placed with.
+            attempt: The attempt.
+            size: What it needs.
+            excluded: Workers not to choose.
             need: What it asks of the worker besides resources.
 
         Returns:
@@ -205,6 +208,9 @@
         """
         if self._is_stopped:
             return None
+        if excluded:
+            avoided = need.avoided.union(excluded)
+            need = dataclasses.replace(need, avoided=avoided)
         name = self._held.placement.choose(size, need)
         if name is not None:
             self._held.placement.reserve(name, attempt, size)
@@ -216,6 +222,15 @@
         """Gives back a reservation, once the attempt certainly does not run."""
         self._held.release(name, attempt)
 
+    def has_lapsed(self, name: str) -> bool:
+        """Returns whether a worker has certainly stopped what it ran."""
+        hold = self._held.find(name)
+        return hold is None or hold.is_lost or hold.lease.has_lapsed()
+
+    def list_workers(self) -> list[inventory.Worker]:
+        """Returns the workers of the shard that are in the inventory."""
+        return [hold.worker for hold in self._held.list_current()]
+
     def count_workers(self) -> int:
         """Returns the workers of the shard that are in the inventory."""
         return len(self._held.list_current())
--- a/packages/persimmonpath/persimmonpath/runner.py
+++ b/packages/persimmonpath/persimmonpath/runner.py
@@ -6,7 +6,6 @@
 from absl import logging
 from returns import result
 
-from persimmonpath import attempts
 from persimmonpath import book as book_module
 from persimmonpath import controls
 from persimmonpath import errors
@@ -16,6 +15,7 @@
 from persimmonpath import progress
 from persimmonpath import rules
 from persimmonpath import starter
+from persimmonpath import taskrecords
 from persimmonpath import workers
 
 # Time between scans of all unfinished jobs, which find what a lost notice and
@@ -61,7 +61,7 @@
         self._starter = starter.TaskStarter(
             self._book, shard_fleet, self._controls, policy or rules.Policy()
         )
-        self._tracker = attempts.AttemptTracker(
+        self._tracker = taskrecords.AttemptTracker(
             self._book, self._controls, self._starter, self._timers
         )
         self._polling = threading.Lock()
--- a/packages/persimmonpath/persimmonpath/starter.py
+++ b/packages/persimmonpath/persimmonpath/starter.py
@@ -172,7 +172,7 @@
         number = entry.get_next_number(index, self._fleet.epoch)
         attempt = identifiers.format_attempt(f"{entry.id}/{index}", number)
         name = self._fleet.reserve(
-            attempt, entry.job.size, self._create_need(entry, index)
+            attempt, entry.job.size, need=self._create_need(entry, index)
         )
         if name is None:
             return False
