Test gangs and preemption, stop attempts whose record was missing

A stop order that fell back to a tombstone was dropped when the worker then reported the attempt as running; found by the preemption tests. It now goes on to stop it.

--- a/packages/persimmonpath/persimmonpath/controls.py
+++ b/packages/persimmonpath/persimmonpath/controls.py
@@ -141,9 +141,13 @@
         order.due = self._fleet.timers.now() + RETRY_S
         if isinstance(reply, result.Success):
             is_ended = reply.unwrap().state in workers.FINAL_STATES
-            if order.is_closing or is_ended:
+            if is_ended or not order.actions:
                 return False
-            if len(order.actions) > 1:
+            if order.is_closing:
+                # It runs after all, so it can be stopped.
+                order.is_closing = False
+                order.due = float("-inf")
+            elif len(order.actions) > 1:
                 del order.actions[0]
                 order.due = float("-inf")
             return True
