Quarantine workers that fail everything they start

Counts consecutive failures over at least two kinds of work, rests a worker, and lets it return after probes that run one at a time; never more than quarantine_share of the workers of a shard.

--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -10,6 +10,7 @@
 from persimmonpath import inventory
 from persimmonpath import leases
 from persimmonpath import placement
+from persimmonpath import quarantine
 from persimmonpath import renewals
 from persimmonpath import resources
 from persimmonpath import rules
@@ -79,6 +80,8 @@
         self._drained: set[str] = set()
         self._is_fenced = False
         self._is_stopped = False
+        self._quarantine = quarantine.Quarantine(timer_service)
+        self._held.subscribe(self._observe, lambda: None)
         self._fenced_listeners: list[Callable[[], None]] = []
 
     def subscribe(
@@ -158,6 +161,7 @@
                 self._held.remove(name)
                 hold.client.disconnect()
                 logging.info("event=worker_drained worker=%s", name)
+        self._apply_quarantine()
 
     def relist(self, name: str) -> None:
         """Has a worker report every attempt again."""
@@ -187,6 +191,7 @@
         """Makes later reservations follow the operator's rules."""
         with self.lock:
             self._held.placement.apply_rules(cell_rules.placement)
+            self._quarantine.policy = cell_rules.policy
 
     def reserve(
         self,
@@ -215,7 +220,10 @@
         if name is not None:
             self._held.placement.reserve(name, attempt, size)
             self._held.placement.ensure_capacity(name)
-            self._held.find(name).attempts[attempt] = holds.Attempt(size)
+            hold = self._held.find(name)
+            hold.attempts[attempt] = holds.Attempt(size)
+            self._quarantine.note_start(name)
+            self._update_quarantined(hold)
         return name
 
     def release(self, name: str, attempt: str) -> None:
@@ -307,3 +315,42 @@
     def notify(self) -> None:
         """Tells every listener that capacity may have come free."""
         self._held.notify()
+
+    def list_quarantined(self) -> list[str]:
+        """Returns the workers in quarantine, those being probed included."""
+        with self.lock:
+            return [
+                hold.worker.name
+                for hold in self._held.list_all()
+                if self._quarantine.is_quarantined(hold.worker.name)
+            ]
+
+    def _observe(self, name: str, record: workers.AttemptRecord) -> None:
+        succeeded = record.state is workers.AttemptState.SUCCEEDED
+        if not succeeded and record.state is not workers.AttemptState.FAILED:
+            return
+        was_quarantined = self._quarantine.is_quarantined(name)
+        self._quarantine.observe(
+            name, record.attempt, record.kind, succeeded, self.count_workers()
+        )
+        is_quarantined = self._quarantine.is_quarantined(name)
+        if was_quarantined != is_quarantined:
+            logging.warning(
+                "event=worker_quarantine worker=%s on=%s", name, is_quarantined
+            )
+        hold = self._held.find(name)
+        if hold is not None:
+            self._update_quarantined(hold)
+
+    def _apply_quarantine(self) -> None:
+        with self.lock:
+            held = self._held.list_all()
+            self._quarantine.forget({hold.worker.name for hold in held})
+            for hold in held:
+                self._update_quarantined(hold)
+
+    def _update_quarantined(self, hold: holds.Hold) -> None:
+        is_closed = self._quarantine.is_closed(hold.worker.name)
+        if hold.is_quarantined != is_closed:
+            hold.is_quarantined = is_closed
+            self._held.update_open(hold)
--- a/packages/persimmonpath/persimmonpath/holds.py
+++ b/packages/persimmonpath/persimmonpath/holds.py
@@ -53,6 +53,7 @@
         is_draining: Whether the operator asked for no new work.
         is_listed_leaving: Whether the platform's list shows it as leaving.
         refuses_work: Whether it says itself that it is leaving.
+        is_quarantined: Whether it rests after failing everything it started.
         is_removed: Whether the inventory no longer has it.
         is_called: Whether a fence or renewal is in progress.
         period_s: Seconds between the last renewals.
@@ -72,6 +73,7 @@
     is_draining: bool = False
     is_listed_leaving: bool = False
     refuses_work: bool = False
+    is_quarantined: bool = False
     is_removed: bool = False
     is_called: bool = False
     period_s: float = 5.0
@@ -87,6 +89,7 @@
             self.is_draining
             or self.is_listed_leaving
             or self.refuses_work
+            or self.is_quarantined
             or self.is_removed
         )
         return self.is_fenced and not self.is_lost and not is_closed
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/quarantine.py
@@ -0,0 +1,127 @@
+"""Keeps work away from workers that fail everything they start."""
+
+import dataclasses
+
+import cachetools
+
+from persimmonpath import rules
+from persimmonpath import timers
+
+# Time without work before the first probe; doubled after each failed one.
+REST_S = 30.0
+MAX_REST_S = 900.0
+# Tasks that must succeed, one at a time, before a worker is trusted again.
+PROBES = 3
+MAX_REMEMBERED_ATTEMPTS = 8192
+
+
+@dataclasses.dataclass(slots=True)
+class _Health:
+    failures: int = 0
+    kinds: set[str] = dataclasses.field(default_factory=set)
+    is_quarantined: bool = False
+    is_probing: bool = False
+    successes: int = 0
+    rest_s: float = REST_S
+    closed_until: float = 0.0
+
+
+class Quarantine:
+    """Judges workers by the ends of the attempts they ran.
+
+    A worker is quarantined after `quarantine_failures` failures in a row over
+    at least two kinds of work; failures of one kind may be the work's fault.
+    After a rest it gets one task at a time as a probe.
+    """
+
+    def __init__(self, timer_service: timers.TimerService):
+        """Creates a quarantine without workers."""
+        self.policy = rules.Policy()
+        self._timers = timer_service
+        # One for each worker that has failed lately.
+        self._health: dict[str, _Health] = {}
+        # Listings repeat records that were counted before.
+        self._counted: cachetools.LRUCache = cachetools.LRUCache(
+            MAX_REMEMBERED_ATTEMPTS
+        )
+
+    def observe(
+        self, name: str, attempt: str, kind: str, succeeded: bool, total: int
+    ) -> None:
+        """Takes in the end of an attempt.
+
+        Args:
+            name: The worker.
+            attempt: The attempt; a repeated one is ignored.
+            kind: Kind of work.
+            succeeded: Whether it succeeded.
+            total: Workers of the shard, for the share in quarantine.
+        """
+        if attempt in self._counted:
+            return
+        self._counted[attempt] = True
+        if succeeded:
+            self._take_success(name)
+        else:
+            self._take_failure(name, kind, total)
+
+    def note_start(self, name: str) -> None:
+        """Notes that a worker was chosen; a probe runs alone."""
+        health = self._health.get(name)
+        if health is not None and health.is_quarantined:
+            health.is_probing = True
+            # A probe that neither ends well nor fails is followed by another.
+            health.closed_until = self._timers.now() + health.rest_s
+
+    def is_closed(self, name: str) -> bool:
+        """Returns whether a worker must get no work now."""
+        health = self._health.get(name)
+        if health is None or not health.is_quarantined:
+            return False
+        return self._timers.now() < health.closed_until
+
+    def is_quarantined(self, name: str) -> bool:
+        """Returns whether a worker is in quarantine, probed or not."""
+        health = self._health.get(name)
+        return health is not None and health.is_quarantined
+
+    def forget(self, names: set[str]) -> None:
+        """Keeps only the health of the workers named."""
+        for name in self._health.keys() - names:
+            del self._health[name]
+
+    def _take_success(self, name: str) -> None:
+        health = self._health.get(name)
+        if health is None:
+            return
+        if not health.is_quarantined:
+            del self._health[name]
+            return
+        if health.is_probing:
+            health.is_probing = False
+            health.successes += 1
+            health.closed_until = self._timers.now()
+        if health.successes >= PROBES:
+            del self._health[name]
+
+    def _take_failure(self, name: str, kind: str, total: int) -> None:
+        health = self._health.setdefault(name, _Health())
+        health.failures += 1
+        if len(health.kinds) < 2:
+            health.kinds.add(kind)
+        now = self._timers.now()
+        if health.is_quarantined:
+            if health.is_probing:
+                health.is_probing = False
+                health.successes = 0
+                health.rest_s = min(2 * health.rest_s, MAX_REST_S)
+                health.closed_until = now + health.rest_s
+            return
+        is_bad = (
+            health.failures >= self.policy.quarantine_failures
+            and len(health.kinds) >= 2
+        )
+        held = sum(h.is_quarantined for h in self._health.values())
+        if is_bad and held + 1 <= int(self.policy.quarantine_share * total):
+            health.is_quarantined = True
+            health.closed_until = now + health.rest_s
