--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -251,6 +251,22 @@
         """Returns a worker as the inventory describes it."""
         return self._held.placement.get_worker(name)
 
+    def explain_unfit(
+        self, size: resources.Resources, kind: str, team: str
+    ) -> str:
+        """Returns why no worker can ever run a task, empty if one can."""
+        with self.lock:
+            fitting = [
+                worker.name
+                for worker in self.list_workers()
+                if size.fits_in(worker.capacity)
+            ]
+            if not fitting:
+                return f"fits_no_worker: no worker is as large as {size}"
+            if any(self.allows(name, kind, team) for name in fitting):
+                return ""
+            return "fits_no_worker: the rules allow no worker of this size"
+
     def find_rack(self, name: str) -> str:
         """Returns the rack of a worker, empty for one that is gone."""
         return self._held.placement.find_rack(name)
--- a/packages/persimmonpath/persimmonpath/progress.py
+++ b/packages/persimmonpath/persimmonpath/progress.py
@@ -114,6 +114,12 @@
             self.record = dataclasses.replace(self.record, state=state)
             self.is_changed = True
 
+    def set_reason(self, reason: str) -> None:
+        """Notes why no task can run, to be committed."""
+        if self.record.reason != reason:
+            self.record = dataclasses.replace(self.record, reason=reason)
+            self.is_changed = True
+
     def set_idle(self, index: int) -> None:
         """Notes that a task has no attempt; it waits unless it is final."""
         task = self.tasks[index]
--- a/packages/persimmonpath/persimmonpath/runner.py
+++ b/packages/persimmonpath/persimmonpath/runner.py
@@ -95,6 +95,7 @@
             now = self._timers.now()
             if now >= self._scanned_at + SCAN_PERIOD_S and self._scan_queue():
                 self._scanned_at = now
+                self.review_fits()
             if self._book.is_loaded:
                 self._scan_inbox()
                 self._commit_changes()
@@ -108,6 +109,16 @@
             self._starter.drive()
             self._controls.drive()
 
+    def review_fits(self) -> None:
+        """Notes on each waiting job whether any worker can ever run it."""
+        with self._fleet.lock:
+            for entry in list(self._book.waiting.values()):
+                job = entry.job
+                entry.set_reason(
+                    self._fleet.explain_unfit(job.size, job.kind, job.team)
+                )
+                self._book.update(entry)
+
     def count_unfinished(self) -> int:
         """Returns the jobs of the shard that have not ended."""
         return len(self._book.entries)
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -186,6 +186,28 @@
         self.assertEqual(self.cell.read("s").state, jobs.JobState.ACCEPTED)
 
 
+class UnplaceableTest(unittest.TestCase):
+    def test_job_tells_when_an_inventory_change_leaves_no_worker_for_it(self):
+        cell = jobcells.JobCell(workers=1)
+        cell.add_worker("large", cpu_millis=64_000)
+        cell.take_over()
+        cell.plans["k"] = memoryworkers.Plan(1.0, True)
+        cell.clients["large"].worker.leaving = True
+        cell.submit("a", size=resources.Resources(40_000, 1024))
+        cell.advance(2)
+        self.assertEqual(cell.read("a").reason, "")
+        large = cell.listed.pop()
+        for listed, expected in ((1, "fits_no_worker"), (2, "")):
+            cell.fleet.apply_workers(
+                cell.listed, lambda worker: cell.clients[worker.name]
+            )
+            cell.runner.review_fits()
+            cell.advance(2)
+            self.assertTrue(cell.read("a").reason.startswith(expected))
+            self.assertEqual(len(cell.listed), listed)
+            cell.listed.append(large)
+
+
 class CancellationTest(unittest.TestCase):
     def setUp(self):
         self.cell = jobcells.JobCell(workers=1)
