--- a/packages/persimmonpath/persimmonpath/holdings.py
+++ b/packages/persimmonpath/persimmonpath/holdings.py
@@ -219,6 +219,11 @@
         for owned in self.list_placing():
             owned.runner.poll()
 
+    def poll_notified(self) -> None:
+        """Takes in jobs of which there was a notice."""
+        for owned in self.list_placing():
+            owned.runner.poll_if_notified()
+
     def set_leaving(self, names: frozenset[str]) -> None:
         """Takes in which VMs the platform lists as leaving."""
         for claim in [*self._owned.values(), *self._claims.values()]:
@@ -261,6 +266,7 @@
     def _apply_workers(self, claim: _Claim) -> None:
         config = self._parts.applied.config
         shard = claim.owned.id
+        claim.owned.apply_rules(config.rules)
         claim.owned.apply_workers(
             config.inventory.list_workers(shard),
             self._parts.create_client,
--- a/packages/persimmonpath/persimmonpath/shards.py
+++ b/packages/persimmonpath/persimmonpath/shards.py
@@ -33,6 +33,12 @@
     ) -> None:
         """Makes the fleet match the inventory."""
         self.fleet.apply_workers(listed, create_client, retired)
+        self.runner.review_fits()
+
+    def apply_rules(self, cell_rules: rules.Rules) -> None:
+        """Puts the operator's rules in force."""
+        self.fleet.apply_rules(cell_rules)
+        self.runner.apply_policy(cell_rules.policy)
 
 
 def create_owned_shard(
@@ -60,5 +66,5 @@
         shard,
         shard_fleet,
         dispatch.Dispatcher(shard, shard_fleet, policy),
-        runner.JobRunner(shard, shard_fleet, store),
+        runner.JobRunner(shard, shard_fleet, store, policy),
     )
