--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -320,7 +320,7 @@
                 "workers": [
                     {
                         "name": name,
-                        "zone": zones[0],
+                        "zone": _find_zone(zones, name),
                         "rack": "rack-0",
                         "host": "127.0.0.1",
                         "port": 1,
@@ -411,6 +411,11 @@
         future.set_result(value)
 
 
+def _find_zone(zones, name):
+    """Returns the zone that a worker's name begins with, else the first."""
+    return next((z for z in zones if name.startswith(z)), zones[0])
+
+
 def _wrap(value):
     return value if isinstance(value, result.Result) else result.Success(value)
 
