--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -1,6 +1,7 @@
 """The workers of one shard as their owner holds them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 
 from absl import logging
@@ -174,15 +175,25 @@
         hold = self._held.find(name)
         return hold.client if hold else tracking.AbsentWorker(name)
 
-    def reserve(self, attempt: str, size: resources.Resources) -> str | None:
+    def reserve(
+        self,
+        attempt: str,
+        size: resources.Resources,
+        excluded: Collection[str] = (),
+    ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
+        Args:
+            attempt: The attempt.
+            size: What it needs.
+            excluded: Workers not to choose.
+
         Returns:
             Name of the worker, or None when no worker has room now.
         """
         if self._is_stopped:
             return None
-        name = self._held.placement.choose(size)
+        name = self._held.placement.choose(size, excluded)
         if name is not None:
             self._held.placement.reserve(name, attempt, size)
             self._held.placement.ensure_capacity(name)
@@ -193,6 +204,15 @@
         """Gives back a reservation, once the attempt certainly does not run."""
         self._held.release(name, attempt)
 
+    def has_lapsed(self, name: str) -> bool:
+        """Returns whether a worker has certainly stopped what it ran."""
+        hold = self._held.find(name)
+        return hold is None or hold.is_lost or hold.lease.has_lapsed()
+
+    def list_workers(self) -> list[inventory.Worker]:
+        """Returns the workers of the shard that are in the inventory."""
+        return [hold.worker for hold in self._held.list_current()]
+
     def count_workers(self) -> int:
         """Returns the workers of the shard that are in the inventory."""
         return len(self._held.list_current())
--- a/packages/persimmonpath/persimmonpath/forwarding.py
+++ b/packages/persimmonpath/persimmonpath/forwarding.py
@@ -4,12 +4,12 @@
 
 from returns import result
 
-from persimmonpath import dispatch
 from persimmonpath import errors
 from persimmonpath import identifiers
 from persimmonpath import outcomes
 from persimmonpath import peers
 from persimmonpath import shards
+from persimmonpath import withdrawals
 
 AddressFinder = Callable[[identifiers.ShardId], str | None]
 ShardFinder = Callable[[identifiers.ShardId], shards.OwnedShard | None]
@@ -47,17 +47,17 @@
             else:
                 self._send(address, withdrawn)
 
-    def _send(self, address: str, withdrawn: dispatch.Withdrawn) -> None:
+    def _send(self, address: str, withdrawn: withdrawals.Withdrawn) -> None:
         call = self._peers.run(address, withdrawn.id, withdrawn.request)
         call.add_done_callback(lambda f: _conclude(withdrawn, f.result()))
 
 
-def _submit(owned: shards.OwnedShard, withdrawn: dispatch.Withdrawn) -> None:
+def _submit(owned: shards.OwnedShard, withdrawn: withdrawals.Withdrawn) -> None:
     call = owned.dispatcher.submit(withdrawn.id, withdrawn.request)
-    call.add_done_callback(lambda f: withdrawn.finish(f.result()))
+    call.add_done_callback(lambda f: _conclude(withdrawn, f.result()))
 
 
-def _conclude(withdrawn: dispatch.Withdrawn, reply: result.Result) -> None:
+def _conclude(withdrawn: withdrawals.Withdrawn, reply: result.Result) -> None:
     """Takes the next owner's answer; without one the request is unknown.
 
     A callee that does not own the shard yet is asked again until the request's
@@ -67,7 +67,11 @@
         withdrawn.finish(reply.unwrap())
         return
     error = reply.failure()
-    if isinstance(error, errors.NotOwnerError) or not error.sent:
+    if isinstance(error, errors.NotOwnerError):
+        is_unsent = not error.has_run
+    else:
+        is_unsent = isinstance(error, errors.PeerError) and not error.sent
+    if is_unsent:
         withdrawn.put_back()
     else:
         withdrawn.finish(outcomes.Unknown("ownership_moved"))
