--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/metrics.py
@@ -0,0 +1,180 @@
+"""Counters and latencies, in memory and bounded."""
+
+from collections.abc import Callable
+import threading
+
+from hdrh import histogram
+
+# A metric with more label combinations than this counts the rest as `other`,
+# so that names from callers cannot fill the memory.
+MAX_SERIES = 64
+OTHER = "other"
+
+MICROSECONDS = 1_000_000
+MAX_LATENCY_US = 3600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+Labels = tuple[str, ...]
+
+
+class _Metric:
+    """Series of one metric by the values of its labels."""
+
+    def __init__(self, name: str, text: str, labels: Labels):
+        self.name = name
+        self.text = text
+        self.labels = labels
+        self._lock = threading.Lock()
+
+    def _bound(self, series: dict, values: Labels) -> Labels:
+        if len(values) != len(self.labels):
+            raise ValueError(f"{self.name} has the labels {self.labels}")
+        if values in series or len(series) < MAX_SERIES - 1:
+            return values
+        return (OTHER,) * len(values)
+
+    def _format_labels(self, values: Labels, *more: tuple[str, str]) -> str:
+        pairs = [*zip(self.labels, values, strict=True), *more]
+        if not pairs:
+            return ""
+        text = ",".join(f'{name}="{_escape(value)}"' for name, value in pairs)
+        return "{" + text + "}"
+
+
+class Counter(_Metric):
+    """A number that only grows, for each combination of labels."""
+
+    def __init__(self, name: str, text: str, labels: Labels):
+        """Creates a counter without series."""
+        super().__init__(name, text, labels)
+        self._series: dict[Labels, int] = {}
+
+    def increment(self, *values: str, by: int = 1) -> None:
+        """Adds to the series with these label values."""
+        with self._lock:
+            key = self._bound(self._series, values)
+            self._series[key] = self._series.get(key, 0) + by
+
+    def read(self, *values: str) -> int:
+        """Returns the value of a series, 0 when it has none."""
+        with self._lock:
+            return self._series.get(values, 0)
+
+    def format_lines(self) -> list[str]:
+        """Returns the lines of this metric."""
+        with self._lock:
+            series = sorted(self._series.items())
+        return [
+            f"{self.name}{self._format_labels(values)} {value}"
+            for values, value in series
+        ]
+
+
+class Latency(_Metric):
+    """A distribution of durations for each combination of labels."""
+
+    def __init__(self, name: str, text: str, labels: Labels):
+        """Creates a latency without series."""
+        super().__init__(name, text, labels)
+        self._series: dict[Labels, histogram.HdrHistogram] = {}
+
+    def record(self, seconds: float, *values: str) -> None:
+        """Records a duration in seconds."""
+        micros = min(max(int(seconds * MICROSECONDS), 1), MAX_LATENCY_US)
+        with self._lock:
+            key = self._bound(self._series, values)
+            if key not in self._series:
+                self._series[key] = histogram.HdrHistogram(
+                    1, MAX_LATENCY_US, SIGNIFICANT_DIGITS
+                )
+            self._series[key].record_value(micros)
+
+    def count(self, *values: str) -> int:
+        """Returns how many durations a series holds."""
+        with self._lock:
+            found = self._series.get(values)
+            return found.get_total_count() if found else 0
+
+    def format_lines(self) -> list[str]:
+        """Returns the lines of this metric, durations in seconds."""
+        lines = []
+        with self._lock:
+            for values, recorded in sorted(self._series.items()):
+                for quantile in QUANTILES:
+                    labels = self._format_labels(
+                        values, ("quantile", str(quantile))
+                    )
+                    micros = recorded.get_value_at_percentile(quantile * 100)
+                    lines.append(f"{self.name}{labels} {micros / MICROSECONDS}")
+                labels = self._format_labels(values)
+                highest = recorded.get_max_value() / MICROSECONDS
+                lines.append(f"{self.name}_max{labels} {highest}")
+                total = recorded.get_total_count()
+                lines.append(f"{self.name}_count{labels} {total}")
+        return lines
+
+
+class Gauge(_Metric):
+    """A number that is read when it is asked for."""
+
+    def __init__(self, name: str, text: str, read: Callable[[], float]):
+        """Creates a gauge over a function."""
+        super().__init__(name, text, ())
+        self._read = read
+
+    def format_lines(self) -> list[str]:
+        """Returns the line of this metric."""
+        return [f"{self.name} {self._read():.6g}"]
+
+
+class Registry:
+    """All metrics of a process."""
+
+    def __init__(self):
+        """Creates a registry without metrics."""
+        self._metrics: dict[str, Counter | Latency | Gauge] = {}
+
+    def add_counter(self, name: str, text: str, *labels: str) -> Counter:
+        """Adds a counter.
+
+        Args:
+            name: Its name, unique.
+            text: What it counts.
+            *labels: Names of its labels.
+        """
+        return self._add(Counter(name, text, labels))
+
+    def add_latency(self, name: str, text: str, *labels: str) -> Latency:
+        """Adds a distribution of durations."""
+        return self._add(Latency(name, text, labels))
+
+    def add_gauge(
+        self, name: str, text: str, read: Callable[[], float]
+    ) -> Gauge:
+        """Adds a number that `read` returns when it is asked for."""
+        return self._add(Gauge(name, text, read))
+
+    def format_text(self) -> str:
+        """Returns one line a series, after a comment line a metric."""
+        lines = []
+        for metric in self._metrics.values():
+            lines.append(f"# {metric.name}: {metric.text}")
+            lines += metric.format_lines()
+        return "\n".join(lines) + "\n"
+
+    def _add(self, metric):
+        if metric.name in self._metrics:
+            raise ValueError(f"{metric.name} exists already")
+        self._metrics[metric.name] = metric
+        return metric
+
+
+def _escape(value: str) -> str:
+    text = value.replace("\\", "\\\\").replace('"', '\\"')
+    return text.replace("\n", "\\n")
+
+
+def create_registry() -> Registry:
+    """Returns a registry without metrics."""
+    return Registry()
--- a/packages/persimmonpath/persimmonpath/rules.py
+++ b/packages/persimmonpath/persimmonpath/rules.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from persimmonpath import errors
 from persimmonpath import inventory
 
 Share = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
@@ -70,3 +71,22 @@
     placement: tuple[PlacementRule, ...] = ()
     quotas: tuple[Quota, ...] = ()
     policy: Policy = Policy()
+
+
+def ensure_known_names(rules: Rules, content: inventory.Inventory) -> None:
+    """Checks that every zone and rack of the rules is in the inventory.
+
+    Raises:
+        errors.InputError: With every unknown name and the known ones.
+    """
+    zones = {zone.name for zone in content.zones}
+    racks = {worker.rack for worker in content.workers}
+    for field, known in (("zones", zones), ("racks", racks)):
+        named = {n for rule in rules.placement for n in getattr(rule, field)}
+        unknown = sorted(named - known)
+        if unknown:
+            raise errors.InputError(
+                f"rules.placement.{field}",
+                f"unknown: {', '.join(unknown)}",
+                ", ".join(sorted(known)),
+            )
--- /dev/null
+++ b/packages/persimmonpath/persimmonpath/validation.py
@@ -0,0 +1,193 @@
+"""Faults of values from outside, each with its field and allowed range."""
+
+import dataclasses
+from typing import Any
+
+import pydantic
+
+MAX_FAULTS = 50
+
+_CODES = {
+    "json_invalid": "invalid_json",
+    "extra_forbidden": "unknown_field",
+    "missing": "missing_field",
+    "greater_than": "out_of_range",
+    "greater_than_equal": "out_of_range",
+    "less_than": "out_of_range",
+    "less_than_equal": "out_of_range",
+    "too_long": "too_large",
+    "bytes_too_long": "too_large",
+    "string_too_long": "too_large",
+    "bytes_invalid_encoding": "invalid_base64",
+    "string_pattern_mismatch": "bad_form",
+    "literal_error": "not_allowed",
+    "value_error": "inconsistent",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that is wrong with a value.
+
+    Attributes:
+        code: What kind of fault it is, for programs.
+        field: Path of the field, parts separated by dots.
+        message: What is wrong, for people.
+        allowed: Allowed range or form, in words.
+    """
+
+    code: str
+    field: str
+    message: str
+    allowed: str
+
+    def __str__(self) -> str:
+        allowed = f" (allowed: {self.allowed})" if self.allowed else ""
+        return f"{self.field}: {self.message}{allowed}"
+
+
+def list_faults(
+    error: pydantic.ValidationError,
+    model: type[pydantic.BaseModel],
+    whole: str = "body",
+) -> list[Fault]:
+    """Returns the faults that a validation found, at most `MAX_FAULTS`.
+
+    Args:
+        error: The validation error.
+        model: The model that the value was validated against.
+        whole: Name of the field for a fault of the value as a whole.
+    """
+    schema = model.model_json_schema()
+    faults = []
+    for entry in error.errors(include_url=False)[:MAX_FAULTS]:
+        path = [part for part in entry["loc"] if part != "__root__"]
+        faults.append(
+            Fault(
+                _choose_code(entry["type"]),
+                ".".join(str(part) for part in path) or whole,
+                entry["msg"],
+                _describe_allowed(schema, path, entry["type"]),
+            )
+        )
+    return faults
+
+
+def describe_faults(
+    error: pydantic.ValidationError,
+    model: type[pydantic.BaseModel],
+    whole: str = "body",
+) -> str:
+    """Returns every fault of a validation as one line."""
+    return "; ".join(str(fault) for fault in list_faults(error, model, whole))
+
+
+def describe_range(schema: dict[str, Any], root: dict[str, Any]) -> str:
+    """Returns the values that a JSON schema allows, in words.
+
+    Args:
+        schema: Schema of one field.
+        root: The whole schema, which holds the definitions.
+    """
+    schema = _resolve(schema, root)
+    if "anyOf" in schema:
+        parts = [describe_range(part, root) for part in schema["anyOf"]]
+        return " or ".join(dict.fromkeys(parts))
+    if "enum" in schema:
+        return "one of " + ", ".join(str(value) for value in schema["enum"])
+    if "const" in schema:
+        return str(schema["const"])
+    describe = _DESCRIBE.get(schema.get("type", ""), lambda _: "")
+    return describe(schema)
+
+
+def _choose_code(kind: str) -> str:
+    if kind in _CODES:
+        return _CODES[kind]
+    return "wrong_type" if kind.endswith(("_type", "_parsing")) else "bad_form"
+
+
+def _describe_allowed(schema: dict, path: list, kind: str) -> str:
+    if kind == "value_error":
+        return ""
+    if kind == "extra_forbidden":
+        path = path[:-1]
+    return describe_range(_find(schema, path), schema)
+
+
+def _resolve(schema: dict, root: dict) -> dict:
+    while "$ref" in schema:
+        name = schema["$ref"].rpartition("/")[2]
+        schema = root["$defs"][name]
+    return schema
+
+
+def _find(root: dict, path: list) -> dict:
+    schema = _resolve(root, root)
+    for part in path:
+        options = [schema, *schema.get("anyOf", [])]
+        options = [_resolve(option, root) for option in options]
+        key = "items" if isinstance(part, int) else "properties"
+        found = next((option for option in options if key in option), None)
+        if found is None:
+            return schema
+        child = found[key]
+        if key == "properties":
+            if part not in child:
+                return found
+            child = child[part]
+        schema = _resolve(child, root)
+    return schema
+
+
+def _describe_number(schema: dict) -> str:
+    kind = "whole number" if schema["type"] == "integer" else "number"
+    parts = [kind]
+    if "minimum" in schema:
+        parts.append(f"from {schema['minimum']:.15g}")
+    if "exclusiveMinimum" in schema and schema["type"] == "integer":
+        parts.append(f"from {schema['exclusiveMinimum'] + 1}")
+    elif "exclusiveMinimum" in schema:
+        parts.append(f"above {schema['exclusiveMinimum']:.15g}")
+    if "maximum" in schema:
+        parts.append(f"to {schema['maximum']:.15g}")
+    if "exclusiveMaximum" in schema:
+        parts.append(f"below {schema['exclusiveMaximum']:.15g}")
+    return " ".join(parts)
+
+
+def _describe_text(schema: dict) -> str:
+    if "pattern" in schema:
+        return f"text of the form {schema['pattern']}"
+    kind = {
+        "binary": "base64",
+        "base64url": "base64",
+        "ipvanyaddress": "an IP number",
+        "uri": "a URL",
+    }.get(schema.get("format", ""), "text")
+    if "maxLength" in schema:
+        unit = "bytes" if kind == "base64" else "characters"
+        return f"{kind} of at most {schema['maxLength']} {unit}"
+    return kind
+
+
+def _describe_list(schema: dict) -> str:
+    if "maxItems" in schema:
+        return f"list of at most {schema['maxItems']} items"
+    return "list"
+
+
+def _describe_object(schema: dict) -> str:
+    fields = ", ".join(schema.get("properties", {}))
+    return f"object with the fields {fields}" if fields else "object"
+
+
+_DESCRIBE = {
+    "integer": _describe_number,
+    "number": _describe_number,
+    "string": _describe_text,
+    "boolean": lambda _: "true or false",
+    "array": _describe_list,
+    "object": _describe_object,
+    "null": lambda _: "nothing",
+}
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/cellcommands.py
@@ -0,0 +1,43 @@
+"""Commands that show the cell as one entry VM sees it."""
+
+import cyclopts
+
+from persimmonpath_ctl import invocation
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+config_app = cyclopts.App(name="config", help="Versions of the configuration.")
+
+
+def register(app: cyclopts.App) -> None:
+    """Adds the commands to the application."""
+    for command in (zones, vms, metrics):
+        app.command(command)
+    app.command(config_app)
+
+
+@config_app.command
+def status(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show which version is committed and which zones still lack it."""
+    reply = porcelain.show_config_status(common.connect())
+    invocation.finish(reply, common, output.print_config_status)
+
+
+def zones(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the availability zones and who owns their shards."""
+    reply = porcelain.show_zones(common.connect())
+    invocation.finish(reply, common, output.print_zones)
+
+
+def vms(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the entry VMs."""
+    reply = porcelain.show_vms(common.connect())
+    invocation.finish(reply, common, output.print_vms)
+
+
+def metrics(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the counters and latencies of one entry VM."""
+    reply = porcelain.show_metrics(common.connect())
+    if common.json:
+        reply = reply.map(output.parse_metrics)
+    invocation.finish(reply, common, output.print_text)
--- a/packages/persimmonpath_ctl/persimmonpath_ctl/client.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/client.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import time
 from typing import Any
 
 from returns import result
@@ -11,11 +12,12 @@
 from persimmonpath import errors
 
 CONNECT_TIMEOUT_S = 2.0
+MIN_TIMEOUT_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """Status and parsed JSON body of an answer."""
+    """Status and parsed body of an answer; the body is text for /metrics."""
 
     status: int
     body: Any
@@ -24,8 +26,8 @@
 class Client:
     """Calls one of several entry VMs; moves on when one cannot be reached.
 
-    Only a call whose connection was refused is sent to another entry VM, so
-    that no call is sent twice.
+    A call that may have reached an entry VM is sent to another one only when
+    it is repeatable, that is, when a second call cannot run anything twice.
     """
 
     def __init__(self, addresses: list[str], timeout_s: float):
@@ -33,55 +35,88 @@
 
         Args:
             addresses: `IP:port` of entry VMs, tried in this order.
-            timeout_s: Bound on one call in seconds.
+            timeout_s: Bound on one call in seconds, over all entry VMs.
         """
         self._addresses = addresses
-        self._timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=timeout_s
-        )
+        self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager()
 
     def call(
-        self, method: str, path: str, body: Any = None
-    ) -> result.Result[Reply, errors.PeerError]:
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        repeatable: bool | None = None,
+        timeout_s: float | None = None,
+    ) -> "result.Result[Reply, errors.PeerError]":
         """Makes one call.
 
         Args:
             method: HTTP method.
             path: Path with query.
             body: Value that is sent as JSON; None for none.
+            repeatable: Whether the call may be sent to another entry VM when
+                the connection breaks; by default only GET may.
+            timeout_s: Bound in seconds; None for the client's own.
         """
-        encoded = None if body is None else json.dumps(body).encode()
+        encoded = b"" if body is None else json.dumps(body).encode()
+        if repeatable is None:
+            repeatable = method == "GET"
+        deadline = time.monotonic() + (timeout_s or self._timeout_s)
+        is_sent = False
         failure = errors.PeerError("no entry VM given", False)
         for address in self._addresses:
-            try:
-                reply = self._pool.request(
-                    method,
-                    f"http://{address}{path}",
-                    body=encoded,
-                    headers={"Content-Type": "application/json"},
-                    timeout=self._timeout,
-                    retries=False,
-                )
-            except (
-                urllib3.exceptions.NewConnectionError,
-                urllib3.exceptions.ConnectTimeoutError,
-            ) as error:
-                failure = errors.PeerError(str(error), False)
-                continue
-            except urllib3.exceptions.HTTPError as error:
-                return result.Failure(errors.PeerError(str(error), True))
-            return _parse(reply)
+            left_s = deadline - time.monotonic()
+            if left_s < MIN_TIMEOUT_S:
+                break
+            reply = self._send(address, method, path, encoded, left_s)
+            if isinstance(reply, result.Success):
+                return reply
+            is_sent = is_sent or reply.failure().sent
+            failure = errors.PeerError(str(reply.failure()), is_sent)
+            if is_sent and not repeatable:
+                break
         return result.Failure(failure)
 
+    def _send(
+        self, address: str, method: str, path: str, body: bytes, left_s: float
+    ) -> "result.Result[Reply, errors.PeerError]":
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, left_s), read=left_s
+        )
+        try:
+            reply = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+                retries=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.LocationParseError,
+        ):
+            message = f"no connection to {address}"
+            return result.Failure(errors.PeerError(message, False))
+        except urllib3.exceptions.HTTPError as error:
+            message = f"no answer from {address}: {type(error).__name__}"
+            return result.Failure(errors.PeerError(message, True))
+        return _parse(reply, address)
+
 
 def _parse(
-    reply: urllib3.BaseHTTPResponse,
-) -> result.Result[Reply, errors.PeerError]:
+    reply: urllib3.BaseHTTPResponse, address: str
+) -> "result.Result[Reply, errors.PeerError]":
+    if reply.headers.get("Content-Type", "").startswith("text/plain"):
+        return result.Success(Reply(reply.status, reply.data.decode()))
     try:
         return result.Success(Reply(reply.status, json.loads(reply.data)))
-    except ValueError as error:
-        return result.Failure(errors.PeerError(f"bad answer: {error}", True))
+    except ValueError:
+        message = f"damaged answer from {address}"
+        return result.Failure(errors.PeerError(message, True))
 
 
 def verify_answer(answer: bytes, length: int, checksum: str) -> bool:
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/exits.py
@@ -0,0 +1,45 @@
+"""Exit codes of `persimmonctl`; docs/operators.md lists them."""
+
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath_ctl import client as client_module
+
+DONE = 0
+FAILED = 1
+BAD_INPUT = 2
+NOT_RUN = 3
+UNKNOWN = 4
+CONFLICT = 5
+UNFINISHED = 6
+
+_OUTCOMES = {
+    "done": DONE,
+    "failed": FAILED,
+    "not_run": NOT_RUN,
+    "unknown": UNKNOWN,
+    "accepted": DONE,
+    "pending": UNFINISHED,
+    "conflict": CONFLICT,
+}
+_STATUSES = {
+    409: CONFLICT,
+    500: UNKNOWN,
+}
+
+
+def choose_exit(
+    reply: "result.Result[client_module.Reply, errors.PeerError]",
+) -> int:
+    """Returns the exit code that tells what became of a call."""
+    if isinstance(reply, result.Failure):
+        return UNKNOWN if reply.failure().sent else NOT_RUN
+    answer = reply.unwrap()
+    outcome = None
+    if isinstance(answer.body, dict):
+        outcome = answer.body.get("outcome")
+    if answer.status < 400 or answer.status == 503:
+        if outcome in _OUTCOMES:
+            return _OUTCOMES[outcome]
+        return DONE if answer.status < 400 else NOT_RUN
+    return _STATUSES.get(answer.status, BAD_INPUT)
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/inventorycommands.py
@@ -0,0 +1,210 @@
+"""Commands for the inventory of VMs, racks and zones."""
+
+import json
+import pathlib
+
+import cyclopts
+
+from persimmonpath import errors
+from persimmonpath import inventory as inventory_module
+from persimmonpath_ctl import invocation
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+app = cyclopts.App(name="inventory", help="VMs, racks and zones.")
+
+
+@app.command(name="import")
+def import_file(
+    file: pathlib.Path,
+    *,
+    shards: int | None = None,
+    based_on: int | None = None,
+    wait_s: float = invocation.ACCEPT_WAIT_S,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Replace the inventory by an asset register in TOML or CSV.
+
+    A VM that is in the inventory already keeps its shard, and its draining
+    state unless the register tells it.
+
+    Args:
+        file: The register; a name that ends in .csv means CSV.
+        shards: Number of shards of each zone that a CSV register names.
+        based_on: Version that the register was made from.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of every command.
+    """
+    text = invocation.read_text(file)
+    try:
+        parsed = parse_register(text, file.suffix == ".csv", shards)
+    except errors.InputError as error:
+        invocation.stop_on_bad_input(error)
+        raise
+
+    def edit(config: dict) -> None:
+        current = inventory_module.validate_inventory(config["inventory"])
+        merged = keep_assignments(parsed, current, keep_shards=shards is None)
+        config["inventory"] = json.loads(merged.model_dump_json())
+
+    invocation.commit(edit, based_on, wait_s, common)
+
+
+@app.command
+def show(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the inventory in force."""
+    reply = porcelain.show_config(common.connect())
+    invocation.finish(reply, common, output.print_inventory)
+
+
+@app.command
+def drain(
+    vms: list[str],
+    *,
+    wait_s: float = invocation.ACCEPT_WAIT_S,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Place no new work on VMs; what runs there goes on.
+
+    Args:
+        vms: Names of the VMs.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of every command.
+    """
+    invocation.commit(
+        lambda c: set_draining(c["inventory"], vms, True), None, wait_s, common
+    )
+
+
+@app.command
+def undrain(
+    vms: list[str],
+    *,
+    wait_s: float = invocation.ACCEPT_WAIT_S,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Place work on drained VMs again.
+
+    Args:
+        vms: Names of the VMs.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of every command.
+    """
+    invocation.commit(
+        lambda c: set_draining(c["inventory"], vms, False), None, wait_s, common
+    )
+
+
+@app.command
+def remove(
+    vms: list[str],
+    *,
+    wait_s: float = invocation.ACCEPT_WAIT_S,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Take VMs out of the inventory.
+
+    Args:
+        vms: Names of the VMs.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of every command.
+    """
+    invocation.commit(
+        lambda c: remove_workers(c["inventory"], vms), None, wait_s, common
+    )
+
+
+def parse_register(
+    text: str, is_csv: bool, shards: int | None
+) -> inventory_module.Inventory:
+    """Parses an asset register.
+
+    Raises:
+        errors.InputError: If it is not valid.
+    """
+    if is_csv:
+        return inventory_module.parse_csv(text, 1 if shards is None else shards)
+    if shards is not None:
+        raise errors.InputError(
+            "shards",
+            "a TOML register tells the shards of each zone itself",
+            "only with CSV",
+        )
+    return inventory_module.parse_toml(text)
+
+
+def keep_assignments(
+    new: inventory_module.Inventory,
+    current: inventory_module.Inventory,
+    keep_shards: bool,
+) -> inventory_module.Inventory:
+    """Returns a register with what the inventory already decided.
+
+    Args:
+        new: The register.
+        current: The inventory in force.
+        keep_shards: Whether a zone whose number of shards the register leaves
+            out keeps its number.
+    """
+    before = {zone.name: zone for zone in current.zones}
+    zones = []
+    for zone in new.zones:
+        known = before.get(zone.name)
+        if keep_shards and known and "shards" not in zone.model_fields_set:
+            zone = zone.model_copy(update={"shards": known.shards})
+        zones.append(zone)
+    shards = {zone.name: zone.shards for zone in zones}
+    known_workers = {(w.name, w.zone): w for w in current.workers}
+    workers = []
+    for worker in new.workers:
+        known = known_workers.get((worker.name, worker.zone))
+        workers.append(_keep_worker(worker, known, shards))
+    return inventory_module.Inventory(
+        zones=tuple(zones), workers=tuple(workers)
+    )
+
+
+def _keep_worker(worker, known, shards: dict[str, int]):
+    if known is None:
+        return worker
+    update = {}
+    if worker.shard is None and (known.shard or 0) < shards[worker.zone]:
+        update["shard"] = known.shard
+    if "draining" not in worker.model_fields_set:
+        update["draining"] = known.draining
+    return worker.model_copy(update=update)
+
+
+def set_draining(inventory: dict, vms: list[str], is_draining: bool) -> None:
+    """Sets the draining state of VMs in the JSON form of an inventory.
+
+    Raises:
+        errors.InputError: If a VM is not in it.
+    """
+    _ensure_known(inventory, vms)
+    for worker in inventory["workers"]:
+        if worker["name"] in vms:
+            worker["draining"] = is_draining
+
+
+def remove_workers(inventory: dict, vms: list[str]) -> None:
+    """Removes VMs from the JSON form of an inventory.
+
+    Raises:
+        errors.InputError: If a VM is not in it.
+    """
+    _ensure_known(inventory, vms)
+    inventory["workers"] = [
+        worker for worker in inventory["workers"] if worker["name"] not in vms
+    ]
+
+
+def _ensure_known(inventory: dict, vms: list[str]) -> None:
+    known = {worker["name"] for worker in inventory["workers"]}
+    unknown = [vm for vm in vms if vm not in known]
+    if unknown:
+        raise errors.InputError(
+            "vms",
+            f"not in the inventory: {', '.join(unknown)}",
+            "names that `persimmonctl inventory show` lists",
+        )
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/invocation.py
@@ -0,0 +1,153 @@
+"""What the commands share: options, connection, output and exit code."""
+
+from collections.abc import Callable
+import dataclasses
+import pathlib
+import sys
+from typing import Annotated
+from typing import Any
+
+import cyclopts
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath_ctl import client as client_module
+from persimmonpath_ctl import exits
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+# The design's bound for a change to be in force everywhere is 4 s.
+ACCEPT_WAIT_S = 10.0
+DEFAULT_ENTRY = "127.0.0.1:8080"
+Print = Callable[[Any], None]
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class Common:
+    """Options of every command.
+
+    Attributes:
+        entry: IP:port of entry VMs, separated by commas, tried in this order.
+        json: Print JSON for programs instead of a table.
+    """
+
+    entry: Annotated[str, cyclopts.Parameter(env_var="PERSIMMON_ENTRY")] = (
+        DEFAULT_ENTRY
+    )
+    json: Annotated[bool, cyclopts.Parameter(negative=())] = False
+
+    def connect(self) -> client_module.Client:
+        """Returns a client of the entry VMs."""
+        addresses = [part.strip() for part in self.entry.split(",")]
+        return client_module.create_client([a for a in addresses if a])
+
+
+@cyclopts.Parameter(name="*")
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Declared size of a request or of one task.
+
+    Attributes:
+        cpu_millis: Processor time in thousandths of a core.
+        memory_mib: Memory in MiB.
+        accelerators: Whole accelerators.
+    """
+
+    cpu_millis: int = 100
+    memory_mib: int = 64
+    accelerators: int = 0
+
+
+COMMON = Common()
+SIZE = Size()
+
+
+def finish(reply: porcelain.Outcome, common: Common, show: Print) -> None:
+    """Prints an answer and exits with the code that tells its outcome.
+
+    Args:
+        reply: What was answered.
+        common: Options of the command.
+        show: Prints the body for people.
+    """
+    code = exits.choose_exit(reply)
+    if isinstance(reply, result.Failure):
+        error = reply.failure()
+        outcome = "unknown" if error.sent else "not_run"
+        if common.json:
+            output.print_json({"outcome": outcome, "reason": str(error)})
+        else:
+            output.print_error(f"{error} ({outcome})")
+        sys.exit(code)
+    body = reply.unwrap().body
+    if common.json:
+        output.print_json(body)
+    elif isinstance(body, dict) and "error" in body:
+        output.print_error(describe_error(body))
+    else:
+        show(body)
+    sys.exit(code)
+
+
+def commit(
+    edit: Callable[[dict], None],
+    based_on: int | None,
+    wait_s: float,
+    common: Common,
+) -> None:
+    """Edits the configuration, waits until it is in force, and exits.
+
+    Args:
+        edit: Changes the configuration in place; may raise `InputError`.
+        based_on: Version that the change must be based on; None for any.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of the command.
+    """
+    client = common.connect()
+    try:
+        reply = porcelain.edit_config(client, edit, based_on)
+    except errors.InputError as error:
+        stop_on_bad_input(error)
+        raise
+    reply = porcelain.wait_accepted(client, reply, wait_s)
+    finish(reply, common, output.print_commit)
+
+
+def describe_error(body: dict) -> str:
+    """Returns the line that tells an error of an entry VM."""
+    parts = [str(body["error"])]
+    if body.get("field"):
+        parts.append(f"{body['field']}: {body.get('message', '')}")
+    elif body.get("message"):
+        parts.append(str(body["message"]))
+    if body.get("allowed"):
+        parts.append(f"allowed: {body['allowed']}")
+    return "; ".join(parts)
+
+
+def stop_on_bad_input(error: errors.InputError) -> None:
+    """Prints what is wrong with the input and exits."""
+    allowed = f" (allowed: {error.allowed})" if error.allowed else ""
+    output.print_error(f"{error}{allowed}")
+    sys.exit(exits.BAD_INPUT)
+
+
+def read_payload(text: str, file: pathlib.Path | None) -> bytes:
+    """Returns the payload from an argument or a file."""
+    if file is None:
+        return text.encode()
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        stop_on_bad_input(errors.InputError("payload-file", str(error)))
+        raise
+
+
+def read_text(file: pathlib.Path) -> str:
+    """Returns the content of a text file."""
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        stop_on_bad_input(errors.InputError("file", str(error)))
+        raise
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/jobcommands.py
@@ -0,0 +1,166 @@
+"""Commands for batch, service and gang jobs."""
+
+import dataclasses
+import pathlib
+import sys
+from typing import Literal
+
+import cyclopts
+from returns import result
+
+from persimmonpath_ctl import exits
+from persimmonpath_ctl import invocation
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+PROGRESS_PERIOD_S = 5.0
+
+app = cyclopts.App(name="job", help="Batch, service and gang jobs.")
+
+_STATES = {
+    "done": exits.DONE,
+    "failed": exits.FAILED,
+    "cancelled": exits.FAILED,
+}
+
+
+@app.command
+def submit(
+    form: Literal["batch", "service", "gang"],
+    id: str,
+    payload: str = "",
+    *,
+    payload_file: pathlib.Path | None = None,
+    tasks: int = 1,
+    kind: str = "default",
+    team: str = "default",
+    size: invocation.Size = invocation.SIZE,
+    priority: Literal["batch", "normal", "service", "urgent"] | None = None,
+    run_ms: int = 0,
+    max_attempts: int = 3,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Submit a job; submitting the same job again adds nothing.
+
+    Args:
+        form: What holds for its tasks.
+        id: The caller's name for the job, unique.
+        payload: Body for the worker.
+        payload_file: File with the body for the worker.
+        tasks: Number of tasks.
+        kind: Name of the kind of work.
+        team: Team that is charged.
+        size: Declared size of one task.
+        priority: Priority; by default that of the form.
+        run_ms: Declared run time of a task in milliseconds; 0 for none.
+        max_attempts: Attempts for a task that reports a failure.
+        common: Options of every command.
+    """
+    fields = {} if priority is None else {"priority": priority}
+    reply = porcelain.submit_job(
+        common.connect(),
+        form,
+        id,
+        invocation.read_payload(payload, payload_file),
+        dataclasses.asdict(size),
+        tasks=tasks,
+        kind=kind,
+        team=team,
+        run_ms=run_ms,
+        max_attempts=max_attempts,
+        **fields,
+    )
+    invocation.finish(reply, common, output.print_job)
+
+
+@app.command
+def show(id: str, *, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the state of a job and its tasks."""
+    reply = porcelain.show_job(common.connect(), id)
+    invocation.finish(reply, common, output.print_job)
+
+
+@app.command(name="list")
+def list_jobs(
+    *,
+    team: str = "",
+    state: str = "",
+    after: str = "",
+    limit: int = 100,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """List jobs in the order of their ids.
+
+    Args:
+        team: Only jobs of this team.
+        state: Only jobs in this state.
+        after: Only jobs with a greater id, to read on from a full list.
+        limit: Most jobs to list.
+        common: Options of every command.
+    """
+    reply = porcelain.list_jobs(
+        common.connect(), team=team, state=state, after=after, limit=limit
+    )
+    invocation.finish(reply, common, output.print_jobs)
+
+
+@app.command
+def cancel(
+    ids: list[str], *, common: invocation.Common = invocation.COMMON
+) -> None:
+    """Cancel one job or many."""
+    client = common.connect()
+    if len(ids) == 1:
+        reply = porcelain.cancel_job(client, ids[0])
+        invocation.finish(reply, common, output.print_job)
+    reply = porcelain.cancel_jobs(client, ids)
+    invocation.finish(reply, common, output.print_cancellations)
+
+
+@app.command
+def wait(
+    id: str,
+    *,
+    timeout_s: float = 3600.0,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Wait for the end of a job.
+
+    Args:
+        id: The job.
+        timeout_s: Longest time to wait in seconds.
+        common: Options of every command.
+    """
+    progress = Progress(id)
+    reply = porcelain.wait_job(common.connect(), id, timeout_s, progress.report)
+    if isinstance(reply, result.Failure) or reply.unwrap().status != 200:
+        invocation.finish(reply, common, output.print_job)
+    body = reply.unwrap().body
+    if common.json:
+        output.print_json(body)
+    else:
+        output.print_job(body)
+    sys.exit(_STATES.get(body["state"], exits.UNFINISHED))
+
+
+class Progress:
+    """Prints a line on the standard error output during a long wait."""
+
+    def __init__(self, job_id: str):
+        """Creates a report of the wait for one job."""
+        self._job_id = job_id
+        self._next_s = PROGRESS_PERIOD_S
+
+    def report(self, waited_s: float, body: dict) -> None:
+        """Prints a line if the last one was some time ago."""
+        if waited_s < self._next_s:
+            return
+        self._next_s = waited_s + PROGRESS_PERIOD_S
+        tasks = body.get("tasks", [])
+        ended = sum(task["state"] != "waiting" for task in tasks)
+        print(
+            f"waiting for {self._job_id}: {waited_s:.0f} s, "
+            f"{body.get('state', 'unknown')}, {ended}/{len(tasks)} tasks ended",
+            file=sys.stderr,
+            flush=True,
+        )
--- a/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
@@ -1,7 +1,11 @@
-"""Plain functions behind each command."""
+"""Plain functions behind each command; they return what was answered."""
 
 import base64
+import binascii
+from collections.abc import Callable
+import time
 from typing import Any
+import urllib.parse
 
 from returns import result
 
@@ -10,37 +14,82 @@
 
 Outcome = result.Result[client_module.Reply, errors.PeerError]
 
+# Time that an answer may take on its way beyond the request's own time.
+ANSWER_MARGIN_S = 5.0
+POLL_PERIOD_S = 0.5
+MAX_EDIT_ATTEMPTS = 5
+FINAL_STATES = frozenset({"done", "failed", "cancelled"})
+
 
 def run_request(
     client: client_module.Client,
     payload: bytes,
     resources: dict[str, int],
+    *,
+    idempotent: bool = False,
+    id: str = "",
+    timeout_ms: int = 5000,
     **fields: Any,
 ) -> Outcome:
     """Runs a request and waits for its answer.
 
+    The request gets an id first, so that it can be sent through another entry
+    VM when a connection breaks, and still runs once. Without the id a `not_run`
+    of the second entry VM would say nothing of the first.
+
     Args:
         client: Client of the entry VMs.
         payload: Body for the worker.
         resources: Declared size by resource name.
+        idempotent: Whether running it twice does no harm.
+        id: An issued id; empty to have one issued.
+        timeout_ms: Time for the request in milliseconds.
         **fields: Further fields of `POST /v1/requests`.
     """
+    is_fresh = not id
+    if is_fresh:
+        issued = issue_ids(client, 1)
+        if isinstance(issued, result.Failure):
+            # An id that was issued and not used runs nothing.
+            return result.Failure(
+                errors.PeerError(str(issued.failure()), False)
+            )
+        if issued.unwrap().status != 200:
+            return issued
+        id = issued.unwrap().body["ids"][0]
     body = {
+        "id": id,
+        "idempotent": idempotent,
         "payload": base64.b64encode(payload).decode(),
         "resources": resources,
+        "timeout_ms": timeout_ms,
         **fields,
     }
-    return client.call("POST", "/v1/requests", body)
+    reply = client.call(
+        "POST",
+        "/v1/requests",
+        body,
+        repeatable=True,
+        timeout_s=timeout_ms / 1000 + ANSWER_MARGIN_S,
+    )
+    return _verify(reply, id, is_fresh)
 
 
 def issue_ids(client: client_module.Client, count: int) -> Outcome:
     """Has request ids issued."""
-    return client.call("POST", "/v1/ids", {"count": count})
+    return client.call("POST", "/v1/ids", {"count": count}, repeatable=True)
 
 
 def ask_request(client: client_module.Client, request_id: str) -> Outcome:
     """Asks what became of a request."""
-    return client.call("GET", f"/v1/requests/{request_id}")
+    path = f"/v1/requests/{_quote(request_id)}"
+    return _verify(client.call("GET", path), request_id)
+
+
+def cancel_request(client: client_module.Client, request_id: str) -> Outcome:
+    """Closes the id of a request that has not started; tells its outcome."""
+    path = f"/v1/requests/{_quote(request_id)}:cancel"
+    return _verify(client.call("POST", path, repeatable=True), request_id)
 
 
 def submit_job(
@@ -51,7 +100,7 @@
     resources: dict[str, int],
     **fields: Any,
 ) -> Outcome:
-    """Submits a batch, service or gang job."""
+    """Submits a batch, service or gang job; repeating it adds nothing."""
     body = {
         "form": form,
         "id": job_id,
@@ -59,17 +108,66 @@
         "resources": resources,
         **fields,
     }
-    return client.call("POST", "/v1/jobs", body)
+    return client.call("POST", "/v1/jobs", body, repeatable=True)
 
 
 def show_job(client: client_module.Client, job_id: str) -> Outcome:
     """Returns the state of a job."""
-    return client.call("GET", f"/v1/jobs/{job_id}")
+    return client.call("GET", f"/v1/jobs/{_quote(job_id)}")
+
+
+def list_jobs(client: client_module.Client, **filters: Any) -> Outcome:
+    """Returns jobs, filtered by the query fields of `GET /v1/jobs`."""
+    query = {k: v for k, v in filters.items() if v not in (None, "")}
+    return client.call("GET", f"/v1/jobs?{urllib.parse.urlencode(query)}")
 
 
 def cancel_job(client: client_module.Client, job_id: str) -> Outcome:
     """Cancels a job."""
-    return client.call("DELETE", f"/v1/jobs/{job_id}")
+    path = f"/v1/jobs/{_quote(job_id)}"
+    return client.call("DELETE", path, repeatable=True)
+
+
+def cancel_jobs(client: client_module.Client, ids: list[str]) -> Outcome:
+    """Cancels several jobs; the answer tells what became of each."""
+    return client.call("POST", "/v1/jobs:cancel", {"ids": ids}, repeatable=True)
+
+
+def wait_job(
+    client: client_module.Client,
+    job_id: str,
+    timeout_s: float,
+    report: Callable[[float, dict], None],
+    sleep: Callable[[float], None] = time.sleep,
+) -> Outcome:
+    """Waits for the end of a job.
+
+    Args:
+        client: Client of the entry VMs.
+        job_id: The job.
+        timeout_s: Longest time to wait in seconds.
+        report: Called after each look with the seconds waited and the job.
+        sleep: Waits for some seconds.
+
+    Returns:
+        The last answer; the job may not have ended in it.
+    """
+    waited_s = 0.0
+    while True:
+        reply = show_job(client, job_id)
+        if isinstance(reply, result.Failure) or reply.unwrap().status == 503:
+            is_final = False
+        else:
+            body = reply.unwrap().body
+            is_final = (
+                reply.unwrap().status != 200
+                or body.get("state") in FINAL_STATES
+            )
+            report(waited_s, body)
+        if is_final or waited_s >= timeout_s:
+            return reply
+        sleep(POLL_PERIOD_S)
+        waited_s += POLL_PERIOD_S
 
 
 def show_config(client: client_module.Client) -> Outcome:
@@ -83,11 +181,150 @@
     inventory: dict,
     rules: dict,
 ) -> Outcome:
-    """Commits a configuration."""
+    """Commits a configuration based on a version."""
     body = {"based_on": based_on, "inventory": inventory, "rules": rules}
     return client.call("POST", "/v1/config", body)
 
 
+def edit_config(
+    client: client_module.Client,
+    edit: Callable[[dict], None],
+    based_on: int | None = None,
+) -> Outcome:
+    """Reads the configuration, edits it and commits the change.
+
+    Args:
+        client: Client of the entry VMs.
+        edit: Changes the configuration in place; may raise `InputError`.
+        based_on: Version that the change must be based on; without one the
+            edit is made again when another operator was faster.
+    """
+    reply: Outcome
+    for _ in range(MAX_EDIT_ATTEMPTS):
+        reply = show_config(client)
+        if isinstance(reply, result.Failure) or reply.unwrap().status != 200:
+            return reply
+        config = reply.unwrap().body
+        edit(config)
+        base = config["version"] if based_on is None else based_on
+        reply = commit_config(
+            client, base, config["inventory"], config["rules"]
+        )
+        is_conflict = (
+            isinstance(reply, result.Success) and reply.unwrap().status == 409
+        )
+        if based_on is not None or not is_conflict:
+            break
+    return reply
+
+
+def wait_accepted(
+    client: client_module.Client,
+    commit: Outcome,
+    timeout_s: float,
+    sleep: Callable[[float], None] = time.sleep,
+) -> Outcome:
+    """Waits until a committed version is in force in every zone.
+
+    Args:
+        client: Client of the entry VMs.
+        commit: What `commit_config` answered; returned unless it is pending.
+        timeout_s: Longest time to wait in seconds.
+        sleep: Waits for some seconds.
+
+    Returns:
+        The commit's answer with the last known outcome and awaited zones.
+    """
+    waited_s = 0.0
+    while _is_pending(commit) and waited_s < timeout_s:
+        sleep(POLL_PERIOD_S)
+        waited_s += POLL_PERIOD_S
+        status = show_config_status(client)
+        if isinstance(status, result.Success) and status.unwrap().status == 200:
+            # A later version that is accepted covers this one.
+            names = ("outcome", "awaited_zones", "awaited_vms")
+            known = {name: status.unwrap().body[name] for name in names}
+            body = {**commit.unwrap().body, **known}
+            commit = result.Success(client_module.Reply(200, body))
+    return commit
+
+
+def _is_pending(commit: Outcome) -> bool:
+    if isinstance(commit, result.Failure):
+        return False
+    body = commit.unwrap().body
+    return commit.unwrap().status == 200 and body.get("outcome") == "pending"
+
+
+def show_history(client: client_module.Client, limit: int) -> Outcome:
+    """Returns the latest versions of the configuration."""
+    return client.call("GET", f"/v1/config/history?limit={limit}")
+
+
+def show_config_status(client: client_module.Client) -> Outcome:
+    """Returns which version is committed and where it is in force."""
+    return client.call("GET", "/v1/config/status")
+
+
+def show_zones(client: client_module.Client) -> Outcome:
+    """Returns the availability zones as one entry VM sees them."""
+    return client.call("GET", "/v1/zones")
+
+
 def show_vms(client: client_module.Client) -> Outcome:
     """Returns the entry VMs as one of them sees them."""
     return client.call("GET", "/v1/vms")
+
+
+def show_metrics(client: client_module.Client) -> Outcome:
+    """Returns the metrics of one entry VM as text."""
+    return client.call("GET", "/metrics")
+
+
+def decode_answer(body: dict) -> bytes:
+    """Returns the bytes of a done request's answer.
+
+    Raises:
+        ValueError: If the answer is not whole.
+    """
+    try:
+        answer = base64.b64decode(body.get("answer", ""), validate=True)
+    except binascii.Error as error:
+        raise ValueError("answer is not base64") from error
+    if not client_module.verify_answer(
+        answer, body.get("length", -1), body.get("checksum", "")
+    ):
+        raise ValueError("answer does not match its length and checksum")
+    return answer
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
+
+
+def _verify(reply: Outcome, request_id: str, is_fresh: bool = False) -> Outcome:
+    """Turns a lost, damaged or foreign answer into the outcome it stands for.
+
+    Only an id issued for this very call, and never sent, is certainly not run.
+    """
+    if isinstance(reply, result.Failure):
+        error = reply.failure()
+        is_sent = error.sent or not is_fresh
+        outcome = "unknown" if is_sent else "not_run"
+        return _report(request_id, outcome, str(error))
+    body = reply.unwrap().body
+    if reply.unwrap().status not in (200, 503) or "outcome" not in body:
+        return reply
+    if body.get("id") != request_id:
+        return _report(request_id, "unknown", "answer_for_another_request")
+    if body["outcome"] == "done":
+        try:
+            decode_answer(body)
+        except ValueError:
+            return _report(request_id, "unknown", "answer_damaged")
+    return reply
+
+
+def _report(request_id: str, outcome: str, reason: str) -> Outcome:
+    body = {"id": request_id, "outcome": outcome, "reason": reason}
+    return result.Success(client_module.Reply(503, body))
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/requestcommands.py
@@ -0,0 +1,73 @@
+"""Commands for requests."""
+
+import dataclasses
+import pathlib
+
+import cyclopts
+
+from persimmonpath_ctl import invocation
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+
+def register(app: cyclopts.App) -> None:
+    """Adds the commands to the application."""
+    for command in (submit, status, cancel):
+        app.command(command)
+
+
+def submit(
+    payload: str = "",
+    *,
+    payload_file: pathlib.Path | None = None,
+    kind: str = "default",
+    team: str = "default",
+    size: invocation.Size = invocation.SIZE,
+    timeout_ms: int = 5000,
+    run_ms: int = 0,
+    idempotent: bool = False,
+    id: str = "",
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Run a request and wait for its answer.
+
+    Args:
+        payload: Body for the worker.
+        payload_file: File with the body for the worker.
+        kind: Name of the kind of work.
+        team: Team that is charged.
+        size: Declared size.
+        timeout_ms: Time for the request in milliseconds.
+        run_ms: Declared run time in milliseconds; 0 for none.
+        idempotent: Running it twice does no harm.
+        id: An id issued earlier; the request runs once under it.
+        common: Options of every command.
+    """
+    reply = porcelain.run_request(
+        common.connect(),
+        invocation.read_payload(payload, payload_file),
+        dataclasses.asdict(size),
+        kind=kind,
+        team=team,
+        timeout_ms=timeout_ms,
+        run_ms=run_ms,
+        idempotent=idempotent,
+        id=id,
+    )
+    invocation.finish(reply, common, output.print_answer)
+
+
+def status(id: str, *, common: invocation.Common = invocation.COMMON) -> None:
+    """Ask what became of a request."""
+    reply = porcelain.ask_request(common.connect(), id)
+    invocation.finish(reply, common, output.print_answer)
+
+
+def cancel(id: str, *, common: invocation.Common = invocation.COMMON) -> None:
+    """Prevent a request from starting; tells what became of it.
+
+    `not_run` means that it never ran and never will. A request that runs
+    already is not stopped.
+    """
+    reply = porcelain.cancel_request(common.connect(), id)
+    invocation.finish(reply, common, output.print_answer)
--- /dev/null
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/rulescommands.py
@@ -0,0 +1,121 @@
+"""Commands for the operator's rules."""
+
+import json
+import pathlib
+import sys
+import tomllib
+
+import cyclopts
+import pydantic
+from returns import result
+
+from persimmonpath import errors
+from persimmonpath import inventory as inventory_module
+from persimmonpath import rules as rules_module
+from persimmonpath import validation
+from persimmonpath_ctl import invocation
+from persimmonpath_ctl import output
+from persimmonpath_ctl import porcelain
+
+app = cyclopts.App(
+    name="rules", help="Which work may go where, quotas and policy settings."
+)
+
+
+def parse_rules(text: str) -> rules_module.Rules:
+    """Parses and validates rules in TOML.
+
+    Raises:
+        errors.InputError: With every fault in one message.
+    """
+    try:
+        return rules_module.Rules.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise errors.InputError("rules", str(error), "TOML") from error
+    except pydantic.ValidationError as error:
+        raise errors.InputError(
+            "rules",
+            validation.describe_faults(error, rules_module.Rules, "rules"),
+        ) from error
+
+
+def _load(file: pathlib.Path) -> rules_module.Rules:
+    try:
+        return parse_rules(invocation.read_text(file))
+    except errors.InputError as error:
+        invocation.stop_on_bad_input(error)
+        raise
+
+
+def _check_names(rules: rules_module.Rules, config: dict) -> None:
+    inventory = inventory_module.validate_inventory(config["inventory"])
+    rules_module.ensure_known_names(rules, inventory)
+
+
+@app.command
+def show(*, common: invocation.Common = invocation.COMMON) -> None:
+    """Show the rules in force."""
+    reply = porcelain.show_config(common.connect())
+    invocation.finish(reply, common, output.print_rules)
+
+
+@app.command
+def check(
+    file: pathlib.Path, *, common: invocation.Common = invocation.COMMON
+) -> None:
+    """Check a file against the inventory in force and change nothing."""
+    rules = _load(file)
+    reply = porcelain.show_config(common.connect())
+    if isinstance(reply, result.Failure) or reply.unwrap().status != 200:
+        invocation.finish(reply, common, output.print_rules)
+    config = reply.unwrap().body
+    try:
+        _check_names(rules, config)
+    except errors.InputError as error:
+        invocation.stop_on_bad_input(error)
+    summary = {
+        "ok": True,
+        "placement": len(rules.placement),
+        "quotas": len(rules.quotas),
+        "checked_against": config["version"],
+    }
+    if common.json:
+        output.print_json(summary)
+    else:
+        output.print_fields(summary)
+    sys.exit(0)
+
+
+@app.command
+def apply(
+    file: pathlib.Path,
+    *,
+    based_on: int | None = None,
+    wait_s: float = invocation.ACCEPT_WAIT_S,
+    common: invocation.Common = invocation.COMMON,
+) -> None:
+    """Replace the rules by those of a TOML file.
+
+    Args:
+        file: The rules.
+        based_on: Version that the file was made from; another operator's later
+            version then is a conflict. Without it the version in force counts.
+        wait_s: Longest time to wait for every zone, in seconds.
+        common: Options of every command.
+    """
+    rules = _load(file)
+
+    def edit(config: dict) -> None:
+        _check_names(rules, config)
+        config["rules"] = json.loads(rules.model_dump_json())
+
+    invocation.commit(edit, based_on, wait_s, common)
+
+
+@app.command
+def history(
+    *, limit: int = 20, common: invocation.Common = invocation.COMMON
+) -> None:
+    """Show the latest versions, the newest first."""
+    reply = porcelain.show_history(common.connect(), limit)
+    invocation.finish(reply, common, output.print_history)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/bodies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/bodies.py
@@ -13,11 +13,14 @@
 
 Name = inventory.Name
 MAX_IDS = 1000
+MAX_CANCELLATIONS = 10_000
+MAX_ID_LENGTH = 100
 
 
 class _Model(pydantic.BaseModel):
+    # Strict, so that "1" or true is not taken for a number.
     model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, val_json_bytes="base64"
+        extra="forbid", frozen=True, strict=True, val_json_bytes="base64"
     )
 
 
@@ -44,7 +47,7 @@
 class RequestBody(_Model):
     """Body of `POST /v1/requests`; the payload is base64."""
 
-    id: str = ""
+    id: Annotated[str, pydantic.Field(max_length=MAX_ID_LENGTH)] = ""
     kind: Name = "default"
     team: Name = "default"
     idempotent: bool = False
@@ -82,7 +85,7 @@
         bytes, pydantic.Field(max_length=work.MAX_PAYLOAD_BYTES)
     ] = b""
     priority: Literal["batch", "normal", "service", "urgent"] | None = None
-    run_ms: Annotated[int, pydantic.Field(ge=0)] = 0
+    run_ms: Annotated[int, pydantic.Field(ge=0, le=10**12)] = 0
     max_attempts: Annotated[int, pydantic.Field(ge=1, le=100)] = 3
 
     def convert(self) -> work.Job:
@@ -111,13 +114,15 @@
 class CancelBody(_Model):
     """Body of `POST /v1/jobs:cancel`."""
 
-    ids: Annotated[list[Name], pydantic.Field(max_length=10_000)]
+    ids: Annotated[
+        list[Name], pydantic.Field(min_length=1, max_length=MAX_CANCELLATIONS)
+    ]
 
 
 class ConfigBody(_Model):
     """Body of `POST /v1/config`."""
 
-    based_on: Annotated[int, pydantic.Field(ge=0)]
+    based_on: Annotated[int, pydantic.Field(ge=0, le=10**12)]
     author: Name = "operator"
     inventory: inventory.Inventory
     rules: rules_module.Rules = rules_module.Rules()
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -1,300 +1,173 @@
 """The interface for callers and operators over HTTP."""
 
-from collections.abc import Callable
-import dataclasses
 import json
-import re
-from typing import Any
+import urllib.parse
 
 from absl import logging
-from cheroot import wsgi
-import pydantic
-from returns import result
 
 from persimmonpath import entry as entry_module
-from persimmonpath import errors
-from persimmonpath import identifiers
-from persimmonpath import jobs
-from persimmonpath import outcomes
 from persimmonpath import router as router_module
-from persimmonpath import wire
-from persimmonpath_daemon import bodies
+from persimmonpath import spans
+from persimmonpath_daemon import cellapi
+from persimmonpath_daemon import httpserver
+from persimmonpath_daemon import jobapi
+from persimmonpath_daemon import observation
+from persimmonpath_daemon import replies
+from persimmonpath_daemon import requestapi
 
 MAX_BODY_BYTES = 4 << 20
-# Calls between entry VMs carry deadlines; this only bounds their sum.
-WAIT_LIMIT_S = 10.0
+# A body up to this size is read and thrown away, so that a client that still
+# sends it gets the refusal; a larger one has its connection closed.
+MAX_DISCARDED_BYTES = 16 << 20
+DISCARD_CHUNK_BYTES = 64 << 10
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """Status, JSON body."""
-
-    status: int
-    body: Any
-
-
-_STATUS_LINES = {
-    200: "200 OK",
-    400: "400 Bad Request",
-    404: "404 Not Found",
-    409: "409 Conflict",
-    413: "413 Content Too Large",
-    500: "500 Internal Server Error",
-    503: "503 Service Unavailable",
-}
-_OUTCOME_STATUS = {"done": 200, "failed": 200, "not_run": 503, "unknown": 503}
-
-
-def describe_answer(answer: router_module.Answer) -> Reply:
-    """Returns the reply that tells an outcome."""
-    outcome = answer.outcome
-    name = outcomes.name_outcome(outcome)
-    body = {"id": answer.id, "outcome": name}
-    if isinstance(outcome, outcomes.Done):
-        body["answer"] = bodies.encode_bytes(outcome.answer)
-        body["length"] = len(outcome.answer)
-        body["checksum"] = outcomes.compute_checksum(outcome.answer)
-    else:
-        body["reason"] = outcome.reason
-    worker = getattr(outcome, "worker", "")
-    if worker:
-        body["worker"] = worker
-    return Reply(_OUTCOME_STATUS[name], body)
-
-
-def describe_job(record: jobs.JobRecord) -> dict:
-    """Returns the JSON form of a job."""
-    return {
-        "id": record.job["id"],
-        "form": record.form,
-        "state": record.state.value,
-        "shard": record.shard,
-        "tasks": [
-            {
-                "state": task.state.value,
-                "attempts": task.attempts,
-                "reason": task.reason,
-            }
-            for task in record.tasks
-        ],
-    }
+_METHODS_WITH_BODY = frozenset({"POST", "PUT"})
 
 
 class Application:
     """WSGI application of an entry VM."""
 
     def __init__(
-        self, entry: entry_module.EntryVm, router: router_module.Router
+        self,
+        entry: entry_module.EntryVm,
+        router: router_module.Router,
+        instruments: observation.Instruments,
+        run_limit: int = 48,
     ):
-        """Creates the application of an entry VM."""
-        self._entry = entry
-        self._router = router
-        self._routes: list[tuple[str, re.Pattern, Callable[..., Reply]]] = [
-            ("POST", re.compile(r"/v1/ids"), self._issue_ids),
-            ("POST", re.compile(r"/v1/requests"), self._run),
-            ("GET", re.compile(r"/v1/requests/([^/]+)"), self._ask),
-            ("POST", re.compile(r"/v1/jobs"), self._submit_job),
-            ("GET", re.compile(r"/v1/jobs/([^/]+)"), self._show_job),
-            ("DELETE", re.compile(r"/v1/jobs/([^/]+)"), self._cancel_job),
-            ("GET", re.compile(r"/v1/config"), self._show_config),
-            ("POST", re.compile(r"/v1/config"), self._commit_config),
-            ("GET", re.compile(r"/v1/vms"), self._show_vms),
-            ("GET", re.compile(r"/healthz"), self._check_health),
-            ("GET", re.compile(r"/readyz"), self._check_ready),
+        """Creates the application of an entry VM.
+
+        Args:
+            entry: The entry VM.
+            router: Its router.
+            instruments: Metrics and tracer.
+            run_limit: Requests that wait for their answer at once.
+        """
+        self._instruments = instruments
+        self._routes = [
+            *requestapi.RequestApi(
+                entry, router, instruments, run_limit
+            ).list_routes(),
+            *jobapi.JobApi(entry).list_routes(),
+            *cellapi.CellApi(entry, instruments).list_routes(),
         ]
 
     def __call__(self, environ, start_response):
         """Answers one call."""
-        reply = self._answer(environ)
-        body = json.dumps(reply.body).encode()
+        name, reply = self._answer(environ)
+        self._instruments.http_calls.increment(name, str(reply.status))
+        if reply.content_type == replies.JSON:
+            body = json.dumps(reply.body).encode()
+        else:
+            body = reply.body.encode()
         start_response(
-            _STATUS_LINES[reply.status],
+            httpserver.format_status(reply.status),
             [
-                ("Content-Type", "application/json"),
+                ("Content-Type", reply.content_type),
                 ("Content-Length", str(len(body))),
             ],
         )
         return [body]
 
-    def _answer(self, environ) -> Reply:
+    def _answer(self, environ) -> tuple[str, replies.Reply]:
+        name = "none"
         try:
-            body = _read_body(environ)
-            return self._dispatch(environ, body)
-        except errors.InputError as error:
-            return Reply(400, _describe_input_error(error))
-        except pydantic.ValidationError as error:
-            fault = error.errors(include_url=False)[0]
-            field = ".".join(str(part) for part in fault["loc"]) or "body"
-            return Reply(
-                400,
-                {"error": "bad_input", "field": field, "allowed": fault["msg"]},
-            )
+            route, groups = self._find_route(environ)
+            name = route.name
+            call = _read_call(environ)
+            return name, route.handle(call, *groups)
+        except replies.CallError as error:
+            return name, error.reply
         except Exception:
-            logging.exception("event=call_failed path=%s", environ["PATH_INFO"])
-            return Reply(500, {"error": "internal"})
+            logging.exception("event=call_failed route=%s", name)
+            body = {"error": "internal", "outcome": "unknown"}
+            return name, replies.Reply(500, body)
 
-    def _dispatch(self, environ, body: bytes) -> Reply:
+    def _find_route(self, environ) -> tuple[replies.Route, tuple]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        for route_method, pattern, handler in self._routes:
-            match = pattern.fullmatch(path)
-            if match and method == route_method:
-                return handler(body, *match.groups())
-        return Reply(404, {"error": "no_such_path"})
-
-    def _issue_ids(self, body: bytes) -> Reply:
-        parsed = bodies.IdsBody.model_validate_json(body)
-        ids = self._router.issue_ids(parsed.count).result(WAIT_LIMIT_S)
-        if not ids:
-            return Reply(503, {"error": "no_shard_reachable"})
-        return Reply(200, {"ids": ids})
-
-    def _run(self, body: bytes) -> Reply:
-        parsed = bodies.RequestBody.model_validate_json(body)
-        request = parsed.convert("")
-        future = self._router.run(parsed.id, request)
-        answer = future.result(request.timeout_s + WAIT_LIMIT_S)
-        logging.info(
-            "event=request_answered id=%s outcome=%s",
-            answer.id,
-            outcomes.name_outcome(answer.outcome),
-        )
-        return describe_answer(answer)
-
-    def _ask(self, body: bytes, request_id: str) -> Reply:
-        del body
-        return describe_answer(
-            self._router.ask(request_id).result(WAIT_LIMIT_S)
-        )
-
-    def _submit_job(self, body: bytes) -> Reply:
-        job = bodies.JobBody.model_validate_json(body).convert()
-        shard = self._choose_shard(job.id)
-        record = jobs.create_record(job, "", shard)
-        reply = self._entry.job_store.submit(record)
-        if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
-        return Reply(200, describe_job(reply.unwrap()))
-
-    def _choose_shard(self, job_id: str) -> identifiers.ShardId:
-        config = self._entry.applied.config
-        zone = self._entry.identity.zone
-        shards = [s for s in config.inventory.list_shards() if s.zone == zone]
-        if not shards:
-            raise errors.InputError("zone", f"{zone} has no shards")
-        digest = outcomes.compute_checksum(job_id.encode())
-        return shards[int(digest, 16) % len(shards)]
-
-    def _show_job(self, body: bytes, job_id: str) -> Reply:
-        del body
-        reply = self._entry.job_store.read(job_id)
-        if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
-        if reply.unwrap() is None:
-            return Reply(404, {"error": "no_such_job"})
-        return Reply(200, describe_job(reply.unwrap()[0]))
-
-    def _cancel_job(self, body: bytes, job_id: str) -> Reply:
-        del body
-        reply = self._entry.job_store.read(job_id)
-        if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
-        if reply.unwrap() is None:
-            return Reply(404, {"error": "no_such_job"})
-        record, version = reply.unwrap()
-        if record.state is not jobs.JobState.ACCEPTED:
-            return Reply(200, describe_job(record))
-        cancelled = dataclasses.replace(record, state=jobs.JobState.CANCELLING)
-        update = self._entry.job_store.update(cancelled, version)
-        if isinstance(update, result.Failure):
-            return _describe_table_error(update.failure())
-        return Reply(200, describe_job(cancelled))
-
-    def _show_config(self, body: bytes) -> Reply:
-        del body
-        config = self._entry.applied.config
-        return Reply(200, json.loads(wire.encode(config)))
-
-    def _commit_config(self, body: bytes) -> Reply:
-        parsed = bodies.ConfigBody.model_validate_json(body)
-        reply = self._entry.commit_config(
-            parsed.based_on, parsed.author, parsed.inventory, parsed.rules
+        allowed = []
+        for route in self._routes:
+            match = route.pattern.fullmatch(path)
+            if match and route.method == method:
+                return route, match.groups()
+            if match:
+                allowed.append(route.method)
+        _discard_body(environ)
+        if allowed:
+            raise replies.CallError(
+                405, "no_such_method", "method", method, ", ".join(allowed)
+            )
+        raise replies.CallError(404, "no_such_path", "path", path[:200])
+
+
+def _read_call(environ) -> replies.Call:
+    query = environ.get("QUERY_STRING", "")
+    return replies.Call(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        dict(urllib.parse.parse_qsl(query, max_num_fields=20)),
+        _read_body(environ),
+        spans.parse_traceparent(environ.get("HTTP_TRACEPARENT", "")),
+    )
+
+
+def _read_length(environ) -> int:
+    text = environ.get("CONTENT_LENGTH", "")
+    allowed = f"whole number from 0 to {MAX_BODY_BYTES}"
+    if not text and environ["REQUEST_METHOD"] in _METHODS_WITH_BODY:
+        raise replies.CallError(
+            411, "length_required", "Content-Length", "missing", allowed
         )
-        if isinstance(reply, result.Failure):
-            return _describe_table_error(reply.failure())
-        return Reply(200, {"version": reply.unwrap().version})
-
-    def _show_vms(self, body: bytes) -> Reply:
-        del body
-        observer = self._entry.observer
-        return Reply(
-            200,
-            [
-                {
-                    "vm": session.vm,
-                    "zone": session.zone,
-                    "state": "lapsed"
-                    if observer.has_lapsed(session)
-                    else session.state.value,
-                    "config_version": session.config_version,
-                    "http_address": session.http_address,
-                }
-                for session in observer.list_sessions()
-            ],
+    if not (text or "0").isdecimal():
+        raise replies.CallError(
+            400, "bad_length", "Content-Length", text[:40], allowed
         )
-
-    def _check_health(self, body: bytes) -> Reply:
-        del body
-        return Reply(200, {"healthy": True})
-
-    def _check_ready(self, body: bytes) -> Reply:
-        del body
-        ready = self._entry.is_ready()
-        return Reply(200 if ready else 503, {"ready": ready})
+    return int(text or "0")
 
 
 def _read_body(environ) -> bytes:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+    try:
+        length = _read_length(environ)
+    except replies.CallError:
+        # Where the next call begins is not known.
+        httpserver.close_after_reply(environ)
+        raise
     if length > MAX_BODY_BYTES:
-        raise errors.InputError(
-            "body", f"{length} bytes", f"at most {MAX_BODY_BYTES} bytes"
+        _discard_body(environ)
+        raise replies.CallError(
+            413,
+            "too_large",
+            "body",
+            f"{length} bytes",
+            f"at most {MAX_BODY_BYTES} bytes",
         )
-    body = environ["wsgi.input"].read(length) if length else b""
+    try:
+        body = environ["wsgi.input"].read(length) if length else b""
+    except TimeoutError:
+        body = b""
     if len(body) != length:
-        raise errors.InputError("body", "shorter than Content-Length")
-    return body
-
-
-def _describe_input_error(error: errors.InputError) -> dict:
-    return {
-        "error": "bad_input",
-        "field": error.field,
-        "message": str(error),
-        "allowed": error.allowed,
-    }
-
-
-def _describe_table_error(error: errors.TableError) -> Reply:
-    if isinstance(error, errors.TableConflictError):
-        return Reply(409, {"error": "conflict", "message": str(error)})
-    if isinstance(error, errors.TableUnavailableError):
-        return Reply(
-            503, {"outcome": "not_run", "reason": "platform_unavailable"}
+        httpserver.close_after_reply(environ)
+        raise replies.CallError(
+            408,
+            "body_incomplete",
+            "Content-Length",
+            f"{length} bytes were announced and fewer came",
+            "the length of the body",
         )
-    return Reply(503, {"outcome": "unknown", "reason": "platform_uncertain"})
-
+    return body
 
-def create_server(
-    application: Application, host: str, port: int, threads: int
-) -> wsgi.Server:
-    """Returns a server that is not started.
 
-    Args:
-        application: The application.
-        host: IP number to listen on.
-        port: TCP port.
-        threads: Calls served at once.
-    """
-    server = wsgi.Server((host, port), application, numthreads=threads)
-    server.max_request_body_size = MAX_BODY_BYTES
-    server.shutdown_timeout = 5
-    return server
+def _discard_body(environ) -> None:
+    """Reads a body that is not wanted, or has the connection closed."""
+    text = environ.get("CONTENT_LENGTH", "")
+    left = int(text) if text.isdecimal() else MAX_DISCARDED_BYTES + 1
+    if left > MAX_DISCARDED_BYTES:
+        httpserver.close_after_reply(environ)
+        return
+    try:
+        while left > 0:
+            chunk = environ["wsgi.input"].read(min(left, DISCARD_CHUNK_BYTES))
+            if not chunk:
+                break
+            left -= len(chunk)
+    except TimeoutError:
+        httpserver.close_after_reply(environ)
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -0,0 +1,99 @@
+"""The HTTP server: cheroot with bounded waits and errors in JSON."""
+
+import http
+import json
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+
+from persimmonpath import events
+
+_REQUEST_KEY = "persimmonpath.request"
+LISTEN_BACKLOG = 128
+
+
+def format_status(status: int) -> str:
+    """Returns the status line of a reply."""
+    return f"{status} {http.HTTPStatus(status).phrase}"
+
+
+def close_after_reply(environ) -> None:
+    """Has the connection of a call closed once the reply is sent."""
+    environ[_REQUEST_KEY].close_connection = True
+
+
+class _Request(cheroot_server.HTTPRequest):
+    """A request whose refusal by the server itself is JSON, too."""
+
+    def simple_response(self, status, msg=""):
+        """Answers with an error of the server itself and closes."""
+        code = int(str(status)[:3])
+        field = "Content-Length" if "Content-Length" in msg else "request"
+        error = "timed_out" if code == 408 else "bad_http"
+        if field == "Content-Length":
+            error = "bad_length"
+        content = {
+            "error": error,
+            "field": field,
+            "message": msg or str(status),
+            "allowed": "whole number from 0" if error == "bad_length" else "",
+        }
+        body = json.dumps(content).encode()
+        head = (
+            f"{self.server.protocol} {format_status(code)}\r\n"
+            f"Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.close_connection = True
+        try:
+            self.conn.wfile.write(head.encode() + body)
+        except OSError:
+            events.log_info("caller_gone", status=code)
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class _Gateway(wsgi.Gateway_10):
+    def get_environ(self):
+        """Returns the environment of a call, with the request itself."""
+        environ = super().get_environ()
+        environ[_REQUEST_KEY] = self.req
+        return environ
+
+
+class Server(wsgi.Server):
+    """A server that logs events instead of stack traces."""
+
+    ConnectionClass = _Connection
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Logs an error of the server itself."""
+        del level, traceback
+        events.log_warning("http_error", message=msg)
+
+
+def create_server(
+    application, host: str, port: int, threads: int, timeout_s: float
+) -> Server:
+    """Returns a server that is not started.
+
+    Args:
+        application: WSGI application.
+        host: IP number to listen on.
+        port: TCP port.
+        threads: Calls served at once.
+        timeout_s: Longest silence of a client in the middle of a call in
+            seconds; afterwards its connection is closed.
+    """
+    server = Server(
+        (host, port),
+        application,
+        numthreads=threads,
+        timeout=timeout_s,
+        request_queue_size=LISTEN_BACKLOG,
+    )
+    server.gateway = _Gateway
+    server.shutdown_timeout = 5
+    return server
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/logs.py
@@ -0,0 +1,68 @@
+"""Log output of the process: one key=value line for each event."""
+
+import logging as standard_logging
+import time
+
+from absl import logging
+
+from persimmonpath import events
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class EventFormatter(standard_logging.Formatter):
+    """Writes time and level before an event, and an exception on its line."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Returns the line of a record."""
+        message = record.getMessage().replace("\n", " ")
+        if not message.startswith("event="):
+            message = events.format_event("log", message=message)
+        parts = [
+            f"time={self._format_time(record.created)}",
+            f"level={record.levelname.lower()}",
+            message,
+        ]
+        if record.exc_info and record.exc_info[1] is not None:
+            parts.append(_format_exception(record.exc_info[1]))
+        return " ".join(parts)
+
+    def _format_time(self, created: float) -> str:
+        seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(created))
+        return f"{seconds}.{int(created * 1000) % 1000:03d}Z"
+
+
+def _format_exception(error: BaseException) -> str:
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    place = None
+    if trace is not None:
+        name = trace.tb_frame.f_code.co_filename.rpartition("/")[2]
+        place = f"{name}:{trace.tb_lineno}"
+    fields = {
+        "error": f"{type(error).__name__}: {error}",
+        "at": place,
+    }
+    return " ".join(
+        f"{name}={events.format_value(value)}"
+        for name, value in fields.items()
+        if value is not None
+    )
+
+
+def start(level: str) -> None:
+    """Sends events to the standard error output.
+
+    Args:
+        level: Least severity, `debug`, `info`, `warning` or `error`.
+    """
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(EventFormatter())
+    logging.set_verbosity(_LEVELS[level])
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -5,42 +5,43 @@
 import signal
 import sys
 import threading
+from typing import Annotated
 
-from absl import logging
 import cyclopts
 
 from persimmonpath import errors
+from persimmonpath import events
 from persimmonpath import router as router_module
 from persimmonpath import timers
 from persimmonpath_daemon import grpcpeers
 from persimmonpath_daemon import httpapi
+from persimmonpath_daemon import httpserver
+from persimmonpath_daemon import logs
 from persimmonpath_daemon import node as node_module
+from persimmonpath_daemon import observation
 from persimmonpath_daemon import servicer
 from persimmonpath_daemon import settings as settings_module
 
 EXIT_BAD_INPUT = 2
+EXIT_CANNOT_LISTEN = 69
 EXIT_BROKEN = 70
+PEER_STOP_S = 2.0
 
 app = cyclopts.App(name="persimmond", help="Entry VM of a persimmonpath cell.")
 
-_LEVELS = {
-    "debug": logging.DEBUG,
-    "info": logging.INFO,
-    "warning": logging.WARNING,
-    "error": logging.ERROR,
-}
-
 
 def _load(path: pathlib.Path) -> settings_module.Settings:
     try:
         return settings_module.load_settings(path)
     except errors.InputError as error:
-        print(f"persimmond: {error}", file=sys.stderr)
+        print(
+            f"persimmond: {error} (allowed: {error.allowed})", file=sys.stderr
+        )
         sys.exit(EXIT_BAD_INPUT)
 
 
 def _stop_broken(error: BaseException) -> None:
-    logging.error("event=invariant_broken error=%s", error)
+    events.log_error("invariant_broken", error=error)
     os._exit(EXIT_BROKEN)
 
 
@@ -52,54 +53,103 @@
 
 
 @app.default
-def run(file: pathlib.Path) -> None:
-    """Serve with a settings file until SIGTERM."""
-    settings = _load(file)
-    logging.use_absl_handler()
-    logging.set_verbosity(_LEVELS[settings.log_level])
+def run(
+    file: pathlib.Path | None = None,
+    *,
+    print_defaults: Annotated[bool, cyclopts.Parameter(negative=())] = False,
+) -> None:
+    """Serve with a settings file until SIGTERM.
+
+    Args:
+        file: The settings.
+        print_defaults: Print a settings file with every default, and exit.
+    """
+    if print_defaults:
+        print(settings_module.format_defaults(), end="")
+        return
+    if file is None:
+        print("persimmond: a settings file is needed", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    _serve(_load(file))
+
+
+def _serve(settings: settings_module.Settings) -> None:
+    logs.start(settings.log.level)
+    timer_service = timers.create_real_timers(_stop_broken)
+    instruments = observation.create_instruments(
+        settings.log.spans, timer_service
+    )
     entry = node_module.create_entry(
         settings,
-        timers.create_real_timers(_stop_broken),
+        timer_service,
         node_module.Executors(settings.threads),
+        instruments,
     )
-    router = router_module.create_router(entry)
-    peer_server = grpcpeers.create_server(
-        servicer.PeerServicer(entry),
-        str(settings.peer),
-        settings.threads.peer,
+    application = httpapi.Application(
+        entry,
+        router_module.create_router(entry),
+        instruments,
+        settings.threads.http - settings_module.SPARE_HTTP_THREADS,
     )
-    http_server = httpapi.create_server(
-        httpapi.Application(entry, router),
+    http_server = httpserver.create_server(
+        application,
         str(settings.http.host),
         settings.http.port,
         settings.threads.http,
+        settings.client_timeout_s,
     )
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
-    http_server.prepare()
-    peer_server.start()
+    peer_servicer = servicer.PeerServicer(entry, instruments)
+    stopping = _catch_signals()
+    peer_server = _listen(settings, http_server, peer_servicer)
     entry.start()
     threading.Thread(target=http_server.serve, daemon=True).start()
-    logging.info(
-        "event=started vm=%s zone=%s http=%s peer=%s",
-        settings.vm,
-        settings.zone,
-        settings.http,
-        settings.peer,
+    events.log_info(
+        "started",
+        vm=settings.vm,
+        zone=settings.zone,
+        http=settings.http,
+        peer=settings.peer,
     )
     stopping.wait()
     node_module.leave(entry, settings.drain_s)
     http_server.stop()
-    peer_server.stop(2.0).wait()
-    logging.info("event=stopped vm=%s", settings.vm)
+    peer_server.stop(PEER_STOP_S).wait()
+    events.log_info("stopped", vm=settings.vm)
     sys.stdout.flush()
+    # Threads that wait for a silent worker must not delay the exit.
     os._exit(0)
 
 
+def _catch_signals() -> threading.Event:
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    return stopping
+
+
+def _listen(settings, http_server, peer_servicer):
+    """Listens on both addresses, or exits; returns the peer server."""
+    address = settings.http
+    try:
+        http_server.prepare()
+        address = settings.peer
+        peer_server = grpcpeers.create_server(
+            peer_servicer, str(settings.peer), settings.threads.peer
+        )
+    except (OSError, RuntimeError, errors.InputError) as error:
+        events.log_error("cannot_listen", address=address, error=error)
+        os._exit(EXIT_CANNOT_LISTEN)
+    peer_server.start()
+    return peer_server
+
+
 def main() -> None:
     """Runs the command line."""
-    app()
+    try:
+        app(exit_on_error=False)
+    except cyclopts.CycloptsError:
+        # The message has been printed already.
+        sys.exit(EXIT_BAD_INPUT)
 
 
 if __name__ == "__main__":
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/node.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/node.py
@@ -13,6 +13,7 @@
 from persimmonpath import timers
 from persimmonpath import workers
 from persimmonpath_daemon import grpcpeers
+from persimmonpath_daemon import observation
 from persimmonpath_daemon import settings as settings_module
 
 PERIODIC_THREADS = 8
@@ -65,27 +66,33 @@
     settings: settings_module.Settings,
     timer_service: timers.TimerService,
     executors: Executors,
+    instruments: observation.Instruments,
 ) -> entry_module.EntryVm:
     """Returns an entry VM over HTTP and gRPC, not started."""
 
     def create_client(worker: inventory.Worker) -> workers.WorkerClient:
-        return httpworkers.create_http_worker(
+        client = httpworkers.create_http_worker(
             str(worker.host), worker.port, executors.starts, executors.control
         )
+        return observation.ObservedWorker(client, instruments)
+
+    table = httpplatform.HttpTable(
+        str(settings.platform.url), settings.platform.timeout_s
+    )
 
     identity = entry_module.create_identity(
         settings.vm, settings.zone, str(settings.peer), str(settings.http)
     )
     surroundings = entry_module.Surroundings(
         timers=timer_service,
-        table=httpplatform.HttpTable(
-            str(settings.platform.url), settings.platform.timeout_s
-        ),
-        peers=grpcpeers.create_peers(),
+        table=observation.ObservedTable(table, instruments),
+        peers=observation.ObservedPeers(grpcpeers.create_peers(), instruments),
         create_client=create_client,
         repeat=create_repeat(timer_service, executors.periodic),
     )
-    return entry_module.EntryVm(identity, surroundings)
+    entry = entry_module.EntryVm(identity, surroundings)
+    observation.add_entry_gauges(instruments.registry, entry)
+    return entry
 
 
 def leave(entry: entry_module.EntryVm, drain_s: float) -> None:
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -0,0 +1,211 @@
+"""Replies to callers and operators, and their errors."""
+
+from collections.abc import Callable
+import dataclasses
+import re
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from persimmonpath import errors
+from persimmonpath import jobs
+from persimmonpath import outcomes
+from persimmonpath import router as router_module
+from persimmonpath import spans
+from persimmonpath import validation
+from persimmonpath_daemon import bodies
+
+JSON = "application/json"
+TEXT = "text/plain; charset=utf-8"
+
+OUTCOME_STATUS = {"done": 200, "failed": 200, "not_run": 503, "unknown": 503}
+
+Model = TypeVar("Model", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call as it came in.
+
+    Attributes:
+        method: HTTP method.
+        path: Decoded path.
+        query: Fields of the query.
+        body: The whole body.
+        parent: Trace context of the caller; None without one.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+    parent: spans.Context | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Status, body and its type; text is sent as it is, the rest as JSON."""
+
+    status: int
+    body: Any
+    content_type: str = JSON
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A path that is answered.
+
+    Attributes:
+        name: Name in metrics.
+        method: HTTP method.
+        pattern: The whole path.
+        handle: Answers a call; also gets the groups of the pattern.
+    """
+
+    name: str
+    method: str
+    pattern: re.Pattern
+    handle: Callable[..., Reply]
+
+
+class CallError(Exception):
+    """A call that is refused as it is; nothing was changed."""
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        field: str = "",
+        message: str = "",
+        allowed: str = "",
+        **more: Any,
+    ):
+        """Creates a refusal.
+
+        Args:
+            status: HTTP status.
+            code: Kind of error, for programs.
+            field: Field that is wrong.
+            message: What is wrong, for people.
+            allowed: Allowed range or form.
+            **more: Further fields of the body.
+        """
+        super().__init__(code)
+        body = {
+            "error": code,
+            "field": field,
+            "message": message,
+            "allowed": allowed,
+            **more,
+        }
+        self.reply = Reply(status, body)
+
+
+def parse_body(model: type[Model], body: bytes) -> Model:
+    """Validates a body.
+
+    Raises:
+        CallError: With the first fault and, if there are more, all of them.
+    """
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise describe_validation(error, model) from error
+
+
+def describe_validation(
+    error: pydantic.ValidationError, model: type[pydantic.BaseModel]
+) -> CallError:
+    """Returns the refusal that tells the faults of a body."""
+    faults = validation.list_faults(error, model)
+    first = faults[0]
+    more = {}
+    if len(faults) > 1:
+        more["faults"] = [dataclasses.asdict(fault) for fault in faults]
+    return CallError(
+        400, first.code, first.field, first.message, first.allowed, **more
+    )
+
+
+def describe_input_error(error: errors.InputError) -> CallError:
+    """Returns the refusal for a value that the library does not accept."""
+    return CallError(
+        400, f"bad_{error.field}", error.field, str(error), error.allowed
+    )
+
+
+def describe_answer(answer: router_module.Answer) -> Reply:
+    """Returns the reply that tells an outcome."""
+    outcome = answer.outcome
+    name = outcomes.name_outcome(outcome)
+    content = outcome.answer if isinstance(outcome, outcomes.Done) else b""
+    body = {
+        "id": answer.id,
+        "outcome": name,
+        "length": len(content),
+        "checksum": outcomes.compute_checksum(content),
+    }
+    if isinstance(outcome, outcomes.Done):
+        body["answer"] = bodies.encode_bytes(content)
+    else:
+        body["reason"] = outcome.reason
+    worker = getattr(outcome, "worker", "")
+    if worker:
+        body["worker"] = worker
+    return Reply(OUTCOME_STATUS[name], body)
+
+
+def describe_job(record: jobs.JobRecord) -> dict:
+    """Returns the JSON form of a job."""
+    return {
+        "id": record.job["id"],
+        "form": record.form,
+        "kind": record.job["kind"],
+        "team": record.job["team"],
+        "state": record.state.value,
+        "shard": record.shard,
+        "tasks": [
+            {
+                "state": task.state.value,
+                "attempts": task.attempts,
+                "reason": task.reason,
+            }
+            for task in record.tasks
+        ],
+    }
+
+
+def describe_table_error(error: errors.TableError, **fields: Any) -> Reply:
+    """Returns the reply that tells what a failed table call leaves behind.
+
+    Args:
+        error: The error.
+        **fields: Further fields of the body.
+    """
+    if isinstance(error, errors.TableConflictError):
+        body = {"outcome": "not_run", "reason": "changed_meanwhile"}
+        return Reply(409, {"error": "conflict", **body, **fields})
+    if isinstance(error, errors.TableUnavailableError):
+        body = {"outcome": "not_run", "reason": "platform_unavailable"}
+        return Reply(503, {**body, **fields})
+    body = {"outcome": "unknown", "reason": "platform_uncertain"}
+    return Reply(503, {**body, **fields})
+
+
+def read_limit(call: Call, default: int, highest: int) -> int:
+    """Returns the query field `limit`.
+
+    Raises:
+        CallError: If it is out of range.
+    """
+    text = call.query.get("limit", str(default))
+    if not text.isdecimal() or not 1 <= int(text[:9]) <= highest:
+        raise CallError(
+            400,
+            "out_of_range",
+            "limit",
+            f"limit is {text[:40]!r}",
+            f"whole number from 1 to {highest}",
+        )
+    return int(text)
--- /dev/null
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/requestapi.py
@@ -0,0 +1,222 @@
+"""Calls for requests: issue ids, run, ask, cancel."""
+
+from concurrent import futures
+import re
+import threading
+
+from persimmonpath import entry as entry_module
+from persimmonpath import errors
+from persimmonpath import events
+from persimmonpath import identifiers
+from persimmonpath import outcomes
+from persimmonpath import resources
+from persimmonpath import router as router_module
+from persimmonpath_daemon import bodies
+from persimmonpath_daemon import observation
+from persimmonpath_daemon import replies
+
+# Calls between entry VMs carry deadlines; this only bounds their sum.
+WAIT_LIMIT_S = 10.0
+
+_ID = r"([^/:]+)"
+
+
+class RequestApi:
+    """Answers the callers' calls for requests."""
+
+    def __init__(
+        self,
+        entry: entry_module.EntryVm,
+        router: router_module.Router,
+        instruments: observation.Instruments,
+        run_limit: int,
+    ):
+        """Creates the calls of an entry VM.
+
+        Args:
+            entry: The entry VM.
+            router: Its router.
+            instruments: Metrics and tracer.
+            run_limit: Requests that wait for their answer at once; below the
+                number of threads, so that other calls are still answered.
+        """
+        self._entry = entry
+        self._router = router
+        self._instruments = instruments
+        self._running = threading.BoundedSemaphore(run_limit)
+
+    def list_routes(self) -> list[replies.Route]:
+        """Returns the paths that are answered here."""
+        return [
+            replies.Route(
+                "issue_ids", "POST", re.compile(r"/v1/ids"), self._issue_ids
+            ),
+            replies.Route(
+                "run", "POST", re.compile(r"/v1/requests"), self._run
+            ),
+            replies.Route(
+                "ask", "GET", re.compile(rf"/v1/requests/{_ID}"), self._ask
+            ),
+            replies.Route(
+                "cancel",
+                "POST",
+                re.compile(rf"/v1/requests/{_ID}:cancel"),
+                self._cancel,
+            ),
+        ]
+
+    def _issue_ids(self, call: replies.Call) -> replies.Reply:
+        parsed = replies.parse_body(bodies.IdsBody, call.body)
+        try:
+            ids = self._router.issue_ids(parsed.count).result(WAIT_LIMIT_S)
+        except futures.TimeoutError:
+            ids = []
+        if not ids:
+            body = {"outcome": "not_run", "reason": "no_shard_reachable"}
+            return replies.Reply(503, body)
+        return replies.Reply(200, {"ids": ids})
+
+    def _run(self, call: replies.Call) -> replies.Reply:
+        started_at = self._instruments.timers.now()
+        parsed = replies.parse_body(bodies.RequestBody, call.body)
+        if parsed.id:
+            check_request_id(self._entry, parsed.id)
+        check_size(self._entry, parsed.resources.convert())
+        caller_span = self._instruments.tracer.start("caller_call", call.parent)
+        answer = self._run_limited(parsed, caller_span)
+        name = outcomes.name_outcome(answer.outcome)
+        reason = getattr(answer.outcome, "reason", None)
+        elapsed_s = self._instruments.timers.now() - started_at
+        self._instruments.requests.record(elapsed_s, name)
+        if name != "done":
+            self._instruments.reasons.increment(name, reason)
+        caller_span.end(name, id=answer.id or None)
+        events.log_info(
+            "request_answered",
+            id=answer.id or None,
+            outcome=name,
+            reason=reason,
+            kind=parsed.kind,
+            duration_ms=round(elapsed_s * 1000, 3),
+            trace=caller_span.trace_id or None,
+        )
+        return _describe(answer)
+
+    def _run_limited(self, parsed, caller_span) -> router_module.Answer:
+        if not self._running.acquire(blocking=False):
+            # With an id from the caller the request may run elsewhere.
+            kind = outcomes.Unknown if parsed.id else outcomes.NotRun
+            return router_module.Answer(parsed.id, kind("entry_vm_overloaded"))
+        try:
+            return self._route(parsed, caller_span)
+        finally:
+            self._running.release()
+
+    def _route(self, parsed, caller_span) -> router_module.Answer:
+        tracer = self._instruments.tracer
+        span = tracer.start("route", caller_span.context)
+        request = parsed.convert(span.trace)
+        future = self._router.run(parsed.id, request)
+        try:
+            answer = future.result(request.timeout_s + WAIT_LIMIT_S)
+        except futures.TimeoutError:
+            outcome = outcomes.Unknown("entry_vm_silent")
+            answer = router_module.Answer(parsed.id, outcome)
+        span.end(outcomes.name_outcome(answer.outcome))
+        return answer
+
+    def _ask(self, call: replies.Call, request_id: str) -> replies.Reply:
+        del call
+        return self._look_up(request_id, False)
+
+    def _cancel(self, call: replies.Call, request_id: str) -> replies.Reply:
+        del call
+        return self._look_up(request_id, True)
+
+    def _look_up(self, request_id: str, close: bool) -> replies.Reply:
+        check_request_id(self._entry, request_id)
+        future = self._router.ask(request_id, close)
+        try:
+            answer = future.result(WAIT_LIMIT_S)
+        except futures.TimeoutError:
+            outcome = outcomes.Unknown("shard_unreachable")
+            answer = router_module.Answer(request_id, outcome)
+        return replies.describe_answer(answer)
+
+
+def _describe(answer: router_module.Answer) -> replies.Reply:
+    reason = getattr(answer.outcome, "reason", "")
+    if reason == "id_reused":
+        raise replies.CallError(
+            409,
+            "id_reused",
+            "id",
+            f"{answer.id} was used for another request",
+            "the same request as before, or a new id from POST /v1/ids",
+        )
+    if reason == "id_not_issued":
+        raise replies.CallError(
+            400,
+            "id_not_issued",
+            "id",
+            f"{answer.id} was never issued",
+            "an id issued by POST /v1/ids",
+        )
+    return replies.describe_answer(answer)
+
+
+def check_request_id(entry: entry_module.EntryVm, text: str) -> None:
+    """Checks the form of an id and that its zone and shard exist.
+
+    Raises:
+        replies.CallError: If not.
+    """
+    try:
+        parsed = identifiers.parse_request_id(text)
+    except errors.InputError as error:
+        raise replies.describe_input_error(error) from error
+    shards = entry.applied.config.inventory.list_shards()
+    if not shards or parsed.shard in shards:
+        return
+    zones = sorted({shard.zone for shard in shards})
+    if parsed.shard.zone not in zones:
+        raise replies.CallError(
+            400,
+            "unknown_zone",
+            "id",
+            f"no availability zone {parsed.shard.zone}",
+            "an id of one of the zones " + ", ".join(zones),
+        )
+    count = sum(shard.zone == parsed.shard.zone for shard in shards)
+    raise replies.CallError(
+        400,
+        "unknown_shard",
+        "id",
+        f"no shard {parsed.shard}",
+        f"an id of one of the shards 0 to {count - 1}",
+    )
+
+
+def check_size(entry: entry_module.EntryVm, size: resources.Resources) -> None:
+    """Checks that some VM of the inventory could carry a piece of work.
+
+    Raises:
+        replies.CallError: If none could.
+    """
+    workers = entry.applied.config.inventory.workers
+    capacities = {worker.capacity for worker in workers}
+    if not capacities or any(size.fits_in(c) for c in capacities):
+        return
+    largest = [
+        f"{c.cpu_millis}/{c.memory_mib}/{c.accelerators}"
+        for c in sorted(capacities, key=lambda c: -c.cpu_millis)
+        if not any(c != other and c.fits_in(other) for other in capacities)
+    ]
+    raise replies.CallError(
+        400,
+        "larger_than_any_vm",
+        "resources",
+        f"no VM has {size.cpu_millis} cpu_millis, {size.memory_mib} memory_mib"
+        f" and {size.accelerators} accelerators",
+        "cpu_millis/memory_mib/accelerators of at most " + " or ".join(largest),
+    )
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -1,12 +1,15 @@
 """Answers the calls of other entry VMs."""
 
 from concurrent import futures
+import dataclasses
 
 from persimmonpath import entry as entry_module
 from persimmonpath import identifiers
 from persimmonpath import outcomes
+from persimmonpath import spans
 from persimmonpath import wire
 from persimmonpath_daemon import grpcpeers
+from persimmonpath_daemon import observation
 from persimmonpath_daemon import peers_pb2
 from persimmonpath_daemon import peers_pb2_grpc
 
@@ -14,9 +17,12 @@
 class PeerServicer(peers_pb2_grpc.PeerServicer):
     """The callee's side of every call."""
 
-    def __init__(self, entry: entry_module.EntryVm):
+    def __init__(
+        self, entry: entry_module.EntryVm, instruments: observation.Instruments
+    ):
         """Creates a servicer of an entry VM."""
         self._entry = entry
+        self._instruments = instruments
 
     def Run(self, request, context):  # noqa: N802
         """Runs a request of a shard owned here."""
@@ -26,11 +32,15 @@
         if owned is None:
             return peers_pb2.RunReply(id=request.id, not_owner=True)
         decoded = grpcpeers.decode_request(request)
+        parent = spans.parse_context(decoded.trace)
+        span = self._instruments.tracer.start("peer_serve", parent)
+        decoded = dataclasses.replace(decoded, trace=span.trace)
         future = owned.dispatcher.submit(parsed, decoded)
         try:
             outcome = future.result(decoded.timeout_s)
         except futures.TimeoutError:
             outcome = outcomes.Unknown("still_running")
+        span.end(outcomes.name_outcome(outcome))
         return grpcpeers.encode_outcome(request.id, outcome)
 
     def Ask(self, request, context):  # noqa: N802
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -4,81 +4,111 @@
 import pathlib
 import tomllib
 from typing import Annotated
+from typing import Literal
 
 import pydantic
 
 from persimmonpath import errors
 from persimmonpath import inventory
+from persimmonpath import validation
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 
+# Threads kept for other calls than requests, such as /healthz and asking for
+# an outcome, while many requests wait for their answers.
+SPARE_HTTP_THREADS = 8
+
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, use_attribute_docstrings=True
+    )
 
 
 class Address(_Model):
     """An IP number and a port."""
 
     host: pydantic.IPvAnyAddress = ipaddress.ip_address("127.0.0.1")
+    """IP number to listen on, which others also reach it by."""
+
     port: Port
+    """TCP port."""
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
 class PlatformSettings(_Model):
-    """The platform's services.
-
-    Attributes:
-        url: Base address of table, object store and VM list.
-        timeout_s: Bound on one call in seconds.
-    """
+    """The platform's services."""
 
     url: pydantic.HttpUrl
+    """Base address of table, object store and VM list."""
+
     timeout_s: Annotated[float, pydantic.Field(gt=0, le=30)] = 2.0
+    """Bound on one call in seconds."""
 
 
 class ThreadSettings(_Model):
-    """Bounds on concurrent work.
+    """Bounds on concurrent work."""
 
-    Attributes:
-        http: Requests of callers served at once.
-        peer: Calls of other entry VMs served at once.
-        starts: Starts in flight to workers.
-        control: Other calls in flight to workers.
-    """
+    http: Annotated[int, pydantic.Field(ge=16, le=1024)] = 64
+    """Calls of callers served at once; 8 of them are kept free of requests."""
 
-    http: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
     peer: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
+    """Calls of other entry VMs served at once."""
+
     starts: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
+    """Starts in flight to workers."""
+
     control: Annotated[int, pydantic.Field(ge=2, le=256)] = 16
+    """Other calls in flight to workers."""
+
+
+class LogSettings(_Model):
+    """What is written to the standard error output."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    """Least severity of an event that is written."""
+
+    spans: bool = False
+    """Whether the spans of traces are written, as events of level info."""
 
 
 class Settings(_Model):
-    """Everything that an entry VM has to be told.
-
-    Attributes:
-        vm: Name of this entry VM.
-        zone: Its availability zone.
-        http: Address for callers.
-        peer: Address for other entry VMs.
-        platform: The platform's services.
-        threads: Bounds on concurrent work.
-        drain_s: Longest time that a graceful shutdown waits, in seconds.
-        log_level: `debug`, `info`, `warning` or `error`.
-    """
+    """Everything that an entry VM has to be told."""
 
     vm: inventory.Name
+    """Name of this entry VM, unique within its zone."""
+
     zone: inventory.Name
+    """Its availability zone."""
+
+    drain_s: Annotated[float, pydantic.Field(gt=0, le=600)] = 30.0
+    """Longest time in seconds that a graceful shutdown waits for requests."""
+
+    client_timeout_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 5.0
+    """Longest silence in seconds of a caller in the middle of a call."""
+
     http: Address
+    """Address for callers and operators."""
+
     peer: Address
+    """Address for other entry VMs."""
+
     platform: PlatformSettings
+    """The platform's services."""
+
     threads: ThreadSettings = ThreadSettings()
-    drain_s: Annotated[float, pydantic.Field(gt=0, le=600)] = 30.0
-    log_level: Annotated[
-        str, pydantic.Field(pattern="^(debug|info|warning|error)$")
-    ] = "info"
+    """Bounds on concurrent work."""
+
+    log: LogSettings = LogSettings()
+    """What is written to the standard error output."""
+
+    @pydantic.model_validator(mode="after")
+    def _check(self) -> "Settings":
+        if str(self.http) == str(self.peer):
+            raise ValueError(f"http and peer are both {self.http}")
+        return self
 
 
 def parse_settings(text: str) -> Settings:
@@ -93,7 +123,9 @@
         raise errors.InputError("settings", str(error), "TOML") from error
     except pydantic.ValidationError as error:
         raise errors.InputError(
-            "settings", inventory.describe_faults(error)
+            "settings",
+            validation.describe_faults(error, Settings, "settings"),
+            "what `persimmond --print-defaults` prints",
         ) from error
 
 
@@ -105,6 +137,65 @@
     """
     try:
         text = path.read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise errors.InputError("settings", str(error)) from error
     return parse_settings(text)
+
+
+# Settings without a default are printed with these.
+_EXAMPLES = {
+    "vm": '"entry-1"',
+    "zone": '"zone-a"',
+    "http.port": "8080",
+    "peer.port": "8081",
+    "platform.url": '"http://127.0.0.1:8090"',
+}
+
+
+def format_defaults() -> str:
+    """Returns a TOML file with every setting, its default and its range.
+
+    A setting without a default carries an example and says so.
+    """
+    lines = ["# Settings of persimmond."]
+    lines += _format_model(Settings, "", Settings.model_json_schema())
+    return "\n".join(lines) + "\n"
+
+
+def _format_model(
+    model: type[pydantic.BaseModel], prefix: str, root: dict
+) -> list[str]:
+    lines = []
+    tables = []
+    schema = _find_schema(model, root)
+    for name, field in model.model_fields.items():
+        if _is_model(field.annotation):
+            tables += ["", f"# {field.description}", f"[{prefix}{name}]"]
+            tables += _format_model(field.annotation, f"{name}.", root)
+            continue
+        allowed = validation.describe_range(schema["properties"][name], root)
+        path = prefix + name
+        required = " Required; this is an example." * field.is_required()
+        lines += [
+            "",
+            f"# {field.description}",
+            f"# Allowed: {allowed}.{required}",
+            f"{name} = {_EXAMPLES.get(path) or _format_value(field.default)}",
+        ]
+    return lines + tables
+
+
+def _find_schema(model: type[pydantic.BaseModel], root: dict) -> dict:
+    return root["$defs"].get(model.__name__, root)
+
+
+def _is_model(kind: object) -> bool:
+    return isinstance(kind, type) and issubclass(kind, pydantic.BaseModel)
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, int | float):
+        return str(value)
+    return f'"{value}"'
--- a/scripts/cell.py
+++ b/scripts/cell.py
@@ -1,12 +1,12 @@
 """Brings a small cell up and down, and sends it a mixed load."""
 
+import base64
 import collections
 from concurrent import futures
 import json
 import os
 import pathlib
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -14,15 +14,32 @@
 from scripts import processes
 
 STATE = pathlib.Path(".cell")
-JOB_TIMEOUT_S = 30.0
+JOB_TIMEOUT_S = 20
+SERVICE_RUN_S = 2.0
+REQUESTS = 24
+JOBS_PER_FORM = 2
+OUTCOMES = ("done", "failed", "not_run", "unknown")
+KINDS = ("request", "batch", "service", "gang")
+
+# Exit codes of persimmonctl that tell an outcome without a JSON body.
+EXIT_OUTCOMES = {1: "failed", 2: "not_run", 3: "not_run", 5: "not_run"}
 
 
 def send_request(cell, number):
     """Sends one request and returns its kind and outcome."""
     payload = json.dumps({"run_s": 0.02, "number": number})
     extra = ["--idempotent"] if number % 2 else []
-    done = cell.control("submit", payload, *extra)
-    return "request", read_outcome(done)
+    done = cell.control("submit", payload, "--json", *extra)
+    outcome = read_outcome(done)
+    if outcome == "done" and not has_answer(done, payload):
+        outcome = "failed"
+    return "request", outcome
+
+
+def has_answer(process, payload):
+    """Returns whether the worker's answer belongs to this payload."""
+    encoded = json.loads(process.stdout)["answer"]
+    return base64.b64decode(encoded) == payload.upper().encode()
 
 
 def run_job(cell, form, number):
@@ -30,74 +47,99 @@
     job_id = f"{form}-{number}"
     fields = {"forever": True} if form == "service" else {"run_s": 0.3}
     submitted = cell.control(
-        "job", "submit", form, job_id, json.dumps(fields), "--tasks", "3"
+        "job",
+        "submit",
+        form,
+        job_id,
+        json.dumps(fields),
+        "--tasks",
+        "3",
+        "--json",
     )
     if submitted.returncode != 0:
         return form, read_outcome(submitted)
     if form == "service":
-        time.sleep(2.0)
+        time.sleep(SERVICE_RUN_S)
         cell.control("job", "cancel", job_id)
-    deadline = time.monotonic() + JOB_TIMEOUT_S
-    while time.monotonic() < deadline:
-        shown = cell.control("job", "show", job_id)
-        state = json.loads(shown.stdout or "{}").get("state", "")
-        if state in ("done", "cancelled"):
-            return form, "done"
-        if state == "failed":
-            return form, "failed"
-        time.sleep(0.5)
-    return form, "unknown"
+    waited = cell.control(
+        "job", "wait", job_id, "--timeout-s", str(JOB_TIMEOUT_S), "--json"
+    )
+    # A service has no end of its own: being cancelled is its good end.
+    expected = "cancelled" if form == "service" else "done"
+    state = read_field(waited, "state")
+    if state == expected:
+        return form, "done"
+    return form, "failed" if state in ("failed", "cancelled") else "unknown"
 
 
 def read_outcome(process):
     """Returns the outcome that persimmonctl printed."""
+    outcome = read_field(process, "outcome")
+    if outcome in OUTCOMES:
+        return outcome
+    print(process.stdout, process.stderr, file=sys.stderr)
+    return EXIT_OUTCOMES.get(process.returncode, "unknown")
+
+
+def read_field(process, name):
+    """Returns a field of the JSON that persimmonctl printed, or None."""
     try:
-        return json.loads(process.stdout).get("outcome", "unknown")
+        return json.loads(process.stdout).get(name)
     except ValueError:
-        print(process.stderr, file=sys.stderr)
-        return "unknown"
+        return None
 
 
 def run():
     """Runs the cell with a mixed load; returns the exit status."""
+    started_at = time.monotonic()
     with tempfile.TemporaryDirectory() as directory:
         cell = processes.Cell(directory)
         try:
             cell.start()
             counts = send_load(cell)
         finally:
+            ignore_signals()
             cell.stop()
-            if sys.exc_info()[0] is not None:
+            if sys.exc_info()[0] not in (None, KeyboardInterrupt):
                 print_logs(pathlib.Path(directory))
+    print(f"took {time.monotonic() - started_at:.1f} s")
     return report(counts)
 
 
 def send_load(cell):
     """Sends all kinds of work; returns counts by kind and outcome."""
     counts = collections.Counter()
-    with futures.ThreadPoolExecutor(8) as pool:
-        sent = [pool.submit(send_request, cell, n) for n in range(24)]
-        for form in ("batch", "service", "gang"):
-            sent += [pool.submit(run_job, cell, form, n) for n in range(2)]
+    pool = futures.ThreadPoolExecutor(8)
+    try:
+        sent = [pool.submit(send_request, cell, n) for n in range(REQUESTS)]
+        for form in KINDS[1:]:
+            sent += [
+                pool.submit(run_job, cell, form, n)
+                for n in range(JOBS_PER_FORM)
+            ]
         for future in sent:
             counts[future.result()] += 1
+    finally:
+        pool.shutdown(wait=False, cancel_futures=True)
     return counts
 
 
 def report(counts):
     """Prints a table and the closing line; returns the exit status."""
-    names = ("done", "failed", "not_run", "unknown")
-    print(f"{'kind':10}" + "".join(f"{name:>10}" for name in names))
-    for kind in ("request", "batch", "service", "gang"):
-        row = "".join(f"{counts[kind, name]:10}" for name in names)
+    print(f"{'kind':10}" + "".join(f"{name:>10}" for name in OUTCOMES))
+    for kind in KINDS:
+        row = "".join(f"{counts[kind, name]:10}" for name in OUTCOMES)
         print(f"{kind:10}{row}")
-    totals = {n: sum(counts[k] for k in counts if k[1] == n) for n in names}
+    totals = {
+        name: sum(counts[kind, name] for kind in KINDS) for name in OUTCOMES
+    }
     accepted = sum(totals.values()) - totals["not_run"]
     print(
         f"run: accepted={accepted} done={totals['done']} "
         f"not_run={totals['not_run']} unknown={totals['unknown']}"
     )
-    return 0 if accepted == totals["done"] and not totals["unknown"] else 1
+    is_good = accepted == totals["done"] and not totals["unknown"]
+    return 0 if is_good else 1
 
 
 def print_logs(directory):
@@ -115,9 +157,11 @@
     cell = processes.Cell(STATE)
     try:
         cell.start()
-    except (RuntimeError, subprocess.CalledProcessError):
+    except BaseException as error:
+        ignore_signals()
         cell.stop()
-        print_logs(STATE)
+        if not isinstance(error, KeyboardInterrupt):
+            print_logs(STATE)
         raise
     cell.save()
     addresses = ",".join(map(cell.get_http_address, cell.entries))
@@ -131,14 +175,45 @@
     if not path.exists():
         print("no cell is up")
         return 0
-    for name, pid in json.loads(path.read_text())["pids"].items():
-        try:
-            os.kill(pid, signal.SIGTERM)
-        except ProcessLookupError:
-            print(f"{name} had stopped already")
+    left = json.loads(path.read_text())["pids"]
+    for number in (signal.SIGTERM, signal.SIGKILL):
+        left = {
+            n: p for n, p in left.items() if processes.signal_own(p, number)
+        }
+        deadline = time.monotonic() + processes.STOP_TIMEOUT_S
+        while left and time.monotonic() < deadline:
+            time.sleep(0.1)
+            left = {n: p for n, p in left.items() if processes.is_own(p)}
     path.unlink()
+    print("the cell is down")
     return 0
 
 
+def interrupt(*_):
+    """Ends a run in the same way as Ctrl-C does."""
+    raise KeyboardInterrupt
+
+
+def ignore_signals():
+    """Lets nothing interrupt the stopping of the processes."""
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
+def main():
+    """Runs the command that the first argument names."""
+    # SIGINT too: a shell lets its background commands ignore it.
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, interrupt)
+    try:
+        return {"run": run, "up": up, "down": down}[sys.argv[1]]()
+    except KeyboardInterrupt:
+        print("interrupted; every process was stopped", file=sys.stderr)
+        return 130
+
+
 if __name__ == "__main__":
-    sys.exit({"run": run, "up": up, "down": down}[sys.argv[1]]())
+    status = main()
+    sys.stdout.flush()
+    # Threads of an interrupted run still wait for commands that have ended.
+    os._exit(status)
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import urllib3
@@ -15,6 +16,10 @@
 BIN = pathlib.Path(sys.executable).parent
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
+COMMAND_TIMEOUT_S = 60.0
+# Exit codes of persimmonctl.
+EXIT_DONE = 0
+EXIT_UNFINISHED = 6
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +43,29 @@
     return ports
 
 
+def is_own(pid):
+    """Returns whether a process id is still one of a cell's processes.
+
+    The id may have gone to a process of somebody else since the cell came up.
+    """
+    try:
+        command = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
+    except OSError:
+        return False
+    return b"persimmond" in command or b"tests.standins." in command
+
+
+def signal_own(pid, number):
+    """Sends a signal if the process is still one of a cell's."""
+    if not is_own(pid):
+        return False
+    try:
+        os.kill(pid, number)
+    except ProcessLookupError:
+        return False
+    return True
+
+
 class Cell:
     """Starts and stops the processes of a cell."""
 
@@ -45,6 +73,9 @@
         self.directory = pathlib.Path(directory)
         self.shape = shape
         self.processes = {}
+        self.commands = set()
+        self.is_stopping = False
+        self.lock = threading.Lock()
         self.workers = {}
         self.entries = {}
         self.platform = ""
@@ -132,7 +163,13 @@
         """Imports an asset register with all workers."""
         path = self.directory / "inventory.toml"
         path.write_text(self.format_inventory())
-        self.control("inventory", "import", str(path)).check_returncode()
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            done = self.control("inventory", "import", str(path))
+            if done.returncode in (EXIT_DONE, EXIT_UNFINISHED):
+                return
+            time.sleep(0.5)
+        raise RuntimeError(f"the inventory was not imported: {done.stderr}")
 
     def format_inventory(self):
         """Returns the asset register in TOML."""
@@ -153,20 +190,49 @@
     def control(self, *arguments):
         """Runs `persimmonctl` and returns the completed process."""
         addresses = [self.get_http_address(name) for name in self.entries]
-        return subprocess.run(
-            [str(BIN / "persimmonctl"), *arguments],
-            env={**os.environ, "PERSIMMON_ENTRY": ",".join(addresses)},
-            capture_output=True,
-            text=True,
-            timeout=120,
-            check=False,
+        # Not `subprocess.run`: `stop` has to find commands that still run.
+        with self.lock:
+            if self.is_stopping:
+                raise RuntimeError("the cell is stopping")
+            process = subprocess.Popen(
+                [str(BIN / "persimmonctl"), *arguments],
+                env={**os.environ, "PERSIMMON_ENTRY": ",".join(addresses)},
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+                text=True,
+                start_new_session=True,
+            )
+            self.commands.add(process)
+        try:
+            output, errors = process.communicate(timeout=COMMAND_TIMEOUT_S)
+        finally:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+            self.commands.discard(process)
+        return subprocess.CompletedProcess(
+            arguments, process.returncode, output, errors
         )
 
     def stop(self):
-        """Stops every process that this cell started."""
-        for process in self.processes.values():
+        """Stops every process that this cell started, entry VMs first.
+
+        An entry VM hands its shards over through the platform, so the platform
+        goes last.
+        """
+        with self.lock:
+            self.is_stopping = True
+            commands = list(self.commands)
+        entries = [p for n, p in self.processes.items() if n in self.entries]
+        others = [p for n, p in self.processes.items() if n not in self.entries]
+        for group in (commands, entries, others):
+            self.stop_group(group)
+
+    def stop_group(self, group):
+        """Stops processes and waits for their end."""
+        for process in group:
             process.send_signal(signal.SIGTERM)
-        for process in self.processes.values():
+        for process in group:
             try:
                 process.wait(STOP_TIMEOUT_S)
             except subprocess.TimeoutExpired:
