--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -9,6 +9,7 @@
 from persimmonpath import events
 
 _REQUEST_KEY = "persimmonpath.request"
+# A full queue drops SYNs, which the caller repeats only after a second.
 LISTEN_BACKLOG = 128
 
 
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -165,7 +165,9 @@
         path.write_text(self.format_inventory())
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
-            done = self.control("inventory", "import", str(path))
+            done = self.control(
+                "inventory", "import", str(path), "--wait-s", "0"
+            )
             if done.returncode in (EXIT_DONE, EXIT_UNFINISHED):
                 return
             time.sleep(0.5)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for table service, object store and VM list."""
 
 import dataclasses
+import json
 import threading
 import time
 import urllib.parse
@@ -18,11 +19,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Faults:
-    """What is wrong with the platform; set by `POST /faults`."""
+    """What is wrong with the platform; set by `POST /faults`.
+
+    `hold_s` is how long the connection of a lost answer stays open.
+    """
 
     is_down: bool = False
     delay_s: float = 0.0
     loses_answers: bool = False
+    hold_s: float = 5.0
 
 
 class PlatformApplication(server.Application):
@@ -39,6 +44,8 @@
         if path == "/faults":
             self.faults = wire.decode(Faults, body)
             return 200, b"ok"
+        if path == "/statistics":
+            return 200, json.dumps({"bytes": self.bytes}).encode()
         faults = self.faults
         if faults.is_down:
             return 503, b"down"
@@ -46,7 +53,7 @@
             time.sleep(faults.delay_s)
         status, reply = self._serve(method, path, query, body)
         if faults.loses_answers and method == "POST":
-            self._never.wait(5.0)
+            self._never.wait(faults.hold_s)
         return status, reply
 
     def _serve(self, method, path, query, body):
