--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -25,7 +25,11 @@
 
 
 class Application:
-    """WSGI application of an entry VM."""
+    """WSGI application of an entry VM.
+
+    Attributes:
+        requests: The calls for requests.
+    """
 
     def __init__(
         self,
@@ -43,10 +47,11 @@
             run_limit: Requests that wait for their answer at once.
         """
         self._instruments = instruments
+        self.requests = requestapi.RequestApi(
+            entry, router, instruments, run_limit
+        )
         self._routes = [
-            *requestapi.RequestApi(
-                entry, router, instruments, run_limit
-            ).list_routes(),
+            *self.requests.list_routes(),
             *jobapi.JobApi(entry).list_routes(),
             *cellapi.CellApi(entry, instruments).list_routes(),
         ]
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/requestapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/requestapi.py
@@ -22,7 +22,11 @@
 
 
 class RequestApi:
-    """Answers the callers' calls for requests."""
+    """Answers the callers' calls for requests.
+
+    Attributes:
+        running: Room for requests that wait for their answer.
+    """
 
     def __init__(
         self,
@@ -43,7 +47,7 @@
         self._entry = entry
         self._router = router
         self._instruments = instruments
-        self._running = threading.BoundedSemaphore(run_limit)
+        self.running = threading.BoundedSemaphore(run_limit)
 
     def list_routes(self) -> list[replies.Route]:
         """Returns the paths that are answered here."""
@@ -103,14 +107,14 @@
         return _describe(answer)
 
     def _run_limited(self, parsed, caller_span) -> router_module.Answer:
-        if not self._running.acquire(blocking=False):
+        if not self.running.acquire(blocking=False):
             # With an id from the caller the request may run elsewhere.
             kind = outcomes.Unknown if parsed.id else outcomes.NotRun
             return router_module.Answer(parsed.id, kind("entry_vm_overloaded"))
         try:
             return self._route(parsed, caller_span)
         finally:
-            self._running.release()
+            self.running.release()
 
     def _route(self, parsed, caller_span) -> router_module.Answer:
         tracer = self._instruments.tracer
