--- a/packages/persimmonpath_ctl/persimmonpath_ctl/inventorycommands.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/inventorycommands.py
@@ -36,15 +36,16 @@
         common: Options of every command.
     """
     text = invocation.read_text(file)
+    is_csv = file.suffix == ".csv"
     try:
-        parsed = parse_register(text, file.suffix == ".csv", shards)
+        parsed = parse_register(text, is_csv, shards)
     except errors.InputError as error:
         invocation.stop_on_bad_input(error)
         raise
 
     def edit(config: dict) -> None:
         current = inventory_module.validate_inventory(config["inventory"])
-        merged = keep_assignments(parsed, current, keep_shards=shards is None)
+        merged = keep_assignments(parsed, current, is_csv and shards is None)
         config["inventory"] = json.loads(merged.model_dump_json())
 
     invocation.commit(edit, based_on, wait_s, common)
@@ -143,14 +144,15 @@
     Args:
         new: The register.
         current: The inventory in force.
-        keep_shards: Whether a zone whose number of shards the register leaves
-            out keeps its number.
+        keep_shards: Whether a known zone keeps its number of shards, although
+            the register has one; a CSV register always has.
     """
     before = {zone.name: zone for zone in current.zones}
     zones = []
     for zone in new.zones:
         known = before.get(zone.name)
-        if keep_shards and known and "shards" not in zone.model_fields_set:
+        is_left_out = keep_shards or "shards" not in zone.model_fields_set
+        if known and is_left_out:
             zone = zone.model_copy(update={"shards": known.shards})
         zones.append(zone)
     shards = {zone.name: zone.shards for zone in zones}
