--- a/packages/persimmonpath_ctl/persimmonpath_ctl/output.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/output.py
@@ -140,7 +140,7 @@
 
 def print_history(body: dict) -> None:
     """Prints versions of the configuration."""
-    columns = ["version", "based_on", "author", "workers", "zones"]
+    columns = ["version", "based_on", "author", "digest"]
     rows = [[entry.get(name) for name in columns] for entry in body["versions"]]
     print_table([name.upper() for name in columns], rows)
 
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -91,8 +91,9 @@
         instruments,
         settings.threads.http - settings_module.SPARE_HTTP_THREADS,
     )
+    counter = node_module.CallCounter(application)
     http_server = httpserver.create_server(
-        application,
+        counter,
         str(settings.http.host),
         settings.http.port,
         settings.threads.http,
@@ -111,7 +112,7 @@
         peer=settings.peer,
     )
     stopping.wait()
-    node_module.leave(entry, settings.drain_s)
+    node_module.leave(entry, counter, settings.notice_s, settings.drain_s)
     http_server.stop()
     peer_server.stop(PEER_STOP_S).wait()
     events.log_info("stopped", vm=settings.vm)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/observation.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/observation.py
@@ -208,6 +208,11 @@
         """Returns the configuration that an entry VM applies."""
         return self._watch("fetch_config", self._inner.fetch_config(address))
 
+    def offer_shard(self, address, shard):
+        """Offers a shard that was released."""
+        reply = self._inner.offer_shard(address, shard)
+        return self._watch("offer_shard", reply)
+
     def notify_job(self, address, shard, job_id):
         """Tells the owner of a shard of a new or changed job."""
         reply = self._inner.notify_job(address, shard, job_id)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import pathlib
+import textwrap
 import tomllib
 from typing import Annotated
 from typing import Literal
@@ -14,6 +15,7 @@
 
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 
+COMMENT_WIDTH = 79
 # Threads kept for other calls than requests, such as /healthz and asking for
 # an outcome, while many requests wait for their answers.
 SPARE_HTTP_THREADS = 8
@@ -83,6 +85,14 @@
     zone: inventory.Name
     """Its availability zone."""
 
+    seeds: Annotated[tuple[Address, ...], pydantic.Field(max_length=16)] = ()
+    """Peer addresses (host, port) of entry VMs of the zone. One of them vouches
+    for this VM if it starts while the platform is unavailable."""
+
+    notice_s: Annotated[float, pydantic.Field(ge=0, le=60)] = 2.0
+    """Seconds that a graceful shutdown goes on accepting requests, so that the
+    load balancer sees that this VM is not ready."""
+
     drain_s: Annotated[float, pydantic.Field(gt=0, le=600)] = 30.0
     """Longest time in seconds that a graceful shutdown waits for requests."""
 
@@ -178,13 +188,19 @@
         required = " Required; this is an example." * field.is_required()
         lines += [
             "",
-            f"# {field.description}",
+            *_format_comment(field.description),
             f"# Allowed: {allowed}.{required}",
             f"{name} = {_EXAMPLES.get(path) or _format_value(field.default)}",
         ]
     return lines + tables
 
 
+def _format_comment(text: str) -> list[str]:
+    return textwrap.wrap(
+        text, COMMENT_WIDTH, initial_indent="# ", subsequent_indent="# "
+    )
+
+
 def _find_schema(model: type[pydantic.BaseModel], root: dict) -> dict:
     return root["$defs"].get(model.__name__, root)
 
@@ -198,4 +214,6 @@
         return "true" if value else "false"
     if isinstance(value, int | float):
         return str(value)
+    if isinstance(value, tuple):
+        return "[" + ", ".join(_format_value(item) for item in value) + "]"
     return f'"{value}"'
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -58,6 +58,7 @@
         return future
 
     run = ask = issue_ids = probe = fetch_config = notify_job = _fail
+    offer_shard = _fail
 
 
 class InProcessEntry:
