--- a/packages/persimmonpath/persimmonpath/work.py
+++ b/packages/persimmonpath/persimmonpath/work.py
@@ -6,6 +6,7 @@
 from persimmonpath import resources
 
 MAX_PAYLOAD_BYTES = 1 << 20
+MAX_ANSWER_BYTES = 1 << 20
 MAX_TASKS_PER_JOB = 1000
 
 
@@ -31,6 +32,8 @@
         timeout_s: Seconds until the caller gives up.
         run_s: Declared run time in seconds; may be wrong. 0 for none.
         trace: Trace id and parent span id, `trace-span`; empty for none.
+        is_vouched: Whether the owner that issued the id vouches that it has
+            neither run nor answered it, so that its successor may run it.
     """
 
     kind: str
@@ -41,6 +44,7 @@
     timeout_s: float
     run_s: float = 0.0
     trace: str = ""
+    is_vouched: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -99,7 +99,7 @@
         settings.threads.http,
         settings.client_timeout_s,
     )
-    peer_servicer = servicer.PeerServicer(entry, instruments)
+    peer_servicer = servicer.PeerServicer(entry, instruments.tracer)
     stopping = _catch_signals()
     peer_server = _listen(settings, http_server, peer_servicer)
     entry.start()
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -70,7 +70,13 @@
 
 
 class CallError(Exception):
-    """A call that is refused as it is; nothing was changed."""
+    """A call that is refused as it is; nothing was changed.
+
+    Attributes:
+        code: Kind of error.
+        field: Field that is wrong.
+        reply: What is answered.
+    """
 
     def __init__(
         self,
@@ -92,6 +98,8 @@
             **more: Further fields of the body.
         """
         super().__init__(code)
+        self.code = code
+        self.field = field
         body = {
             "error": code,
             "field": field,
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -6,54 +6,64 @@
 from returns import result
 
 from persimmonpath import entry as entry_module
+from persimmonpath import errors
 from persimmonpath import identifiers
 from persimmonpath import outcomes
 from persimmonpath import spans
 from persimmonpath import wire
 from persimmonpath_daemon import grpcpeers
-from persimmonpath_daemon import observation
 from persimmonpath_daemon import peers_pb2
 from persimmonpath_daemon import peers_pb2_grpc
 
+# The dispatcher answers at the deadline; this only bounds the wait for it.
+WAIT_MARGIN_S = 0.1
+
 
 class PeerServicer(peers_pb2_grpc.PeerServicer):
     """The callee's side of every call."""
 
     def __init__(
-        self, entry: entry_module.EntryVm, instruments: observation.Instruments
+        self, entry: entry_module.EntryVm, tracer: spans.Tracer | None = None
     ):
-        """Creates a servicer of an entry VM."""
+        """Creates a servicer of an entry VM.
+
+        Args:
+            entry: The entry VM.
+            tracer: Starts spans; None for one that is disabled.
+        """
         self._entry = entry
-        self._instruments = instruments
+        self._tracer = tracer or spans.create_tracer(False, lambda: 0.0)
 
     def Run(self, request, context):  # noqa: N802
         """Runs a request of a shard owned here."""
-        del context
         parsed = identifiers.parse_request_id(request.id)
         owned = self._entry.find_owned(parsed.shard)
         if owned is None:
-            return peers_pb2.RunReply(id=request.id, not_owner=True)
+            return _reject(request.id)
         decoded = grpcpeers.decode_request(request)
+        # A call that waited for a thread has less time left.
+        left_s = min(decoded.timeout_s, context.time_remaining() or 0.0)
+        if left_s <= 0:
+            outcome = outcomes.Unknown("deadline_passed")
+            return grpcpeers.encode_outcome(request.id, outcome)
         parent = spans.parse_context(decoded.trace)
-        span = self._instruments.tracer.start("peer_serve", parent)
-        decoded = dataclasses.replace(decoded, trace=span.trace)
+        span = self._tracer.start("peer_serve", parent)
+        decoded = dataclasses.replace(
+            decoded, timeout_s=left_s, trace=span.trace
+        )
         future = owned.dispatcher.submit(parsed, decoded)
-        try:
-            outcome = future.result(decoded.timeout_s)
-        except futures.TimeoutError:
-            outcome = outcomes.Unknown("still_running")
-        span.end(outcomes.name_outcome(outcome))
-        return grpcpeers.encode_outcome(request.id, outcome)
+        reply = _wait(request.id, future, left_s + WAIT_MARGIN_S)
+        span.end(reply.outcome or "refused")
+        return reply
 
     def Ask(self, request, context):  # noqa: N802
         """Tells what became of a request."""
-        del context
         parsed = identifiers.parse_request_id(request.id)
         owned = self._entry.find_owned(parsed.shard)
         if owned is None:
-            return peers_pb2.RunReply(id=request.id, not_owner=True)
-        outcome = owned.dispatcher.ask(parsed, request.close)
-        return grpcpeers.encode_outcome(request.id, outcome)
+            return _reject(request.id)
+        future = owned.dispatcher.ask(parsed, request.close)
+        return _wait(request.id, future, context.time_remaining() or 0.0)
 
     def IssueIds(self, request, context):  # noqa: N802
         """Issues request ids."""
@@ -99,3 +109,18 @@
         if owned is not None:
             owned.runner.poll()
         return peers_pb2.NotifyJobReply()
+
+
+def _reject(request_id: str) -> peers_pb2.RunReply:
+    error = errors.NotOwnerError(request_id)
+    return grpcpeers.encode_reply(request_id, result.Failure(error))
+
+
+def _wait(
+    request_id: str, future: futures.Future, timeout_s: float
+) -> peers_pb2.RunReply:
+    try:
+        reply = future.result(timeout_s)
+    except futures.TimeoutError:
+        reply = result.Success(outcomes.Unknown("still_running"))
+    return grpcpeers.encode_reply(request_id, reply)
