--- a/packages/persimmonpath_daemon/persimmonpath_daemon/cellapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/cellapi.py
@@ -59,7 +59,11 @@
             rules.ensure_known_names(parsed.rules, parsed.inventory)
         except errors.InputError as error:
             raise replies.CallError(
-                400, "unknown_zone", error.field, str(error), error.allowed
+                400,
+                "unknown_zone",
+                error.field,
+                replies.read_message(error),
+                error.allowed,
             ) from error
         try:
             reply = self._entry.commit_config(
@@ -67,7 +71,11 @@
             )
         except errors.InputError as error:
             raise replies.CallError(
-                400, "not_changeable", error.field, str(error), error.allowed
+                400,
+                "not_changeable",
+                error.field,
+                replies.read_message(error),
+                error.allowed,
             ) from error
         if isinstance(reply, result.Failure):
             return replies.describe_table_error(reply.failure())
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -139,10 +139,19 @@
 def describe_input_error(error: errors.InputError) -> CallError:
     """Returns the refusal for a value that the library does not accept."""
     return CallError(
-        400, f"bad_{error.field}", error.field, str(error), error.allowed
+        400,
+        f"bad_{error.field}",
+        error.field,
+        read_message(error),
+        error.allowed,
     )
 
 
+def read_message(error: errors.InputError) -> str:
+    """Returns what is wrong, without the name of the field before it."""
+    return str(error).removeprefix(f"{error.field}: ")
+
+
 def describe_answer(answer: router_module.Answer) -> Reply:
     """Returns the reply that tells an outcome."""
     outcome = answer.outcome
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/requestapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/requestapi.py
@@ -184,11 +184,15 @@
     """Returns the refusal for an id or request that the owner rejects."""
     if isinstance(error, errors.IdReusedError):
         return replies.CallError(
-            409, "id_reused", "id", str(error), error.allowed
+            409, "id_reused", "id", replies.read_message(error), error.allowed
         )
     if isinstance(error, errors.IdNotIssuedError):
         return replies.CallError(
-            400, "id_not_issued", "id", str(error), error.allowed
+            400,
+            "id_not_issued",
+            "id",
+            replies.read_message(error),
+            error.allowed,
         )
     return replies.describe_input_error(error)
 
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -136,6 +136,7 @@
             f'vm = "{name}"\nzone = "{zone}"\n'
             f"[http]\nport = {http_port}\n[peer]\nport = {peer_port}\n"
             f'[platform]\nurl = "http://{self.platform}"\n'
+            "[log]\nspans = true\n"
         )
         self.spawn(name, [str(BIN / "persimmond"), str(path)])
 
