--- a/packages/persimmonpath_ctl/persimmonpath_ctl/output.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/output.py
@@ -73,11 +73,13 @@
 
 def print_job(body: dict) -> None:
     """Prints a job and its tasks."""
-    names = ("id", "form", "team", "kind", "state", "reason", "shard")
-    print_fields({name: body.get(name) for name in names})
+    names = ("id", "outcome", "form", "team", "kind", "state", "reason")
+    print_fields({name: body.get(name) for name in (*names, "shard")})
+    if "tasks" not in body:
+        return
     rows = [
         [index, task["state"], task["attempts"], task["reason"]]
-        for index, task in enumerate(body.get("tasks", []))
+        for index, task in enumerate(body["tasks"])
     ]
     print_table(["TASK", "STATE", "FAILURES", "REASON"], rows)
 
