--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: install run up down format lint test measure proto soak
+.PHONY: install run up down format lint test measure proto soak mutants faults
 
 BIN = .venv/bin
 PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl
@@ -44,3 +44,9 @@
 
 soak: install
 	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak --seed $(SEED) --seconds $(SECONDS)
+
+mutants: install
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.mutants
+
+faults: install
+	$(BIN)/python -m tests.faults
--- /dev/null
+++ b/tests/checks.py
@@ -0,0 +1,84 @@
+"""Focused checks of mechanisms that the soak reaches rarely."""
+
+import dataclasses
+import json
+
+from persimmonpath import configuration
+from persimmonpath import identifiers
+from persimmonpath import jobs
+from persimmonpath import ledger
+from persimmonpath import memoryworkers
+from persimmonpath import outcomes
+from persimmonpath import resources
+from persimmonpath import router as router_module
+from persimmonpath import work
+from tests import fakes
+from tests import observations
+
+SHARD = identifiers.ShardId("zone-a", 0)
+SIZE = resources.Resources(100, 64, 0)
+
+
+def check_eviction():
+    """An id whose entry was evicted is not run again."""
+    book = ledger.Ledger(SHARD, 2, max_entries=2)
+    ids = book.issue(4)
+    for request_id in ids:
+        book.admit(request_id, "digest")
+        book.finish(request_id, outcomes.Done(b"", "worker"))
+    verdict = book.admit(ids[0], "digest")
+    observations.expect(
+        verdict is ledger.Verdict.UNCERTAIN, "evicted_runs_again", verdict
+    )
+
+
+def check_config_version():
+    """A lower version that arrives late is not put in force."""
+    applied = configuration.AppliedConfiguration()
+    for version in (2, 1):
+        applied.apply(dataclasses.replace(configuration.EMPTY, version=version))
+    version = applied.config.version
+    observations.expect(version == 2, "config_back", version)
+
+
+def check_drain():
+    """A drained worker gets no new work."""
+    cell = fakes.FakeCell()
+    for name in ("drained", "open"):
+        cell.add_worker(name)
+    entry = cell.add_entry("vm")
+    cell.timers.advance(1.0)
+    cell.import_inventory(shards=1, draining=("drained",))
+    cell.timers.advance(8.0)
+    router = router_module.create_router(entry, 1)
+    for number in range(10):
+        request = work.Request(
+            "kind", "team", True, SIZE, str(number).encode(), 4.0
+        )
+        router.run("", request)
+    cell.timers.advance(5.0)
+    runs = {n: sum(w.runs.values()) for n, w in cell.workers.items()}
+    observations.expect(
+        runs == {"drained": 0, "open": 10}, "drained_got_work", runs
+    )
+
+
+def check_gang():
+    """No task of a gang that does not fit as a whole starts."""
+    cell = fakes.FakeCell()
+    cell.add_worker("only", lambda start: memoryworkers.Plan(None, True))
+    entry = cell.add_entry("vm")
+    cell.timers.advance(1.0)
+    cell.import_inventory(shards=1)
+    cell.timers.advance(8.0)
+    for name, tasks in (("too-large", 9), ("fits", 8)):
+        job = work.GangJob(
+            name, "kind", "team", tasks, SIZE, json.dumps({}).encode()
+        )
+        entry.job_store.submit(jobs.create_record(job, name, SHARD))
+        cell.timers.advance(10.0)
+        started = sum(
+            task.startswith(f"{name}/") for task in cell.workers["only"].runs
+        )
+        expected = tasks if name == "fits" else 0
+        observations.expect(started == expected, "gang_in_part", name, started)
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,183 @@
+"""Switches off one mechanism at a time; a proof must notice each.
+
+Run by `make mutants`. The switches exist only here: each patches the library
+for the time of one run. A mutant that survives shows that a proof is blind.
+"""
+
+import dataclasses
+import sys
+from unittest import mock
+
+from absl import logging
+
+from persimmonpath import configuration
+from persimmonpath import holds
+from persimmonpath import ledger
+from persimmonpath import memoryworkers
+from persimmonpath import policies
+from persimmonpath import resources
+from tests import checks
+from tests import observations
+from tests import soak
+
+SEEDS = (1, 2, 3, 4, 5, 6)
+STEPS = 4800
+# A mutant counts as caught only by what the mechanism protects, not because
+# work is left undone.
+LIVENESS = ("job_not_finished", "no_service_after_repair")
+
+
+def _ignore_epoch(worker, start, wait, timeout_s, original):
+    start = dataclasses.replace(start, epoch=worker._epoch)
+    return original(worker, start, wait, timeout_s)
+
+
+def _extend_forever(worker, lease_s, *_):
+    del lease_s
+    worker._lease_end = float("inf")
+
+
+def _close_without_record(worker, attempt, epoch, timeout_s, original):
+    is_known = worker._find(attempt) is not None
+    reply = original(worker, attempt, epoch, timeout_s)
+    if not is_known:
+        worker._records.pop(attempt, None)
+    return reply
+
+
+def _list_nothing(worker, epoch, owner, lease_s, timeout_s, original):
+    reply = original(worker, epoch, owner, lease_s, timeout_s).result()
+    future = memoryworkers.futures.Future()
+    future.set_result(
+        reply.map(lambda listing: dataclasses.replace(listing, records=[]))
+    )
+    return future
+
+
+def _admit_always(book, request_id, *arguments, original):
+    book._entries.pop(request_id, None)
+    return original(book, request_id, *arguments)
+
+
+def _evict_without_mark(book, original):
+    marks = book._evicted_through, book._complete_since
+    original(book)
+    book._evicted_through, book._complete_since = marks
+
+
+def _apply_any(applied, config):
+    applied._config = config
+    return True
+
+
+def _is_open_always(hold):
+    return hold.is_fenced and not hold.is_lost
+
+
+def _fits_always(size, other):
+    del size, other
+    return True
+
+
+def _patch(owner, name, replacement, needs_original=True):
+    original = getattr(owner, name)
+
+    def patched(*arguments, **named):
+        if needs_original:
+            return replacement(*arguments, **named, original=original)
+        return replacement(*arguments, **named)
+
+    return mock.patch.object(owner, name, patched)
+
+
+_WORKER = memoryworkers.MemoryWorker
+# Name, how to switch it off, and the focused check; None for the soak.
+MUTANTS = (
+    ("epoch_check", lambda: _patch(_WORKER, "start", _ignore_epoch), None),
+    (
+        "owner_lease_check",
+        lambda: _patch(_WORKER, "_extend", _extend_forever, False),
+        None,
+    ),
+    (
+        "tombstone",
+        lambda: _patch(_WORKER, "close", _close_without_record),
+        None,
+    ),
+    ("takeover_listing", lambda: _patch(_WORKER, "fence", _list_nothing), None),
+    (
+        "ledger_duplicates",
+        lambda: _patch(ledger.Ledger, "admit", _admit_always),
+        None,
+    ),
+    (
+        "eviction_mark",
+        lambda: _patch(ledger.Ledger, "_evict", _evict_without_mark),
+        checks.check_eviction,
+    ),
+    (
+        "config_version_check",
+        lambda: _patch(
+            configuration.AppliedConfiguration, "apply", _apply_any, False
+        ),
+        checks.check_config_version,
+    ),
+    (
+        "drain",
+        lambda: _patch(holds.Hold, "is_open", _is_open_always, False),
+        checks.check_drain,
+    ),
+    (
+        "capacity_check",
+        lambda: _patch(resources.Resources, "fits_in", _fits_always, False),
+        None,
+    ),
+    (
+        "gang_all_or_nothing",
+        lambda: mock.patch.object(
+            policies, "starts_together", lambda item: False
+        ),
+        checks.check_gang,
+    ),
+)
+
+
+def find_catch(check):
+    """Returns what caught the mutant, None when nothing did."""
+    if check is not None:
+        try:
+            check()
+        except Exception as error:
+            return f"{check.__name__}: {error!s:.80}"
+        return None
+    for seed in SEEDS:
+        error = soak.explore(seed, STEPS, shrinks=False)
+        if error is not None:
+            return f"soak seed={seed}: {error!s:.80}"
+    return None
+
+
+def main():
+    """Runs every mutant; returns the exit status."""
+    logging.set_verbosity(logging.FATAL)
+    observations.passed_over.update(dict.fromkeys(LIVENESS, 0))
+    survivors = 0
+    baseline = find_catch(None)
+    if baseline is not None:
+        print(f"mutants: the soak fails without any mutant: {baseline}")
+        return 1
+    for name, switch_off, check in MUTANTS:
+        if check is not None:
+            check()  # The check passes while the mechanism is on.
+        with switch_off():
+            caught = find_catch(check)
+        survivors += caught is None
+        print(
+            f"mutant={name} caught={caught is not None} by={caught}", flush=True
+        )
+    print(f"mutants: total={len(MUTANTS)} survivors={survivors}")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/observations.py
+++ b/tests/observations.py
@@ -11,6 +11,10 @@
 from persimmonpath import outcomes
 from tests import soakcells
 
+# Invariants that a run counts and prints instead of ending; empty unless
+# `--pass-over` names a case of KNOWN-RED.txt, to look for others behind it.
+passed_over: dict[str, int] = {}
+
 
 class ViolationError(AssertionError):
     """An invariant does not hold."""
@@ -18,7 +22,9 @@
 
 def expect(condition, name, *details):
     """Raises when an invariant does not hold."""
-    if not condition:
+    if not condition and name in passed_over:
+        passed_over[name] += 1
+    elif not condition:
         raise ViolationError(
             " ".join([f"invariant={name}", *map(str, details)])
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,7 +39,10 @@
 
 SIZES = [(100, 64), (1000, 2048), (2000, 1024), (4000, 8192)]
 RUN_S = [0.005, 0.05, 0.5, 3.0, 8.0]
-PAUSES_S = [0.001, 0.01, 0.1, 0.5, 1.0, 2.0, 4.0, 7.0]
+MOMENTS_S = [0.001, 0.003, 0.01, 0.1]
+PAUSES_S = [0.5, 1.0, 2.0, 3.0, 4.5, 7.0]
+# Past a session's lease, a worker's lease, and twice a worker's lease.
+WAITS_S = [10.0, 17.0, 33.0]
 DURATIONS_S = [0.5, 2.0, 5.0, 9.0, 20.0, 40.0]
 
 FAULTS = (
@@ -237,9 +240,19 @@
                 )
         observations.expect(committed <= 1, "both_operators_won", based_on)
 
+    @stateful.rule(seconds=strategies.sampled_from(MOMENTS_S))
+    def advance_a_moment(self, seconds):
+        """Time passes while calls are in flight."""
+        self.cell.clock.advance(seconds)
+
     @stateful.rule(seconds=strategies.sampled_from(PAUSES_S))
     def advance(self, seconds):
-        """Time passes."""
+        """Time passes while requests run and sessions lapse."""
+        self.cell.clock.advance(seconds)
+
+    @stateful.rule(seconds=strategies.sampled_from(WAITS_S))
+    def advance_long(self, seconds):
+        """Time passes until leases have lapsed."""
         self.cell.clock.advance(seconds)
 
     @stateful.invariant()
@@ -463,18 +476,22 @@
 engine.MAX_SHRINKING_SECONDS = 40
 
 
-def run(seed, steps):
-    """Runs the soak and prints its counts.
+def explore(seed, steps, shrinks=True):
+    """Runs the soak.
 
     Args:
         seed: Seed of the whole run.
         steps: Number of steps in all; decides the length.
+        shrinks: Whether to look for the smallest failing run.
 
     Returns:
-        The number of violations, 0 or 1: the first one ends the run.
+        The violation that ended the run, None when there was none.
     """
     counts.clear()
     totals.clear()
+    phases = [hypothesis.Phase.generate]
+    if shrinks:
+        phases.append(hypothesis.Phase.shrink)
     settings = hypothesis.settings(
         max_examples=max(1, steps // STEPS_PER_RUN),
         stateful_step_count=STEPS_PER_RUN,
@@ -482,24 +499,33 @@
         database=None,
         report_multiple_bugs=False,
         suppress_health_check=list(hypothesis.HealthCheck),
-        phases=[hypothesis.Phase.generate, hypothesis.Phase.shrink],
+        phases=phases,
     )
-    violations = 0
     try:
+        # Hypothesis prints the steps of a failing run.
         stateful.run_state_machine_as_test(
             hypothesis.seed(seed)(SoakMachine), settings=settings
         )
-    except Exception:
-        violations = 1
-        traceback.print_exc()
-    report(seed, violations)
-    return violations
+    except Exception as error:
+        return error
+    return None
+
+
+def run(seed, steps):
+    """Runs the soak, prints its counts and returns the violations, 0 or 1."""
+    error = explore(seed, steps)
+    if error is not None:
+        traceback.print_exception(error)
+    report(seed, int(error is not None))
+    return int(error is not None)
 
 
 def report(seed, violations):
     """Prints one line of counts and the closing line."""
     kinds = (*FAULTS, *WORKLOAD_FAULTS)
     print("faults: " + " ".join(f"{kind}={counts[kind]}" for kind in kinds))
+    if observations.passed_over:
+        print(f"passed over: {observations.passed_over}")
     print(
         f"soak: seed={seed} steps={totals['steps']} "
         f"faults={sum(counts.values())} violations={violations}"
@@ -511,7 +537,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=int, default=40)
+    parser.add_argument("--pass-over", action="append", default=[])
     arguments = parser.parse_args()
+    observations.passed_over.update(dict.fromkeys(arguments.pass_over, 0))
     logging.set_verbosity(logging.FATAL)
     violations = run(arguments.seed, arguments.seconds * STEPS_PER_SECOND)
     missing = [k for k in (*FAULTS, *WORKLOAD_FAULTS) if not counts[k]]
