--- a/packages/persimmonpath/persimmonpath/dispatch.py
+++ b/packages/persimmonpath/persimmonpath/dispatch.py
@@ -1,62 +1,32 @@
-"""The owner of a shard at work: ledger, queue, placement and workers."""
+"""The owner of a shard at work: admission, ledger and attempts."""
 
-import collections
-from collections.abc import Callable
 from concurrent import futures
-import dataclasses
-import functools
-import hashlib
 
 from returns import result
 
+from persimmonpath import attempts
+from persimmonpath import backlog
 from persimmonpath import errors
 from persimmonpath import fleet
 from persimmonpath import identifiers
 from persimmonpath import ledger
 from persimmonpath import outcomes
-from persimmonpath import wire
+from persimmonpath import pendings
+from persimmonpath import retries
+from persimmonpath import rules
+from persimmonpath import withdrawals
 from persimmonpath import work
 from persimmonpath import workers
 
-CLOSE_TIMEOUT_S = 1.0
-START_WITHIN_S = 2.0
 # Room kept before the caller's deadline to close an attempt that is silent.
 CLOSE_MARGIN_S = 0.25
+# How long a question that closes an id waits for the attempt's end.
+ASK_WAIT_S = 0.5
 
+Reply = pendings.Reply
 
-def compute_digest(request: work.Request) -> str:
-    """Returns a digest of what a request asks for."""
-    content = dataclasses.replace(request, payload=b"", timeout_s=0.0, trace="")
-    digest = hashlib.blake2b(wire.encode(content), digest_size=16)
-    digest.update(request.payload)
-    return digest.hexdigest()
 
-
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    id: identifiers.RequestId
-    request: work.Request
-    digest: str
-    deadline: float
-    waiting: list[futures.Future]
-    attempts: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withdrawn:
-    """A request that waits and is to be run by the shard's next owner.
-
-    Attributes:
-        id: Its id.
-        request: The request, with the time that is left.
-        finish: Takes its outcome and answers whoever waits for it.
-        put_back: Has it wait again, when it could not be passed on.
-    """
-
-    id: identifiers.RequestId
-    request: work.Request
-    finish: Callable[[outcomes.Outcome], None]
-    put_back: Callable[[], None]
+_Started = tuple[pendings.Pending, attempts.Attempt, workers.StartTask, float]
 
 
 class Dispatcher:
@@ -70,23 +40,34 @@
         self,
         shard: identifiers.ShardId,
         shard_fleet: fleet.Fleet,
-        queue_limit: int = 1000,
+        policy: rules.Policy | None = None,
+        max_entries: int = ledger.MAX_ENTRIES,
     ):
         """Creates a dispatcher.
 
         Args:
             shard: The shard.
             shard_fleet: Workers of the shard.
-            queue_limit: Most requests that wait.
+            policy: Settings of the policies.
+            max_entries: Bound on the ledger.
         """
         self.shard = shard
+        self._policy = policy or rules.Policy()
         self._fleet = shard_fleet
         self._timers = shard_fleet.timers
         self._lock = shard_fleet.lock
-        self._queue_limit = queue_limit
-        self._ledger = ledger.Ledger(shard, shard_fleet.epoch)
-        self._queue: collections.deque[_Pending] = collections.deque()
-        self._pending: dict[identifiers.RequestId, _Pending] = {}
+        self._ledger = ledger.Ledger(shard, shard_fleet.epoch, max_entries)
+        self._backlog = backlog.Backlog(shard_fleet, self._policy)
+        self._budget = retries.Budget(self._policy.retry_share)
+        self._closer = attempts.Closer(
+            shard_fleet, self._take_ending, self._take_fenced
+        )
+        self._pending = pendings.Pendings(
+            self._lock, self._timers, self._ledger, self._backlog.remove
+        )
+        self._withdrawals = withdrawals.Withdrawals(
+            self._lock, self._timers, self._pending, self._backlog
+        )
         shard_fleet.subscribe(self._take_record, self._take_change)
 
     def issue_ids(self, count: int) -> list[identifiers.RequestId]:
@@ -96,77 +77,53 @@
 
     def submit(
         self, request_id: identifiers.RequestId, request: work.Request
-    ) -> "futures.Future[outcomes.Outcome]":
+    ) -> "futures.Future[Reply]":
         """Runs a request, or joins or answers an earlier one with its id."""
         future: futures.Future = futures.Future()
-        digest = compute_digest(request)
+        digest = attempts.compute_digest(request)
         with self._lock:
-            outcome = self._admit(request_id, request, digest, future)
-        if outcome is not None:
-            future.set_result(outcome)
+            reply = self._admit(request_id, request, digest, future)
+            if reply is not None:
+                self._pending.reply(future, reply)
+        self._pending.flush()
         self._drive()
         return future
 
     def ask(
         self, request_id: identifiers.RequestId, close: bool
-    ) -> outcomes.Outcome:
+    ) -> "futures.Future[Reply]":
         """Returns what became of an id.
 
         Args:
             request_id: The id.
-            close: Whether an id not seen yet is made final as not run.
+            close: Whether to end it: an id not seen yet is made final as not
+                run, a queued one is cancelled, a started one is closed at its
+                worker.
         """
+        future: futures.Future = futures.Future()
         with self._lock:
-            if close:
-                return self._ledger.close(request_id)
-            entry = self._ledger.find(request_id)
-            if entry is None:
-                return outcomes.Unknown("no_record")
-            return entry.outcome or outcomes.Unknown("in_progress")
+            reply = self._find_reply(request_id, close)
+            pending = self._pending.find(request_id)
+            if reply is None:
+                self._cancel(pending, future)
+            else:
+                self._pending.reply(future, reply)
+        self._pending.flush()
+        if reply is None and pending.attempt is not None:
+            self._close(pending, pending.attempt)
+        return future
 
     def count_in_flight(self) -> int:
-        """Returns the number of requests that are not final."""
+        """Returns the number of requests whose callers wait."""
         with self._lock:
-            return len(self._pending)
+            return self._pending.count_waiting()
 
-    def withdraw_queued(self) -> list[Withdrawn]:
+    def withdraw_queued(self) -> list[withdrawals.Withdrawn]:
         """Takes out the requests that wait, for the shard's next owner.
 
         Each stays in flight here until its `finish` is called.
         """
-        with self._lock:
-            queued = list(self._queue)
-            self._queue.clear()
-        now = self._timers.now()
-        return [
-            Withdrawn(
-                pending.id,
-                dataclasses.replace(
-                    pending.request,
-                    timeout_s=max(0.01, pending.deadline - now),
-                ),
-                functools.partial(self._finish, pending),
-                functools.partial(self._put_back, pending),
-            )
-            for pending in queued
-        ]
-
-    def _put_back(self, pending: _Pending) -> None:
-        with self._lock:
-            if pending.id not in self._pending:
-                return
-            if self._timers.now() < pending.deadline:
-                self._queue.append(pending)
-                return
-        self._refuse(pending, "deadline_passed_in_queue")
-
-    def _refuse(self, pending: _Pending, reason: str) -> None:
-        """Finishes a request that was not run here."""
-        if self._fleet.is_stopped():
-            # The next owner may have run it under the same id.
-            self._finish(pending, outcomes.Unknown("ownership_moved"))
-        else:
-            self._finish(pending, outcomes.NotRun(reason))
+        return self._withdrawals.withdraw()
 
     def _admit(
         self,
@@ -174,179 +131,261 @@
         request: work.Request,
         digest: str,
         future: futures.Future,
-    ) -> outcomes.Outcome | None:
-        verdict = self._ledger.admit(request_id, digest)
+    ) -> Reply | None:
+        verdict = self._ledger.admit(request_id, digest, request.is_vouched)
+        if verdict is ledger.Verdict.NEW:
+            return self._enqueue(request_id, request, digest, future)
         if verdict is ledger.Verdict.DUPLICATE:
-            entry = self._ledger.find(request_id)
-            if entry.outcome is not None:
-                return entry.outcome
-            if request_id not in self._pending:
-                return outcomes.Unknown("running_since_earlier_epoch")
-            self._pending[request_id].waiting.append(future)
-            return None
-        if verdict is ledger.Verdict.REUSED:
-            return outcomes.NotRun("id_reused")
-        if verdict is ledger.Verdict.NOT_ISSUED:
-            return outcomes.NotRun("id_not_issued")
-        if verdict is ledger.Verdict.UNCERTAIN:
-            return outcomes.Unknown("no_record")
-        if len(self._queue) >= self._queue_limit:
-            outcome = outcomes.NotRun("overloaded")
-            self._ledger.finish(request_id, outcome)
-            return outcome
-        deadline = self._timers.now() + request.timeout_s
-        pending = _Pending(request_id, request, digest, deadline, [future])
-        self._pending[request_id] = pending
-        self._queue.append(pending)
-        self._timers.call_later(
-            request.timeout_s, lambda: self._expire(pending)
+            pending = self._pending.find(request_id)
+            if pending is None:
+                return result.Success(self._ledger.find(request_id).outcome)
+            return self._pending.join(pending, future, request.timeout_s)
+        return pendings.judge_verdict(request_id, verdict)
+
+    def _enqueue(
+        self,
+        request_id: identifiers.RequestId,
+        request: work.Request,
+        digest: str,
+        future: futures.Future,
+    ) -> Reply | None:
+        self._budget.record_first()
+        now = self._timers.now()
+        pending = pendings.Pending(
+            request_id, request, digest, now + request.timeout_s
         )
+        self._pending.add(pending)
+        self._pending.join(pending, future, request.timeout_s)
+        pending.queued = self._backlog.create_entry(
+            request_id, request, pending
+        )
+        reason, displaced = self._backlog.admit(pending.queued)
+        if reason is not None:
+            self._pending.finish(pending, outcomes.NotRun(reason))
+        if displaced is not None:
+            self._pending.finish(displaced, outcomes.NotRun("overloaded"))
         return None
 
+    def _find_reply(
+        self, request_id: identifiers.RequestId, close: bool
+    ) -> Reply | None:
+        """Returns the answer to a question, None when it must wait."""
+        entry = self._ledger.find(request_id)
+        if entry is None:
+            verdict = self._ledger.classify(request_id)
+            if verdict is not ledger.Verdict.NEW:
+                return pendings.judge_verdict(request_id, verdict)
+            if not close:
+                return result.Success(outcomes.Unknown("never_received"))
+            return result.Success(self._ledger.close(request_id))
+        if entry.is_final():
+            return result.Success(entry.outcome)
+        if close and self._pending.find(request_id):
+            return None
+        unknown = outcomes.Unknown("in_progress")
+        return result.Success(entry.outcome or unknown)
+
+    def _cancel(
+        self, pending: pendings.Pending, future: futures.Future
+    ) -> None:
+        pending.is_cancelled = True
+        refusal = self._pending.join(pending, future, ASK_WAIT_S)
+        if refusal is not None:
+            self._pending.reply(future, refusal)
+        if pending.attempt is None:
+            self._backlog.remove(pending.queued)
+            self._pending.finish(pending, outcomes.NotRun("cancelled"))
+
     def _drive(self) -> None:
-        while (started := self._take_next()) is not None:
-            pending, name, start, timeout_s = started
-            future = self._fleet.get_client(name).start(start, True, timeout_s)
-            future.add_done_callback(
-                lambda f, p=pending, n=name, s=start: self._take_reply(
-                    p, n, s, f.result()
-                )
-            )
+        while True:
+            with self._lock:
+                started = self._take_next()
+            self._pending.flush()
+            if started is None:
+                return
+            self._start(*started)
 
-    def _take_next(self):
-        with self._lock:
-            if not self._queue:
-                return None
-            pending = self._queue[0]
-            request = pending.request
-            attempt = identifiers.format_attempt(
-                str(pending.id), pending.attempts + 1
-            )
-            name = self._fleet.reserve(attempt, request.size)
-            if name is None:
-                return None
-            self._queue.popleft()
-            pending.attempts += 1
-            start = workers.StartTask(
-                attempt=attempt,
-                epoch=self._fleet.epoch,
-                start_within_s=START_WITHIN_S,
-                size=request.size,
-                payload=request.payload,
-                digest=pending.digest,
-                kind=request.kind,
-                trace=request.trace,
+    def _take_next(self) -> _Started | None:
+        found, hopeless = self._backlog.select()
+        for pending in hopeless:
+            self._pending.finish(
+                pending, outcomes.NotRun("deadline_passed_in_queue")
             )
-            left_s = pending.deadline - self._timers.now()
-            return pending, name, start, max(0.01, left_s - CLOSE_MARGIN_S)
+        if found is None:
+            return None
+        pending = found.entry.value
+        pending.attempts += 1
+        pending.attempt = attempts.Attempt(
+            found.attempt, found.worker, self._timers.now()
+        )
+        start = attempts.create_start(
+            found.attempt, self._fleet.epoch, pending.digest, pending.request
+        )
+        self._backlog.watch(found.entry, pending.attempt)
+        left_s = pending.deadline - self._timers.now()
+        timeout_s = max(left_s - CLOSE_MARGIN_S, left_s / 2)
+        return pending, pending.attempt, start, timeout_s
 
-    def _take_reply(
+    def _start(
         self,
-        pending: _Pending,
-        name: str,
+        pending: pendings.Pending,
+        attempt: attempts.Attempt,
         start: workers.StartTask,
+        timeout_s: float,
+    ) -> None:
+        client = self._fleet.get_client(attempt.worker)
+        future = client.start(start, True, timeout_s)
+        future.add_done_callback(
+            lambda f: self._take_reply(pending, attempt, f.result())
+        )
+
+    def _take_reply(
+        self,
+        pending: pendings.Pending,
+        attempt: attempts.Attempt,
         reply: result.Result,
     ) -> None:
         if isinstance(reply, result.Success):
-            self._conclude(pending, name, start, reply.unwrap())
-            return
-        error = reply.failure()
-        if isinstance(error, errors.StartRefusedError):
-            # A request refused by a fenced worker waits for the next owner.
-            self._retry(pending, name, start, error.reason)
-        elif isinstance(error, errors.WorkerNotContactedError):
-            self._retry(pending, name, start, "worker_unreachable")
+            ending = attempts.judge_record(reply.unwrap())
+        else:
+            ending = attempts.judge_start_error(reply.failure())
+            with self._lock:
+                self._backlog.take_error(attempt, reply.failure())
+        if ending is None:
+            self._close(pending, attempt)
         else:
-            self._close(pending, name, start)
+            self._take_ending(attempt, ending)
 
     def _close(
-        self, pending: _Pending, name: str, start: workers.StartTask
+        self, pending: pendings.Pending, attempt: attempts.Attempt
     ) -> None:
-        future = self._fleet.get_client(name).close(
-            start.attempt, self._fleet.epoch, CLOSE_TIMEOUT_S
-        )
-
-        def take(reply: result.Result) -> None:
-            if isinstance(reply, result.Success):
-                self._conclude(pending, name, start, reply.unwrap())
-            else:
-                # The reservation stays until the worker reports the end.
-                self._finish(pending, outcomes.Unknown("worker_silent"))
-
-        future.add_done_callback(lambda f: take(f.result()))
+        self._closer.close(attempt, lambda: not pending.waiting)
 
-    def _conclude(
-        self,
-        pending: _Pending,
-        name: str,
-        start: workers.StartTask,
-        record: workers.AttemptRecord,
+    def _take_fenced(self, attempt: attempts.Attempt) -> None:
+        """Leaves an attempt that may be running to the next owner."""
+        self._fleet.mark_fenced()
+        with self._lock:
+            if attempt.is_ended:
+                return
+            # Its reservation stays: it may be running.
+            attempt.is_ended = True
+            pending = self._find_by_attempt(attempt)
+            moved = errors.NotOwnerError(str(self.shard), True)
+            self._pending.give_up(pending, result.Failure(moved))
+        self._pending.flush()
+
+    def _take_ending(
+        self, attempt: attempts.Attempt, ending: attempts.Ending
     ) -> None:
-        if record.state is workers.AttemptState.RUNNING:
-            self._finish(pending, outcomes.Unknown("still_running"))
-            return
-        if record.state is workers.AttemptState.CLOSED:
-            self._retry(pending, name, start, "not_started")
-            return
-        self._fleet.release(name, start.attempt)
-        self._finish(pending, _read_outcome(record, name))
+        with self._lock:
+            self._conclude(attempt, ending)
+        self._pending.flush()
         self._drive()
 
-    def _retry(
-        self,
-        pending: _Pending,
-        name: str,
-        start: workers.StartTask,
-        reason: str,
+    def _conclude(
+        self, attempt: attempts.Attempt, ending: attempts.Ending
     ) -> None:
-        self._fleet.release(name, start.attempt)
-        if pending.attempts < 2 and self._timers.now() < pending.deadline:
-            with self._lock:
-                if pending.id in self._pending:
-                    self._queue.appendleft(pending)
-        else:
-            self._refuse(pending, reason)
-        self._drive()
-
-    def _expire(self, pending: _Pending) -> None:
-        with self._lock:
-            if pending not in self._queue:
-                return
-            self._queue.remove(pending)
-        self._refuse(pending, "deadline_passed_in_queue")
-
-    def _finish(self, pending: _Pending, outcome: outcomes.Outcome) -> None:
-        with self._lock:
-            if self._pending.pop(pending.id, None) is None:
-                return
-            self._ledger.finish(pending.id, outcome)
-            waiting = list(pending.waiting)
-        for future in waiting:
-            future.set_result(outcome)
+        """Takes in the end of an attempt; a second report changes nothing."""
+        if attempt.is_ended:
+            return
+        self._end_attempt(attempt)
+        pending = self._find_by_attempt(attempt)
+        pending.attempt = None
+        if ending.record is not None:
+            self._backlog.observe(pending.queued, attempt, ending.record)
+        outcome = self._read_outcome(attempt, ending)
+        if not isinstance(outcome, outcomes.NotRun):
+            pending.earlier = outcome
+        if isinstance(outcome, outcomes.Done) or not self._requeue(
+            pending, ending.cause
+        ):
+            self._pending.finish(pending, outcome)
+
+    def _find_by_attempt(self, attempt: attempts.Attempt) -> pendings.Pending:
+        request_id, _ = attempts.parse_attempt(attempt.id)
+        return self._pending.find(request_id)
+
+    def _read_outcome(
+        self, attempt: attempts.Attempt, ending: attempts.Ending
+    ) -> outcomes.Outcome:
+        if ending.record is not None:
+            return attempts.read_record(ending.record, attempt.worker)
+        if ending.cause is retries.Cause.NOT_STARTED:
+            return outcomes.NotRun(ending.reason)
+        return outcomes.Unknown(ending.reason)
+
+    def _requeue(self, pending: pendings.Pending, cause: retries.Cause) -> bool:
+        if pending.is_cancelled or pending.request is None:
+            return False
+        left_s = pending.deadline - self._timers.now()
+        if self._fleet.is_stopped() and cause is retries.Cause.NOT_STARTED:
+            # It waits for the next owner, who runs it under the same id.
+            self._backlog.readmit(pending.queued)
+            return True
+        if not retries.should_retry(
+            pending.request,
+            cause,
+            pending.attempts,
+            left_s,
+            self._budget,
+            self._policy.retry_failed,
+        ):
+            return False
+        self._backlog.readmit(pending.queued)
+        return True
+
+    def _end_attempt(self, attempt: attempts.Attempt) -> None:
+        attempt.is_ended = True
+        self._backlog.release(attempt)
 
     def _take_change(self) -> None:
         with self._lock:
-            self._ledger.set_complete_since(self._fleet.get_complete_since())
+            self._backlog.refresh()
+            self._ledger.set_complete_since(
+                self._fleet.get_complete_since(), self._fleet.is_fully_listed()
+            )
+        self._pending.flush()
         self._drive()
 
     def _take_record(self, name: str, record: workers.AttemptRecord) -> None:
-        task_id, _ = identifiers.split_attempt(record.attempt)
-        if not identifiers.is_request_id(task_id):
+        """Takes in a record that a worker reported unasked."""
+        parsed = attempts.parse_attempt(record.attempt)
+        if parsed is None:
             return
-        request_id = identifiers.parse_request_id(task_id)
-        if request_id in self._pending:
+        request_id, number = parsed
+        ending = attempts.judge_record(record)
+        pending = self._pending.find(request_id)
+        current = pending.attempt if pending else None
+        if current is not None and current.id == record.attempt:
+            if ending is not None:
+                self._conclude(current, ending)
             return
         if record.state is workers.AttemptState.CLOSED:
             return
-        outcome = None
-        if record.state is not workers.AttemptState.RUNNING:
-            outcome = _read_outcome(record, name)
-        self._ledger.restore(request_id, record.digest, outcome)
-
-
-def _read_outcome(
-    record: workers.AttemptRecord, worker: str
-) -> outcomes.Outcome:
-    if record.state is workers.AttemptState.SUCCEEDED:
-        return outcomes.Done(record.answer, worker)
-    return outcomes.Failed(record.reason or record.state.value, worker)
+        if pending is None or pending.request is None:
+            self._restore(request_id, number, name, record)
+
+    def _restore(
+        self,
+        request_id: identifiers.RequestId,
+        number: int,
+        name: str,
+        record: workers.AttemptRecord,
+    ) -> None:
+        """Takes in an attempt that this owner did not start or gave up on."""
+        is_running = record.state is workers.AttemptState.RUNNING
+        outcome = None if is_running else attempts.read_record(record, name)
+        is_held = self._ledger.restore(
+            request_id, record.digest, number, outcome
+        )
+        if is_running and is_held:
+            attempt = attempts.Attempt(record.attempt, name, self._timers.now())
+            pending = self._pending.find(request_id) or pendings.Pending(
+                request_id, None, record.digest, 0.0
+            )
+            pending.attempt = attempt
+            self._pending.add(pending)
+            self._timers.call_later(
+                attempts.LATE_CLOSE_PERIOD_S,
+                lambda: self._close(pending, attempt),
+            )
