Accept any id while an entry VM has no configuration

A restarted entry VM has no inventory for a moment and answered issued ids with a bad-input error, which tells the caller that a valid id is invalid. It now answers unknown.

--- a/packages/persimmonpath/persimmonpath/pipeline.py
+++ b/packages/persimmonpath/persimmonpath/pipeline.py
@@ -112,9 +112,14 @@
 ) -> None:
     """Checks that an id names a shard of the inventory.
 
+    An entry VM that has no configuration yet cannot judge any id; the router
+    answers `unknown` for a shard that it cannot reach.
+
     Raises:
         errors.InputError: If it does not.
     """
+    if not content.zones:
+        return
     for zone in content.zones:
         if zone.name == request_id.shard.zone:
             if request_id.shard.index < zone.shards:
