--- /dev/null
+++ b/tests/forwarders.py
@@ -0,0 +1,74 @@
+"""TCP forwarder that can be told to drop, refuse or go silent."""
+
+import socket
+import threading
+
+CHUNK_BYTES = 1 << 16
+
+
+class Forwarder:
+    """Passes connections of one port on to another.
+
+    Attributes:
+        mode: `pass`, `refuse` (new connections are closed at once), `silent`
+            (nothing is passed on, connections stay open), or `pass_new`
+            (connections that exist are silent for good, new ones work).
+    """
+
+    def __init__(self, target_port):
+        self.mode = "pass"
+        self._target = ("127.0.0.1", target_port)
+        self._silenced = set()
+        self._open = set()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_mode(self, mode):
+        """Changes the mode; `drop` also closes the open connections once."""
+        if mode == "pass_new":
+            self._silenced |= self._open
+        if mode == "drop":
+            for sock in list(self._open):
+                sock.close()
+        self.mode = "refuse" if mode == "drop" else mode
+
+    def close(self):
+        """Closes everything."""
+        self.mode = "refuse"
+        self._listener.close()
+        for sock in list(self._open):
+            sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            if self.mode == "refuse":
+                near.close()
+                continue
+            try:
+                far = socket.create_connection(self._target, 2.0)
+            except OSError:
+                near.close()
+                continue
+            far.settimeout(None)
+            self._open |= {near, far}
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._pump, args=(source, sink), daemon=True
+                ).start()
+
+    def _pump(self, source, sink):
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                if self.mode != "silent" and source not in self._silenced:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        finally:
+            self._open -= {source, sink}
+            for sock in (source, sink):
+                sock.close()
