--- /dev/null
+++ b/tests/faults.py
@@ -0,0 +1,335 @@
+"""Fault cases against real processes; run by `make faults`."""
+
+import base64
+import collections
+import json
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+import urllib3
+
+from scripts import processes
+from tests import forwarders
+
+THREADS = 6
+CALL_TIMEOUT_S = 12.0
+ASK_S = 20.0
+FINAL = ("done", "failed", "not_run")
+
+
+class FaultCell(processes.Cell):
+    """A cell whose platform and workers are reached through forwarders."""
+
+    def start(self):
+        self.platform_ways = {}
+        self.worker_ways = {}
+        super().start()
+
+    def spawn_entry(self, name):
+        zone = self.entries[name][0]
+        real = self.platform
+        if zone not in self.platform_ways:
+            port = int(real.rpartition(":")[2])
+            self.platform_ways[zone] = forwarders.Forwarder(port)
+        self.platform = f"127.0.0.1:{self.platform_ways[zone].port}"
+        try:
+            super().spawn_entry(name)
+        finally:
+            self.platform = real
+
+    def format_inventory(self):
+        real = dict(self.workers)
+        for name, (zone, port) in real.items():
+            self.worker_ways[name] = forwarders.Forwarder(port)
+            self.workers[name] = (zone, self.worker_ways[name].port)
+        try:
+            return super().format_inventory()
+        finally:
+            self.workers = real
+
+    def stop(self):
+        for way in [*self.platform_ways.values(), *self.worker_ways.values()]:
+            way.close()
+        super().stop()
+
+    def set_platform(self, **faults):
+        """Sets the faults of the platform stand-in."""
+        send("POST", f"{self.platform}/faults", faults)
+
+    def read_statistics(self):
+        """Returns runs by id over all workers, and the overloads."""
+        runs, overloads = collections.Counter(), 0
+        for _, port in self.workers.values():
+            body = send("GET", f"127.0.0.1:{port}/statistics")
+            runs.update(body["runs"])
+            overloads += body["overloads"]
+        return runs, overloads
+
+
+def send(method, url, body=None, timeout=5.0):
+    """Makes one call on a connection of its own and returns the JSON body."""
+    reply = urllib3.PoolManager().request(
+        method,
+        f"http://{url}",
+        body=None if body is None else json.dumps(body).encode(),
+        headers={"Connection": "close"},
+        retries=False,
+        timeout=timeout,
+    )
+    try:
+        return json.loads(reply.data)
+    except ValueError:
+        return {}
+
+
+class Load:
+    """Callers that send non-idempotent requests and record what they learn."""
+
+    def __init__(self, cell):
+        self._cell = cell
+        self._stopped = threading.Event()
+        self.outcomes = {}
+        self.broken = 0
+        self.wrong = []
+        self.done_by_entry = collections.Counter()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,))
+            for n in range(THREADS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Waits for the callers."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def count_done(self):
+        """Returns the requests that are done."""
+        return sum(o == "done" for o in list(self.outcomes.values()))
+
+    def _run(self, number):
+        generator = random.Random(number)
+        names = list(self._cell.entries)
+        count = 0
+        while not self._stopped.is_set():
+            count += 1
+            name = generator.choice(names)
+            payload = json.dumps({"run_s": 0.02, "n": f"{number}-{count}"})
+            try:
+                self._call(name, payload)
+            except (urllib3.exceptions.HTTPError, OSError):
+                time.sleep(0.05)
+
+    def _call(self, name, payload):
+        address = self._cell.get_http_address(name)
+        ids = send("POST", f"{address}/v1/ids", {"count": 1}).get("ids")
+        if not ids:
+            time.sleep(0.05)
+            return
+        body = {
+            "id": ids[0],
+            "payload": base64.b64encode(payload.encode()).decode(),
+            "timeout_ms": 5000,
+        }
+        self.outcomes[ids[0]] = "unknown"
+        try:
+            url = f"{address}/v1/requests"
+            reply = send("POST", url, body, CALL_TIMEOUT_S)
+        except urllib3.exceptions.NewConnectionError:
+            reply = {}
+        except urllib3.exceptions.HTTPError:
+            self.broken += 1
+            reply = {}
+        self._take(name, ids[0], payload, reply)
+        if reply.get("outcome") not in FINAL:
+            self._ask(ids[0], payload)
+
+    def _ask(self, request_id, payload):
+        deadline = time.monotonic() + ASK_S
+        while time.monotonic() < deadline and not self._stopped.is_set():
+            for name in self._cell.entries:
+                address = self._cell.get_http_address(name)
+                try:
+                    url = f"{address}/v1/requests/{request_id}"
+                    reply = send("GET", url)
+                except (urllib3.exceptions.HTTPError, OSError):
+                    continue
+                self._take(name, request_id, payload, reply)
+                if reply.get("outcome") in FINAL:
+                    return
+            time.sleep(0.5)
+
+    def _take(self, name, request_id, payload, reply):
+        outcome = reply.get("outcome")
+        if outcome == "done":
+            answer = base64.b64decode(reply["answer"])
+            if answer != payload.upper().encode():
+                self.wrong.append(request_id)
+            self.done_by_entry[name] += 1
+        if outcome in FINAL:
+            self.outcomes[request_id] = outcome
+
+
+def wait_progress(load, seconds, least=10):
+    """Lets time pass and returns the requests done in it."""
+    before = load.count_done()
+    time.sleep(seconds)
+    done = load.count_done() - before
+    if done < least:
+        raise AssertionError(f"only {done} requests done in {seconds} s")
+    return done
+
+
+def kill_owner(cell, load, length):
+    """SIGKILL of an entry VM; the others take over its shards."""
+    cell.processes["zone-a-entry-0"].kill()
+    time.sleep(8.0)
+    return f"done_after={wait_progress(load, length)}"
+
+
+def pause_owner(cell, load, length):
+    """SIGSTOP past the lease, then SIGCONT."""
+    cell.processes["zone-a-entry-0"].send_signal(signal.SIGSTOP)
+    time.sleep(max(8.0, length))
+    cell.processes["zone-a-entry-0"].send_signal(signal.SIGCONT)
+    return f"done_after={wait_progress(load, 6.0)}"
+
+
+def stop_platform(cell, load, length):
+    """The platform is down; requests go on."""
+    cell.set_platform(is_down=True)
+    done = wait_progress(load, length * 6)
+    cell.set_platform()
+    return f"done_while_down={done} done_after={wait_progress(load, 4.0)}"
+
+
+def lose_commit_answer(cell, load, length):
+    """Answers of commits are lost; a job is submitted meanwhile."""
+    del load
+    cell.set_platform(loses_answers=True)
+    job = json.dumps({"run_s": 0.1})
+    cell.control("job", "submit", "batch", "lost", job, "--tasks", "3")
+    time.sleep(length)
+    cell.set_platform()
+    deadline = time.monotonic() + 40
+    state = ""
+    while time.monotonic() < deadline and state != "done":
+        shown = cell.control("job", "show", "lost").stdout
+        state = json.loads(shown or "{}").get("state", "")
+        time.sleep(0.5)
+    assert state == "done", f"job is {state!r}"
+    runs, _ = cell.read_statistics()
+    tasks = [runs[f"lost/{n}"] for n in range(3)]
+    assert tasks == [1, 1, 1], f"runs of the tasks: {tasks}"
+    return "job=done each_task_once=true"
+
+
+def cut_platform(cell, load, length):
+    """One zone is cut from the platform, first refused and then silent."""
+    way = cell.platform_ways["zone-a"]
+    before = load.done_by_entry["zone-a-entry-0"]
+    way.set_mode("drop")
+    time.sleep(length)
+    way.set_mode("silent")
+    time.sleep(length)
+    done = load.done_by_entry["zone-a-entry-0"] - before
+    assert done >= 10, f"only {done} done through the cut zone"
+    way.set_mode("pass")
+    return f"done_through_cut_zone={done} done_after={wait_progress(load, 5.0)}"
+
+
+def silence_worker(cell, load, length):
+    """A worker is silent for a while."""
+    way = cell.worker_ways["zone-a-worker-0"]
+    way.set_mode("silent")
+    done = wait_progress(load, length)
+    way.set_mode("drop")
+    way.set_mode("pass")
+    return f"done_while_silent={done} done_after={wait_progress(load, 6.0)}"
+
+
+def silence_connections(cell, load, length):
+    """Open connections are silent for good while new ones work."""
+    ways = [*cell.worker_ways.values(), *cell.platform_ways.values()]
+    for way in ways:
+        way.set_mode("pass_new")
+    time.sleep(8.0)
+    return f"done_after={wait_progress(load, length)}"
+
+
+def terminate(cell, load, length):
+    """SIGTERM under load interrupts no request in flight."""
+    del length
+    broken = load.broken
+    process = cell.processes["zone-a-entry-0"]
+    process.send_signal(signal.SIGTERM)
+    status = process.wait(45)
+    assert status == 0, f"exit status {status}"
+    assert load.broken == broken, f"{load.broken - broken} interrupted"
+    return f"interrupted=0 exit=0 done_after={wait_progress(load, 6.0)}"
+
+
+CASES = {
+    "owner_killed": kill_owner,
+    "owner_paused": pause_owner,
+    "platform_down": stop_platform,
+    "commit_answer_lost": lose_commit_answer,
+    "zone_cut_from_platform": cut_platform,
+    "worker_silent": silence_worker,
+    "connections_silenced": silence_connections,
+    "sigterm": terminate,
+}
+
+
+def check_records(cell, load):
+    """Compares what callers were told with what the workers did."""
+    runs, overloads = cell.read_statistics()
+    twice = [i for i in load.outcomes if runs[i] > 1]
+    lied = [i for i, o in load.outcomes.items() if o == "not_run" and runs[i]]
+    assert not overloads, f"overloads={overloads}"
+    assert not twice, f"ran twice: {twice[:3]}"
+    assert not lied, f"not_run but ran: {lied[:3]}"
+    assert not load.wrong, f"wrong answers: {load.wrong[:3]}"
+    counts = collections.Counter(load.outcomes.values())
+    return " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+
+
+def run_case(name, length):
+    """Runs one case in a cell of its own; returns whether it passed."""
+    with tempfile.TemporaryDirectory() as directory:
+        cell = FaultCell(directory)
+        load = None
+        try:
+            cell.start()
+            load = Load(cell)
+            wait_progress(load, 3.0)
+            seen = CASES[name](cell, load, length)
+            load.stop()
+            line, passed = f"{seen} {check_records(cell, load)}", True
+        except Exception as error:
+            line, passed = f"{type(error).__name__}: {error}", False
+        finally:
+            if load is not None:
+                load.stop()
+            cell.stop()
+    print(f"fault={name} passed={passed} {line}", flush=True)
+    return passed
+
+
+def main():
+    """Runs the named cases or all; returns the exit status."""
+    length = 10.0
+    names = sys.argv[1:] or list(CASES)
+    failed = [name for name in names if not run_case(name, length)]
+    print(f"faults: cases={len(names)} failed={len(failed)}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,39 @@
+"""Short fixed part of the randomized run and of the mutants."""
+
+import contextlib
+import io
+import unittest
+
+from tests import checks
+from tests import soak
+
+SEEDS = (1, 2)
+STEPS = 480
+
+
+class SoakTest(unittest.TestCase):
+    def test_invariants_hold_under_faults(self):
+        """Guards every guarantee against faults alone and together."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                steps = io.StringIO()
+                with contextlib.redirect_stdout(steps):
+                    error = soak.explore(seed, STEPS, shrinks=False)
+                self.assertIsNone(error, steps.getvalue())
+
+    def test_same_seed_gives_the_same_run(self):
+        """Guards against a failing seed that cannot be repeated."""
+        seen = []
+        for _ in range(2):
+            soak.explore(7, 240, shrinks=False)
+            seen.append((dict(soak.totals), dict(soak.counts)))
+        self.assertEqual(seen[0], seen[1])
+
+
+class ChecksTest(unittest.TestCase):
+    def test_focused_checks_hold_without_a_mutant(self):
+        """Guards against a mutant that is caught by a broken check."""
+        checks.check_eviction()
+        checks.check_config_version()
+        checks.check_drain()
+        checks.check_gang()
