--- a/packages/persimmonpath/persimmonpath/entry.py
+++ b/packages/persimmonpath/persimmonpath/entry.py
@@ -11,6 +11,7 @@
 from persimmonpath import acceptance
 from persimmonpath import errors
 from persimmonpath import forwarding
+from persimmonpath import groupcommit
 from persimmonpath import holdings
 from persimmonpath import identifiers
 from persimmonpath import inventory
@@ -107,7 +108,11 @@
         self.identity = identity
         self.timers = surroundings.timers
         self.peers = surroundings.peers
-        self.job_store = jobs.JobStore(surroundings.table)
+        self.job_store = jobs.create_job_store(
+            f"{identity.zone}/{identity.vm}",
+            surroundings.table,
+            surroundings.timers,
+        )
         self.session = sessions.create_session(
             identity.vm,
             identity.zone,
@@ -158,6 +163,8 @@
             (probes.PROBE_PERIOD_S, self.probe_peers),
             (WORKER_PERIOD_S, self.renew_workers),
             (JOB_PERIOD_S, self.poll_jobs),
+            (groupcommit.COMMIT_PERIOD_S, self.holdings.poll_notified),
+            (groupcommit.COMMIT_PERIOD_S, self.job_store.flush),
             (FORGET_PERIOD_S, self.members.forget_gone),
         ):
             repeat = self._surroundings.repeat
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -9,8 +9,10 @@
 from persimmonpath import holds
 from persimmonpath import inventory
 from persimmonpath import leases
+from persimmonpath import placement
 from persimmonpath import renewals
 from persimmonpath import resources
+from persimmonpath import rules
 from persimmonpath import timers
 from persimmonpath import tracking
 from persimmonpath import workers
@@ -157,6 +159,12 @@
                 hold.client.disconnect()
                 logging.info("event=worker_drained worker=%s", name)
 
+    def relist(self, name: str) -> None:
+        """Has a worker report every attempt again."""
+        hold = self._held.find(name)
+        if hold is not None:
+            self._renewals.fence(hold)
+
     def stop(self) -> None:
         """Ends placing and renewing; calls in flight are still answered."""
         self._is_stopped = True
@@ -175,11 +183,17 @@
         hold = self._held.find(name)
         return hold.client if hold else tracking.AbsentWorker(name)
 
+    def apply_rules(self, cell_rules: rules.Rules) -> None:
+        """Makes later reservations follow the operator's rules."""
+        with self.lock:
+            self._held.placement.apply_rules(cell_rules.placement)
+
     def reserve(
         self,
         attempt: str,
         size: resources.Resources,
         excluded: Collection[str] = (),
+        need: placement.Need = placement.ANY,
     ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
@@ -187,13 +201,17 @@
             attempt: The attempt.
             size: What it needs.
             excluded: Workers not to choose.
+            need: What it asks of the worker besides resources.
 
         Returns:
             Name of the worker, or None when no worker has room now.
         """
         if self._is_stopped:
             return None
-        name = self._held.placement.choose(size, excluded)
+        if excluded:
+            avoided = need.avoided.union(excluded)
+            need = dataclasses.replace(need, avoided=avoided)
+        name = self._held.placement.choose(size, need)
         if name is not None:
             self._held.placement.reserve(name, attempt, size)
             self._held.placement.ensure_capacity(name)
@@ -221,6 +239,26 @@
         """Returns the workers in the inventory that accepted this epoch."""
         return sum(h.is_listed() for h in self._held.list_current())
 
+    def get_worker(self, name: str) -> inventory.Worker:
+        """Returns a worker as the inventory describes it."""
+        return self._held.placement.get_worker(name)
+
+    def find_rack(self, name: str) -> str:
+        """Returns the rack of a worker, empty for one that is gone."""
+        return self._held.placement.find_rack(name)
+
+    def list_open(self) -> list[str]:
+        """Returns the workers that are open to work; needs the lock."""
+        return self._held.placement.list_open()
+
+    def get_free(self, name: str) -> tuple[resources.Resources, int]:
+        """Returns free resources and slots of a worker; needs the lock."""
+        return self._held.placement.get_free(name)
+
+    def allows(self, name: str, kind: str, team: str) -> bool:
+        """Returns whether the rules allow work on a worker."""
+        return self._held.placement.allows(name, kind, team)
+
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
         return all(h.is_listed() for h in self._held.list_current())
