Serve a kind again whose runs took longer than its deadlines

Cause: once the learned run time exceeded a request's whole time, every request of that kind was refused with deadline_too_short, even on idle workers, so no run could correct the estimate. An estimate beyond the request's time now says nothing about that request.

--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -159,7 +159,8 @@
 
     def _is_hopeless(self, item: queues.Item) -> bool:
         estimate = self._estimate(item.value.request)
-        needed_s = estimate.typical_s if estimate.is_learned else 0.0
+        timeout_s = item.deadline - item.arrived
+        needed_s = min(estimate.typical_s, estimate.get_needed(timeout_s))
         return item.deadline < self._timers.now() + needed_s
 
     def watch(self, entry: Entry, attempt: attempts.Attempt) -> None:
--- a/packages/persimmonpath/persimmonpath/estimates.py
+++ b/packages/persimmonpath/persimmonpath/estimates.py
@@ -30,6 +30,20 @@
     high_s: float
     is_learned: bool
 
+    def get_needed(self, timeout_s: float) -> float:
+        """Returns the seconds to keep free before a deadline for the run.
+
+        A kind whose runs took longer than a request's whole time tells nothing
+        of that request. Refusing it would also keep the estimate from ever
+        being corrected by new runs.
+
+        Args:
+            timeout_s: The request's whole time in seconds.
+        """
+        if not self.is_learned or self.typical_s > timeout_s:
+            return 0.0
+        return self.high_s if self.high_s <= timeout_s else self.typical_s
+
 
 class _Window:
     """Quantiles over the most recent samples."""
--- a/packages/persimmonpath/persimmonpath/pipeline.py
+++ b/packages/persimmonpath/persimmonpath/pipeline.py
@@ -49,12 +49,9 @@
 
 
 def check_time_left(arrival: Arrival) -> str | None:
-    """Refuses a request whose caller gives up before it can end."""
+    """Refuses a request whose caller has given up."""
     if arrival.request.timeout_s <= 0:
         return "deadline_passed"
-    estimate = arrival.estimate
-    if estimate.is_learned and estimate.typical_s > arrival.request.timeout_s:
-        return "deadline_too_short"
     return None
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -357,3 +357,15 @@
         _, future = shard.submit(REQUEST, request_id)
         self.assertEqual(name(future), "done")
         self.assertEqual(shard.count_runs(), 1)
+
+    def test_kind_that_took_too_long_is_served_again(self):
+        """Refused requests would never correct the estimate."""
+        shard = Shard(run_s=8.0)
+        for _ in range(8):
+            shard.submit()
+        shard.advance(12.0)
+        shard.plan = memoryworkers.Plan(0.1, True, b"ok")
+        for _ in range(3):
+            _, future = shard.submit()
+            shard.advance(1.0)
+            self.assertEqual(name(future), "done")
