--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -9,8 +9,11 @@
 from persimmonpath import holds
 from persimmonpath import inventory
 from persimmonpath import leases
+from persimmonpath import placement
+from persimmonpath import quarantine
 from persimmonpath import renewals
 from persimmonpath import resources
+from persimmonpath import rules
 from persimmonpath import timers
 from persimmonpath import tracking
 from persimmonpath import workers
@@ -77,6 +80,8 @@
         self._drained: set[str] = set()
         self._is_fenced = False
         self._is_stopped = False
+        self._quarantine = quarantine.Quarantine(timer_service)
+        self._held.subscribe(self._observe, lambda: None)
         self._fenced_listeners: list[Callable[[], None]] = []
 
     def subscribe(
@@ -156,6 +161,13 @@
                 self._held.remove(name)
                 hold.client.disconnect()
                 logging.info("event=worker_drained worker=%s", name)
+        self._apply_quarantine()
+
+    def relist(self, name: str) -> None:
+        """Has a worker report every attempt again."""
+        hold = self._held.find(name)
+        if hold is not None:
+            self._renewals.fence(hold)
 
     def stop(self) -> None:
         """Ends placing and renewing; calls in flight are still answered."""
@@ -175,11 +187,18 @@
         hold = self._held.find(name)
         return hold.client if hold else tracking.AbsentWorker(name)
 
+    def apply_rules(self, cell_rules: rules.Rules) -> None:
+        """Makes later reservations follow the operator's rules."""
+        with self.lock:
+            self._held.placement.apply_rules(cell_rules.placement)
+            self._quarantine.policy = cell_rules.policy
+
     def reserve(
         self,
         attempt: str,
         size: resources.Resources,
         excluded: Collection[str] = (),
+        need: placement.Need = placement.ANY,
     ) -> str | None:
         """Chooses a worker and reserves it for an attempt; needs the lock.
 
@@ -187,17 +206,24 @@
             attempt: The attempt.
             size: What it needs.
             excluded: Workers not to choose.
+            need: What it asks of the worker besides resources.
 
         Returns:
             Name of the worker, or None when no worker has room now.
         """
         if self._is_stopped:
             return None
-        name = self._held.placement.choose(size, excluded)
+        if excluded:
+            avoided = need.avoided.union(excluded)
+            need = dataclasses.replace(need, avoided=avoided)
+        name = self._held.placement.choose(size, need)
         if name is not None:
             self._held.placement.reserve(name, attempt, size)
             self._held.placement.ensure_capacity(name)
-            self._held.find(name).attempts[attempt] = holds.Attempt(size)
+            hold = self._held.find(name)
+            hold.attempts[attempt] = holds.Attempt(size)
+            self._quarantine.note_start(name)
+            self._update_quarantined(hold)
         return name
 
     def release(self, name: str, attempt: str) -> None:
@@ -221,6 +247,42 @@
         """Returns the workers in the inventory that accepted this epoch."""
         return sum(h.is_listed() for h in self._held.list_current())
 
+    def get_worker(self, name: str) -> inventory.Worker:
+        """Returns a worker as the inventory describes it."""
+        return self._held.placement.get_worker(name)
+
+    def explain_unfit(
+        self, size: resources.Resources, kind: str, team: str
+    ) -> str:
+        """Returns why no worker can ever run a task, empty if one can."""
+        with self.lock:
+            fitting = [
+                worker.name
+                for worker in self.list_workers()
+                if size.fits_in(worker.capacity)
+            ]
+            if not fitting:
+                return f"fits_no_worker: no worker is as large as {size}"
+            if any(self.allows(name, kind, team) for name in fitting):
+                return ""
+            return "fits_no_worker: the rules allow no worker of this size"
+
+    def find_rack(self, name: str) -> str:
+        """Returns the rack of a worker, empty for one that is gone."""
+        return self._held.placement.find_rack(name)
+
+    def list_open(self) -> list[str]:
+        """Returns the workers that are open to work; needs the lock."""
+        return self._held.placement.list_open()
+
+    def get_free(self, name: str) -> tuple[resources.Resources, int]:
+        """Returns free resources and slots of a worker; needs the lock."""
+        return self._held.placement.get_free(name)
+
+    def allows(self, name: str, kind: str, team: str) -> bool:
+        """Returns whether the rules allow work on a worker."""
+        return self._held.placement.allows(name, kind, team)
+
     def is_fully_listed(self) -> bool:
         """Returns whether every worker's records have been taken in."""
         return all(h.is_listed() for h in self._held.list_current())
@@ -269,3 +331,42 @@
     def notify(self) -> None:
         """Tells every listener that capacity may have come free."""
         self._held.notify()
+
+    def list_quarantined(self) -> list[str]:
+        """Returns the workers in quarantine, those being probed included."""
+        with self.lock:
+            return [
+                hold.worker.name
+                for hold in self._held.list_all()
+                if self._quarantine.is_quarantined(hold.worker.name)
+            ]
+
+    def _observe(self, name: str, record: workers.AttemptRecord) -> None:
+        succeeded = record.state is workers.AttemptState.SUCCEEDED
+        if not succeeded and record.state is not workers.AttemptState.FAILED:
+            return
+        was_quarantined = self._quarantine.is_quarantined(name)
+        self._quarantine.observe(
+            name, record.attempt, record.kind, succeeded, self.count_workers()
+        )
+        is_quarantined = self._quarantine.is_quarantined(name)
+        if was_quarantined != is_quarantined:
+            logging.warning(
+                "event=worker_quarantine worker=%s on=%s", name, is_quarantined
+            )
+        hold = self._held.find(name)
+        if hold is not None:
+            self._update_quarantined(hold)
+
+    def _apply_quarantine(self) -> None:
+        with self.lock:
+            held = self._held.list_all()
+            self._quarantine.forget({hold.worker.name for hold in held})
+            for hold in held:
+                self._update_quarantined(hold)
+
+    def _update_quarantined(self, hold: holds.Hold) -> None:
+        is_closed = self._quarantine.is_closed(hold.worker.name)
+        if hold.is_quarantined != is_closed:
+            hold.is_quarantined = is_closed
+            self._held.update_open(hold)
