Apply placement rules to requests and start more of them at once

A start holds a thread of the pool while the request runs. 64 threads are fewer than the 216 slots of a zone today, so starts would wait in the pool while their time runs out; the default is 256 now.

--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -10,6 +10,7 @@
 from persimmonpath import identifiers
 from persimmonpath import limits
 from persimmonpath import pipeline
+from persimmonpath import placement
 from persimmonpath import queues
 from persimmonpath import resources
 from persimmonpath import rules
@@ -237,7 +238,8 @@
         is_short = entry.item.is_short
         excluded = self._limits.list_excluded(is_short, self._timers.now())
         attempt = identifiers.format_attempt(str(entry.id), entry.starts + 1)
-        name = self._fleet.reserve(attempt, entry.request.size, excluded)
+        need = placement.Need(entry.request.kind, entry.request.team)
+        name = self._fleet.reserve(attempt, entry.request.size, excluded, need)
         if name is None:
             return None
         entry.starts += 1
--- a/packages/persimmonpath/persimmonpath/router.py
+++ b/packages/persimmonpath/persimmonpath/router.py
@@ -12,6 +12,7 @@
 from persimmonpath import journeys
 from persimmonpath import outcomes
 from persimmonpath import pipeline
+from persimmonpath import placement
 from persimmonpath import retries
 from persimmonpath import work
 
@@ -138,7 +139,10 @@
             outcome = outcomes.NotRun("no_shard_reachable")
             future.set_result(last or Answer("", outcome))
 
-        self.issue_ids(1).add_done_callback(lambda f: take(f.result()))
+        issued: futures.Future = futures.Future()
+        issued.add_done_callback(lambda f: take(f.result()))
+        shards = self._rank_shards()
+        self._issue_from(self._filter_zones(shards, request), 1, issued)
 
     def _travel(
         self,
@@ -199,6 +203,17 @@
             self._budget,
         )
 
+    def _filter_zones(
+        self, shards: list[identifiers.ShardId], request: work.Request
+    ) -> list[identifiers.ShardId]:
+        """Returns the shards in zones that every matching rule allows."""
+        for rule in self._entry.applied.config.rules.placement:
+            if rule.zones and placement.matches(
+                rule, request.kind, request.team
+            ):
+                shards = [s for s in shards if s.zone in rule.zones]
+        return shards
+
     def _rank_shards(self) -> list[identifiers.ShardId]:
         """Returns shards in the order in which to try them.
 
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -45,13 +45,14 @@
     Attributes:
         http: Requests of callers served at once.
         peer: Calls of other entry VMs served at once.
-        starts: Starts in flight to workers.
+        starts: Starts in flight to workers; a start takes a thread while the
+            request runs, so at most this many requests run at once.
         control: Other calls in flight to workers.
     """
 
     http: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
     peer: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
-    starts: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
+    starts: Annotated[int, pydantic.Field(ge=2, le=1024)] = 256
     control: Annotated[int, pydantic.Field(ge=2, le=256)] = 16
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -21,7 +21,7 @@
 class Cell:
     """Two zones of one shard and one worker each, and a router at each VM."""
 
-    def __init__(self, plan=None, slots=8, spills=True):
+    def __init__(self, plan=None, slots=8, spills=True, placement=()):
         self.fakes = fakes.FakeCell()
         self.timers = self.fakes.timers
         self.network = self.fakes.network
@@ -48,7 +48,7 @@
         policy = rules.Policy(spill_to_zones=spills)
         self.timers.advance(2.0)
         entries["a-0"].commit_config(
-            0, "test", content, rules.Rules(policy=policy)
+            0, "test", content, rules.Rules(policy=policy, placement=placement)
         ).unwrap()
         self.timers.advance(10.0)
         self.routers = {
@@ -221,3 +221,11 @@
         future = router.run("zone-a.0.1.1", REQUEST)
         cell.timers.advance(6.0)
         self.assertEqual(name(future.result(0)), "unknown")
+
+    def test_request_confined_to_a_zone_runs_nowhere_else(self):
+        """The rule may keep data in its zone."""
+        rule = rules.PlacementRule(kind="kind", zones=("zone-b",))
+        cell = Cell(placement=(rule,))
+        for via in VMS:
+            self.assertEqual(name(cell.run(via)), "done")
+        self.assertFalse(cell.fakes.workers["zone-a-worker"].runs)
