Refuse at once where every worker is drained, so that others take over

Cause: a shard whose workers are all drained, leaving or quarantined let requests wait for their whole deadline. The shard now answers not_run with no_worker_in_use, and a fresh request goes to another shard. Workers that merely cannot be reached still count: they may be back within the deadline.

--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -87,7 +87,7 @@
         self._running: dict[str, tuple[float, _Running]] = {}
         self._running_short = _Running()
         self._running_long = _Running()
-        # Distinct capacities of the workers; there are only a few.
+        # Distinct capacities of the workers in use; there are only a few.
         self._capacities: set[resources.Resources] = set()
         # Whether nothing that waits can start before something changes.
         self._is_blocked = False
@@ -229,7 +229,7 @@
     def refresh(self) -> None:
         """Takes in that workers or free capacity may have changed."""
         listed = self._fleet.list_workers()
-        self._capacities = {worker.capacity for worker in listed}
+        self._capacities = self._fleet.list_capacities()
         for worker in listed:
             self._limits.set_slots(worker.name, worker.slots)
         self._is_blocked = False
@@ -285,4 +285,4 @@
     def _check_fit(self, arrival: pipeline.Arrival) -> str | None:
         if any(arrival.request.size.fits_in(c) for c in self._capacities):
             return None
-        return "fits_no_worker"
+        return "fits_no_worker" if self._capacities else "no_worker_in_use"
--- a/packages/persimmonpath/persimmonpath/fleet.py
+++ b/packages/persimmonpath/persimmonpath/fleet.py
@@ -239,6 +239,17 @@
         """Returns the workers of the shard that are in the inventory."""
         return [hold.worker for hold in self._held.list_current()]
 
+    def list_capacities(self) -> set[resources.Resources]:
+        """Returns the capacities of workers that may be given work again.
+
+        A worker that only cannot be reached now is among them.
+        """
+        return {
+            hold.worker.capacity
+            for hold in self._held.list_current()
+            if not hold.is_closed()
+        }
+
     def count_workers(self) -> int:
         """Returns the workers of the shard that are in the inventory."""
         return len(self._held.list_current())
--- a/packages/persimmonpath/persimmonpath/holds.py
+++ b/packages/persimmonpath/persimmonpath/holds.py
@@ -83,16 +83,19 @@
         """Returns whether its records have been taken in."""
         return self.complete_since is not None
 
-    def is_open(self) -> bool:
-        """Returns whether it may be given work."""
-        is_closed = (
+    def is_closed(self) -> bool:
+        """Returns whether it gets no work although it may be reached."""
+        return (
             self.is_draining
             or self.is_listed_leaving
             or self.refuses_work
             or self.is_quarantined
             or self.is_removed
         )
-        return self.is_fenced and not self.is_lost and not is_closed
+
+    def is_open(self) -> bool:
+        """Returns whether it may be given work."""
+        return self.is_fenced and not self.is_lost and not self.is_closed()
 
     def is_drained(self) -> bool:
         """Returns whether it has left the inventory and runs nothing.
--- a/packages/persimmonpath/persimmonpath/journeys.py
+++ b/packages/persimmonpath/persimmonpath/journeys.py
@@ -30,6 +30,7 @@
         "leaving",
         "lease_lapsed",
         "fits_no_worker",
+        "no_worker_in_use",
     }
 )
 
--- a/packages/persimmonpath/persimmonpath/router.py
+++ b/packages/persimmonpath/persimmonpath/router.py
@@ -175,7 +175,7 @@
     def _note_load(
         self, shard: identifiers.ShardId, outcome: outcomes.Outcome
     ) -> None:
-        reasons = ("overloaded", "shard_unreachable")
+        reasons = ("overloaded", "shard_unreachable", "no_worker_in_use")
         if isinstance(outcome, outcomes.NotRun) and outcome.reason in reasons:
             self._full_until[shard] = self._entry.timers.now() + FULL_S
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -222,6 +222,25 @@
         cell.timers.advance(6.0)
         self.assertEqual(name(future.result(0)), "unknown")
 
+    def test_shard_whose_workers_are_all_drained_passes_requests_on(self):
+        """A request that waits there for its deadline is not run at all."""
+        cell = Cell()
+        config = cell.entries["a-0"].applied.config
+        drained = [
+            worker.model_copy(update={"draining": worker.zone == "zone-a"})
+            for worker in config.inventory.workers
+        ]
+        cell.entries["a-0"].commit_config(
+            1,
+            "test",
+            config.inventory.model_copy(update={"workers": tuple(drained)}),
+            config.rules,
+        ).unwrap()
+        cell.timers.advance(5.0)
+        for via in VMS:
+            self.assertEqual(name(cell.run(via)), "done")
+        self.assertFalse(cell.fakes.workers["zone-a-worker"].runs)
+
     def test_request_confined_to_a_zone_runs_nowhere_else(self):
         """The rule may keep data in its zone."""
         rule = rules.PlacementRule(kind="kind", zones=("zone-b",))
