--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -9,6 +9,7 @@
 from persimmonpath import errors
 from persimmonpath import identifiers
 from persimmonpath import outcomes
+from persimmonpath import spans
 from persimmonpath import wire
 from persimmonpath_daemon import grpcpeers
 from persimmonpath_daemon import peers_pb2
@@ -21,9 +22,17 @@
 class PeerServicer(peers_pb2_grpc.PeerServicer):
     """The callee's side of every call."""
 
-    def __init__(self, entry: entry_module.EntryVm):
-        """Creates a servicer of an entry VM."""
+    def __init__(
+        self, entry: entry_module.EntryVm, tracer: spans.Tracer | None = None
+    ):
+        """Creates a servicer of an entry VM.
+
+        Args:
+            entry: The entry VM.
+            tracer: Starts spans; None for one that is disabled.
+        """
         self._entry = entry
+        self._tracer = tracer or spans.create_tracer(False, lambda: 0.0)
 
     def Run(self, request, context):  # noqa: N802
         """Runs a request of a shard owned here."""
@@ -34,12 +43,18 @@
         decoded = grpcpeers.decode_request(request)
         # A call that waited for a thread has less time left.
         left_s = min(decoded.timeout_s, context.time_remaining() or 0.0)
-        decoded = dataclasses.replace(decoded, timeout_s=left_s)
         if left_s <= 0:
             outcome = outcomes.Unknown("deadline_passed")
             return grpcpeers.encode_outcome(request.id, outcome)
+        parent = spans.parse_context(decoded.trace)
+        span = self._tracer.start("peer_serve", parent)
+        decoded = dataclasses.replace(
+            decoded, timeout_s=left_s, trace=span.trace
+        )
         future = owned.dispatcher.submit(parsed, decoded)
-        return _wait(request.id, future, left_s + WAIT_MARGIN_S)
+        reply = _wait(request.id, future, left_s + WAIT_MARGIN_S)
+        span.end(reply.outcome or "refused")
+        return reply
 
     def Ask(self, request, context):  # noqa: N802
         """Tells what became of a request."""
