--- a/packages/persimmonpath/persimmonpath/runner.py
+++ b/packages/persimmonpath/persimmonpath/runner.py
@@ -223,7 +223,9 @@
                 # Only one owner can remove the notice of a submission, so no
                 # other has started tasks of the job.
                 entry.is_inherited = False
-        self.drive()
+            is_waiting = self._fleet.may_run_unlisted()
+        if is_waiting:
+            self.drive()
 
     def _cancel(self, entry: progress.Entry) -> None:
         self._starter.give_up(entry)
--- a/packages/persimmonpath/persimmonpath/starter.py
+++ b/packages/persimmonpath/persimmonpath/starter.py
@@ -97,11 +97,27 @@
                 return False
             self._is_due = False
             self._refresh_gangs()
-            for entry in list(self._book.waiting.values()):
-                if self._is_startable(entry):
-                    self._reserve_job(entry)
+            self._reserve_waiting()
             return True
 
+    def _reserve_waiting(self) -> None:
+        """Reserves by rank, without trying twice what just fitted nowhere."""
+        full = set()
+        for entry in list(self._book.waiting.values()):
+            is_urgent = entry.job.priority is work.Priority.URGENT
+            if not is_urgent and not self._fleet.count_free_slots():
+                return
+            job = entry.job
+            shape = (job.size, job.kind, job.team, is_urgent)
+            if policies.starts_together(job):
+                shape = None
+            if shape in full or not self._is_startable(entry):
+                continue
+            self._reserve_job(entry)
+            is_picky = any(entry.tasks[i].failed_on for i in entry.idle)
+            if shape and entry.idle and not is_picky:
+                full.add(shape)
+
     def _refresh_gangs(self) -> None:
         expired = self._gangs.take_expired()
         if expired is not None:
