Send a gang to a shard that carries it whole, or refuse it

A gang went to the first shard with a fitting worker and waited there for ever when that was too small.

--- a/packages/persimmonpath/persimmonpath/intake.py
+++ b/packages/persimmonpath/persimmonpath/intake.py
@@ -7,6 +7,7 @@
 
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
+from persimmonpath import gangs
 from persimmonpath import identifiers
 from persimmonpath import inventory
 from persimmonpath import jobs
@@ -47,11 +48,18 @@
             config.inventory, config.rules, job, self._entry.identity.zone
         )
         if not shards:
-            reason = explain_unplaceable(config.inventory, config.rules, job)
-            future: futures.Future = futures.Future()
-            future.set_result(result.Failure(errors.UnplaceableError(reason)))
-            return future
+            return _refuse(
+                explain_unplaceable(config.inventory, config.rules, job)
+            )
         shard = choose_shard(shards, job)
+        if policies.starts_together(job):
+            rooms = count_rooms(config.inventory, config.rules, job, shards)
+            shard = max(shards, key=lambda s: rooms[s])
+            if rooms[shard] < job.tasks:
+                return _refuse(
+                    f"the largest shard carries {rooms[shard]} of"
+                    f" {job.tasks} tasks at once"
+                )
         record = jobs.create_record(job, nonce, shard)
         charge = quotas.create_charge(job, config.rules)
         reply = self._entry.job_store.submit(record, charge)
@@ -88,6 +96,12 @@
             self._entry.peers.notify_job(address, shard, record.job["id"])
 
 
+def _refuse(reason: str) -> futures.Future:
+    future: futures.Future = futures.Future()
+    future.set_result(result.Failure(errors.UnplaceableError(reason)))
+    return future
+
+
 def list_shards(
     cell: inventory.Inventory, cell_rules: rules.Rules, job: work.Job, home: str
 ) -> list[identifiers.ShardId]:
@@ -111,12 +125,27 @@
     shards: list[identifiers.ShardId], job: work.Job
 ) -> identifiers.ShardId:
     """Returns the shard that a job belongs to."""
-    if policies.starts_together(job):
-        # One owner coordinates the gangs of a zone.
-        return shards[0]
     return shards[xxhash.xxh64_intdigest(job.id.encode()) % len(shards)]
 
 
+def count_rooms(
+    cell: inventory.Inventory,
+    cell_rules: rules.Rules,
+    job: work.Job,
+    shards: list[identifiers.ShardId],
+) -> dict[identifiers.ShardId, int]:
+    """Returns how many tasks of a job each shard carries when idle."""
+    rooms = dict.fromkeys(shards, 0)
+    share = policies.get_spare_slots_share(job, cell_rules.policy)
+    for worker in cell.workers:
+        if worker.shard_id in rooms and can_carry(worker, cell_rules, job):
+            slots = worker.slots - int(worker.slots * share)
+            rooms[worker.shard_id] += gangs.count_fitting(
+                job.size, worker.capacity, slots
+            )
+    return rooms
+
+
 def can_carry(
     worker: inventory.Worker, cell_rules: rules.Rules, job: work.Job
 ) -> bool:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -65,3 +65,9 @@
         job = work.BatchJob("j", "k", "t", 1, resources.Resources(80_000))
         reason = intake.explain_unplaceable(CELL, rules.Rules(), job)
         self.assertIn("no worker is as large", reason)
+
+    def test_gang_is_not_sent_to_a_shard_that_cannot_carry_it_whole(self):
+        gang = work.GangJob("j", "k", "t", 9, resources.Resources(4000, 1024))
+        shards = [identifiers.ShardId("z1", 0), identifiers.ShardId("z2", 0)]
+        rooms = intake.count_rooms(CELL, rules.Rules(), gang, shards)
+        self.assertEqual(list(rooms.values()), [4, 6])
