--- a/packages/persimmonpath/persimmonpath/renewals.py
+++ b/packages/persimmonpath/persimmonpath/renewals.py
@@ -142,7 +142,7 @@
                 self._held.take_record(hold, record)
             self._drop_missing(hold, number, listing)
             if hold.attempts:
-                # The attempts of an earlier owner may end soon.
+                # Doubled to the first period by the confirmation.
                 hold.period_s = FIRST_PERIOD_S / 2
             self._confirm(hold)
         logging.info(
