--- a/packages/persimmonpath_ctl/persimmonpath_ctl/jobcommands.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/jobcommands.py
@@ -89,7 +89,7 @@
     limit: int = 100,
     common: invocation.Common = invocation.COMMON,
 ) -> None:
-    """List jobs in the order of their ids.
+    """List the jobs that have not ended, in the order of their ids.
 
     Args:
         team: Only jobs of this team.
--- a/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
@@ -16,6 +16,8 @@
 
 # Time that an answer may take on its way beyond the request's own time.
 ANSWER_MARGIN_S = 5.0
+# Thousands of jobs are read and committed in groups.
+CANCEL_TIMEOUT_S = 120.0
 POLL_PERIOD_S = 0.5
 MAX_EDIT_ATTEMPTS = 5
 FINAL_STATES = frozenset({"done", "failed", "cancelled"})
@@ -130,7 +132,13 @@
 
 def cancel_jobs(client: client_module.Client, ids: list[str]) -> Outcome:
     """Cancels several jobs; the answer tells what became of each."""
-    return client.call("POST", "/v1/jobs:cancel", {"ids": ids}, repeatable=True)
+    return client.call(
+        "POST",
+        "/v1/jobs:cancel",
+        {"ids": ids},
+        repeatable=True,
+        timeout_s=CANCEL_TIMEOUT_S,
+    )
 
 
 def wait_job(
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/jobapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/jobapi.py
@@ -1,7 +1,8 @@
 """Calls for jobs: submit, show, list, cancel."""
 
-import dataclasses
+from concurrent import futures
 import re
+import uuid
 
 from returns import result
 
@@ -9,14 +10,17 @@
 from persimmonpath import errors
 from persimmonpath import events
 from persimmonpath import identifiers
+from persimmonpath import intake
 from persimmonpath import jobs
-from persimmonpath import outcomes
+from persimmonpath import work
 from persimmonpath_daemon import bodies
 from persimmonpath_daemon import replies
 from persimmonpath_daemon import requestapi
 
-# The runner may commit progress of the job between reading and writing.
-MAX_CANCEL_ATTEMPTS = 5
+# Longest time until a group of changes is committed or given up.
+COMMIT_WAIT_S = 10.0
+DEFAULT_LISTED = 100
+MAX_LISTED = 1000
 
 
 class JobApi:
@@ -25,6 +29,7 @@
     def __init__(self, entry: entry_module.EntryVm):
         """Creates the calls of an entry VM."""
         self._entry = entry
+        self._intake = intake.JobIntake(entry)
 
     def list_routes(self) -> list[replies.Route]:
         """Returns the paths that are answered here."""
@@ -33,6 +38,7 @@
         cancel_path = re.compile(r"/v1/jobs:cancel")
         return [
             replies.Route("job_submit", "POST", jobs_path, self._submit),
+            replies.Route("job_list", "GET", jobs_path, self._list),
             replies.Route("job_show", "GET", job_path, self._show),
             replies.Route("job_cancel", "DELETE", job_path, self._cancel),
             replies.Route(
@@ -42,106 +48,160 @@
 
     def _submit(self, call: replies.Call) -> replies.Reply:
         job = replies.parse_body(bodies.JobBody, call.body).convert()
+        self._ensure_inventory()
         requestapi.check_size(self._entry, job.size)
-        shard = self._choose_shard(job.id)
-        record = jobs.create_record(job, "", shard)
-        reply = self._entry.job_store.submit(record)
-        if isinstance(reply, result.Success):
-            events.log_info(
-                "job_accepted",
-                id=job.id,
-                form=record.form,
-                tasks=job.tasks,
-                shard=shard,
-            )
-            return replies.Reply(200, replies.describe_job(reply.unwrap()))
-        if isinstance(reply.failure(), errors.TableConflictError):
-            raise replies.CallError(
-                409,
-                "id_reused",
-                "id",
-                f"{job.id} was used for another job",
-                "the same job as before, or another id",
-            )
-        return replies.describe_table_error(reply.failure(), id=job.id)
+        reply = _wait(self._intake.submit(job, uuid.uuid4().hex))
+        if isinstance(reply, result.Failure):
+            return _describe_refusal(reply.failure(), job)
+        record = reply.unwrap()
+        events.log_info(
+            "job_accepted",
+            id=job.id,
+            form=record.form,
+            tasks=job.tasks,
+            shard=record.shard,
+        )
+        return replies.Reply(200, replies.describe_job(record))
 
-    def _choose_shard(self, job_id: str) -> identifiers.ShardId:
-        config = self._entry.applied.config
-        zone = self._entry.identity.zone
-        shards = config.inventory.list_shards()
-        if not shards:
+    def _ensure_inventory(self) -> None:
+        if not self._entry.applied.config.inventory.list_shards():
             raise replies.CallError(
                 503,
                 "no_inventory",
                 message="no inventory was imported yet",
                 outcome="not_run",
             )
-        own = [shard for shard in shards if shard.zone == zone] or shards
-        digest = outcomes.compute_checksum(job_id.encode())
-        return own[int(digest, 16) % len(own)]
+
+    def _list(self, call: replies.Call) -> replies.Reply:
+        """Lists the jobs that have not ended."""
+        limit = replies.read_limit(call, DEFAULT_LISTED, MAX_LISTED)
+        after = call.query.get("after", "")
+        ids: set[str] = set()
+        for shard in self._entry.applied.config.inventory.list_shards():
+            reply = self._entry.job_store.list_unfinished(shard)
+            if isinstance(reply, result.Failure):
+                return replies.describe_table_error(reply.failure())
+            ids.update(job_id for job_id in reply.unwrap() if job_id > after)
+        found = []
+        for job_id in sorted(ids):
+            reply = self._entry.job_store.read(job_id)
+            if isinstance(reply, result.Failure):
+                return replies.describe_table_error(reply.failure())
+            if reply.unwrap() and _is_wanted(reply.unwrap()[0], call.query):
+                found.append(_summarize(reply.unwrap()[0]))
+            if len(found) == limit:
+                break
+        return replies.Reply(200, {"jobs": found})
 
     def _show(self, call: replies.Call, job_id: str) -> replies.Reply:
         del call
-        reply = self._read(job_id)
+        _check_id(job_id)
+        reply = self._entry.job_store.read(job_id)
         if isinstance(reply, result.Failure):
             return replies.describe_table_error(reply.failure(), id=job_id)
-        record, _ = reply.unwrap()
-        return replies.Reply(200, replies.describe_job(record))
+        if reply.unwrap() is None:
+            raise _describe_missing(job_id)
+        return replies.Reply(200, replies.describe_job(reply.unwrap()[0]))
 
     def _cancel(self, call: replies.Call, job_id: str) -> replies.Reply:
         del call
-        reply = self._mark_cancelling(job_id)
+        _check_id(job_id)
+        reply = _wait(self._intake.cancel([job_id])[0])
         if isinstance(reply, result.Failure):
             return replies.describe_table_error(reply.failure(), id=job_id)
+        if reply.unwrap() is None:
+            raise _describe_missing(job_id)
+        events.log_info("job_cancelling", id=job_id)
         return replies.Reply(200, replies.describe_job(reply.unwrap()))
 
     def _cancel_many(self, call: replies.Call) -> replies.Reply:
         parsed = replies.parse_body(bodies.CancelBody, call.body)
-        entries = [self._cancel_one(job_id) for job_id in parsed.ids]
+        pending = self._intake.cancel(list(parsed.ids))
+        futures.wait(pending, COMMIT_WAIT_S)
+        entries = [
+            _describe_cancellation(job_id, _wait(future, 0))
+            for job_id, future in zip(parsed.ids, pending, strict=True)
+        ]
+        events.log_info("jobs_cancelling", jobs=len(entries))
         return replies.Reply(200, {"jobs": entries})
 
-    def _cancel_one(self, job_id: str) -> dict:
-        try:
-            reply = self._mark_cancelling(job_id)
-        except replies.CallError as error:
-            return {"id": job_id, "error": error.reply.body["error"]}
-        if isinstance(reply, result.Failure):
-            body = replies.describe_table_error(reply.failure()).body
-            return {"id": job_id, "error": body["reason"]}
-        return {"id": job_id, "state": reply.unwrap().state.value}
-
-    def _read(self, job_id: str) -> result.Result:
-        if not identifiers.is_name(job_id):
-            raise replies.CallError(
-                400,
-                "bad_id",
-                "id",
-                f"{job_id[:80]!r} is not a job's id",
-                "lower-case letters, digits and -, at most 40",
-            )
-        reply = self._entry.job_store.read(job_id)
-        if isinstance(reply, result.Success) and reply.unwrap() is None:
-            raise replies.CallError(
-                404, "no_such_job", "id", f"there is no job {job_id}"
-            )
-        return reply
 
-    def _mark_cancelling(self, job_id: str) -> result.Result:
-        update: result.Result
-        for _ in range(MAX_CANCEL_ATTEMPTS):
-            reply = self._read(job_id)
-            if isinstance(reply, result.Failure):
-                return reply
-            record, version = reply.unwrap()
-            if record.state is not jobs.JobState.ACCEPTED:
-                return result.Success(record)
-            cancelled = dataclasses.replace(
-                record, state=jobs.JobState.CANCELLING
-            )
-            update = self._entry.job_store.update(cancelled, version)
-            if isinstance(update, result.Success):
-                events.log_info("job_cancelling", id=job_id)
-                return result.Success(cancelled)
-            if not isinstance(update.failure(), errors.TableConflictError):
-                return update
-        return update
+def _wait(
+    future: futures.Future, timeout_s: float = COMMIT_WAIT_S
+) -> result.Result:
+    try:
+        return future.result(timeout_s)
+    except futures.TimeoutError:
+        # The commit may still take effect.
+        return result.Failure(errors.TableUncertainError("no answer in time"))
+
+
+def _check_id(job_id: str) -> None:
+    if not identifiers.is_name(job_id):
+        raise replies.CallError(
+            400,
+            "bad_id",
+            "id",
+            f"{job_id[:80]!r} is not a job's id",
+            "lower-case letters, digits and -, at most 40",
+        )
+
+
+def _describe_missing(job_id: str) -> replies.CallError:
+    return replies.CallError(
+        404, "no_such_job", "id", f"there is no job {job_id}"
+    )
+
+
+def _describe_refusal(
+    error: errors.PersimmonError, job: work.Job
+) -> replies.Reply:
+    """Returns the reply for a job that was not committed, or perhaps."""
+    if isinstance(error, errors.UnplaceableError):
+        raise replies.CallError(
+            400,
+            "unplaceable",
+            "resources",
+            str(error),
+            "what a VM that the placement rules allow can carry",
+        )
+    if isinstance(error, errors.QuotaExceededError):
+        raise replies.CallError(
+            409,
+            "quota_exceeded",
+            "team",
+            str(error),
+            f"what the quota of team {job.team} leaves",
+            outcome="not_run",
+        )
+    if isinstance(error, errors.TableConflictError):
+        raise replies.CallError(
+            409,
+            "id_reused",
+            "id",
+            f"{job.id} was used for another job",
+            "the same job as before, or another id",
+        )
+    return replies.describe_table_error(error, id=job.id)
+
+
+def _describe_cancellation(job_id: str, reply: result.Result) -> dict:
+    if isinstance(reply, result.Failure):
+        body = replies.describe_table_error(reply.failure()).body
+        return {"id": job_id, "error": body["reason"]}
+    record = reply.unwrap()
+    if record is None:
+        return {"id": job_id, "error": "no_such_job"}
+    return {"id": job_id, "state": record.state.value}
+
+
+def _is_wanted(record: jobs.JobRecord, query: dict[str, str]) -> bool:
+    return (
+        query.get("team", record.job["team"]) == record.job["team"]
+        and query.get("state", record.state) == record.state
+    )
+
+
+def _summarize(record: jobs.JobRecord) -> dict:
+    body = replies.describe_job(record)
+    return {**body, "tasks": len(record.tasks)}
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -182,6 +182,7 @@
         "team": record.job["team"],
         "state": record.state.value,
         "shard": record.shard,
+        "reason": record.reason,
         "tasks": [
             {
                 "state": task.state.value,
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -9,6 +9,7 @@
 
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
+from persimmonpath import groupcommit
 from persimmonpath import inventory
 from persimmonpath import memoryworkers
 from persimmonpath import peers
@@ -77,6 +78,9 @@
         )
         self.entry = self._create_entry()
         self.import_inventory()
+        self.timers.subscribe(
+            groupcommit.COMMIT_PERIOD_S, self.entry.job_store.flush
+        )
         port = processes.find_free_ports(1)[0]
         self.address = f"127.0.0.1:{port}"
         self.application = httpapi.Application(
--- a/tests/test_httpapi.py
+++ b/tests/test_httpapi.py
@@ -305,6 +305,19 @@
         self.assertIn(reply["jobs"][0]["state"], ("cancelling", "cancelled"))
         self.assertEqual(reply["jobs"][1]["error"], "no_such_job")
 
+    def test_list_is_read_on_page_by_page(self):
+        for number in range(3):
+            self.call("POST", JOBS, job(id=f"page-{number}", team="pages"))
+        ids, after = [], ""
+        while True:
+            path = f"{JOBS}?team=pages&limit=2&after={after}"
+            page = self.call("GET", path)[1]["jobs"]
+            if not page:
+                break
+            ids += [entry["id"] for entry in page]
+            after = ids[-1]
+        self.assertEqual(ids, ["page-0", "page-1", "page-2"])
+
     def test_unknown_job_is_not_found(self):
         for method in ("GET", "DELETE"):
             status, reply = self.call(method, f"{JOBS}/job-none")
