--- a/packages/persimmonpath/persimmonpath/backlog.py
+++ b/packages/persimmonpath/persimmonpath/backlog.py
@@ -10,6 +10,7 @@
 from persimmonpath import identifiers
 from persimmonpath import limits
 from persimmonpath import pipeline
+from persimmonpath import placement
 from persimmonpath import queues
 from persimmonpath import resources
 from persimmonpath import rules
@@ -86,7 +87,7 @@
         self._running: dict[str, tuple[float, _Running]] = {}
         self._running_short = _Running()
         self._running_long = _Running()
-        # Distinct capacities of the workers; there are only a few.
+        # Distinct capacities of the workers in use; there are only a few.
         self._capacities: set[resources.Resources] = set()
         # Whether nothing that waits can start before something changes.
         self._is_blocked = False
@@ -159,7 +160,8 @@
 
     def _is_hopeless(self, item: queues.Item) -> bool:
         estimate = self._estimate(item.value.request)
-        needed_s = estimate.typical_s if estimate.is_learned else 0.0
+        timeout_s = item.deadline - item.arrived
+        needed_s = min(estimate.typical_s, estimate.get_needed(timeout_s))
         return item.deadline < self._timers.now() + needed_s
 
     def watch(self, entry: Entry, attempt: attempts.Attempt) -> None:
@@ -227,7 +229,7 @@
     def refresh(self) -> None:
         """Takes in that workers or free capacity may have changed."""
         listed = self._fleet.list_workers()
-        self._capacities = {worker.capacity for worker in listed}
+        self._capacities = self._fleet.list_capacities()
         for worker in listed:
             self._limits.set_slots(worker.name, worker.slots)
         self._is_blocked = False
@@ -236,7 +238,8 @@
         is_short = entry.item.is_short
         excluded = self._limits.list_excluded(is_short, self._timers.now())
         attempt = identifiers.format_attempt(str(entry.id), entry.starts + 1)
-        name = self._fleet.reserve(attempt, entry.request.size, excluded)
+        need = placement.Need(entry.request.kind, entry.request.team)
+        name = self._fleet.reserve(attempt, entry.request.size, excluded, need)
         if name is None:
             return None
         entry.starts += 1
@@ -282,4 +285,4 @@
     def _check_fit(self, arrival: pipeline.Arrival) -> str | None:
         if any(arrival.request.size.fits_in(c) for c in self._capacities):
             return None
-        return "fits_no_worker"
+        return "fits_no_worker" if self._capacities else "no_worker_in_use"
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -59,8 +59,9 @@
     peer: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
     """Calls of other entry VMs served at once."""
 
-    starts: Annotated[int, pydantic.Field(ge=2, le=1024)] = 64
-    """Starts in flight to workers."""
+    starts: Annotated[int, pydantic.Field(ge=2, le=1024)] = 256
+    """Starts in flight to workers. A start takes a thread while the request
+    runs, so at most this many requests run at once."""
 
     control: Annotated[int, pydantic.Field(ge=2, le=256)] = 16
     """Other calls in flight to workers."""
