Quote every value of an event and start the log without a foreign line

absl wrote a warning before the first event, and an error text with spaces, as in event=session_renewal_failed, read as several fields. The formatter quotes the arguments of event lines now, whoever logs them.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/logs.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/logs.py
@@ -3,6 +3,7 @@
 import logging as standard_logging
 import time
 
+from absl import flags
 from absl import logging
 
 from persimmonpath import events
@@ -20,7 +21,7 @@
 
     def format(self, record: standard_logging.LogRecord) -> str:
         """Returns the line of a record."""
-        message = record.getMessage().replace("\n", " ")
+        message = _format_message(record).replace("\n", " ")
         if not message.startswith("event="):
             message = events.format_event("log", message=message)
         parts = [
@@ -37,6 +38,18 @@
         return f"{seconds}.{int(created * 1000) % 1000:03d}Z"
 
 
+def _format_message(record: standard_logging.LogRecord) -> str:
+    """Returns the message; the values of an event are quoted where needed."""
+    is_event = isinstance(record.msg, str) and record.msg.startswith("event=")
+    if not is_event or not isinstance(record.args, tuple):
+        return record.getMessage()
+    values = (
+        value if isinstance(value, int | float) else events.format_value(value)
+        for value in record.args
+    )
+    return record.msg % tuple(values)
+
+
 def _format_exception(error: BaseException) -> str:
     trace = error.__traceback__
     while trace is not None and trace.tb_next is not None:
@@ -62,6 +75,8 @@
     Args:
         level: Least severity, `debug`, `info`, `warning` or `error`.
     """
+    # Otherwise absl writes a line that is no event before the first one.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(EventFormatter())
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -24,9 +24,9 @@
 
 
 class FormatterTest(unittest.TestCase):
-    def format(self, message, exc_info=None):
+    def format(self, message, exc_info=None, args=()):
         record = logging.LogRecord(
-            "absl", logging.INFO, "f", 1, message, (), exc_info
+            "absl", logging.INFO, "f", 1, message, args, exc_info
         )
         return logs.EventFormatter().format(record)
 
@@ -41,3 +41,11 @@
     def test_message_of_a_library_becomes_an_event(self):
         line = self.format("something\nhappened")
         self.assertIn('level=info event=log message="something happened"', line)
+
+    def test_values_of_an_event_are_quoted(self):
+        """Guards against an error text that reads as further fields."""
+        error = ValueError("refused level=debug")
+        line = self.format("event=x error=%s n=%d", args=(error, 3))
+        self.assertTrue(
+            line.endswith('event=x error="refused level=debug" n=3'), line
+        )
