--- a/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/porcelain.py
@@ -16,6 +16,8 @@
 
 # Time that an answer may take on its way beyond the request's own time.
 ANSWER_MARGIN_S = 5.0
+# Thousands of jobs are read and committed in groups.
+CANCEL_TIMEOUT_S = 120.0
 POLL_PERIOD_S = 0.5
 MAX_EDIT_ATTEMPTS = 5
 FINAL_STATES = frozenset({"done", "failed", "cancelled"})
@@ -44,16 +46,15 @@
         idempotent: Whether running it twice does no harm.
         id: An issued id; empty to have one issued.
         timeout_ms: Time for the request in milliseconds.
-        **fields: Further fields of `POST /v1/requests`.
+        **fields: Further fields of the body.
     """
     is_fresh = not id
     if is_fresh:
         issued = issue_ids(client, 1)
         if isinstance(issued, result.Failure):
             # An id that was issued and not used runs nothing.
-            return result.Failure(
-                errors.PeerError(str(issued.failure()), False)
-            )
+            failure = errors.PeerError(str(issued.failure()), False)
+            return result.Failure(failure)
         if issued.unwrap().status != 200:
             return issued
         id = issued.unwrap().body["ids"][0]
@@ -130,7 +131,13 @@
 
 def cancel_jobs(client: client_module.Client, ids: list[str]) -> Outcome:
     """Cancels several jobs; the answer tells what became of each."""
-    return client.call("POST", "/v1/jobs:cancel", {"ids": ids}, repeatable=True)
+    return client.call(
+        "POST",
+        "/v1/jobs:cancel",
+        {"ids": ids},
+        repeatable=True,
+        timeout_s=CANCEL_TIMEOUT_S,
+    )
 
 
 def wait_job(
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/jobapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/jobapi.py
@@ -11,10 +11,17 @@
 from persimmonpath import events
 from persimmonpath import identifiers
 from persimmonpath import intake
+from persimmonpath import jobs
+from persimmonpath import work
 from persimmonpath_daemon import bodies
 from persimmonpath_daemon import replies
 from persimmonpath_daemon import requestapi
 
+# Longest time until a group of changes is committed or given up.
+COMMIT_WAIT_S = 10.0
+DEFAULT_LISTED = 100
+MAX_LISTED = 1000
+
 
 class JobApi:
     """Answers the callers' calls for jobs."""
@@ -31,6 +38,7 @@
         cancel_path = re.compile(r"/v1/jobs:cancel")
         return [
             replies.Route("job_submit", "POST", jobs_path, self._submit),
+            replies.Route("job_list", "GET", jobs_path, self._list),
             replies.Route("job_show", "GET", job_path, self._show),
             replies.Route("job_cancel", "DELETE", job_path, self._cancel),
             replies.Route(
@@ -40,12 +48,11 @@
 
     def _submit(self, call: replies.Call) -> replies.Reply:
         job = replies.parse_body(bodies.JobBody, call.body).convert()
-        self._check_inventory()
+        self._ensure_inventory()
         requestapi.check_size(self._entry, job.size)
-        future = self._intake.submit(job, uuid.uuid4().hex)
-        reply = _await_reply(future)
+        reply = _wait(self._intake.submit(job, uuid.uuid4().hex))
         if isinstance(reply, result.Failure):
-            return _describe_refusal(reply.failure(), job.id)
+            return _describe_refusal(reply.failure(), job)
         record = reply.unwrap()
         events.log_info(
             "job_accepted",
@@ -56,7 +63,7 @@
         )
         return replies.Reply(200, replies.describe_job(record))
 
-    def _check_inventory(self) -> None:
+    def _ensure_inventory(self) -> None:
         if not self._entry.applied.config.inventory.list_shards():
             raise replies.CallError(
                 503,
@@ -65,50 +72,68 @@
                 outcome="not_run",
             )
 
+    def _list(self, call: replies.Call) -> replies.Reply:
+        """Lists the jobs that have not ended."""
+        limit = replies.read_limit(call, DEFAULT_LISTED, MAX_LISTED)
+        after = call.query.get("after", "")
+        ids: set[str] = set()
+        for shard in self._entry.applied.config.inventory.list_shards():
+            reply = self._entry.job_store.list_unfinished(shard)
+            if isinstance(reply, result.Failure):
+                return replies.describe_table_error(reply.failure())
+            ids.update(job_id for job_id in reply.unwrap() if job_id > after)
+        found = []
+        for job_id in sorted(ids):
+            reply = self._entry.job_store.read(job_id)
+            if isinstance(reply, result.Failure):
+                return replies.describe_table_error(reply.failure())
+            if reply.unwrap() and _is_wanted(reply.unwrap()[0], call.query):
+                found.append(_summarize(reply.unwrap()[0]))
+            if len(found) == limit:
+                break
+        return replies.Reply(200, {"jobs": found})
+
     def _show(self, call: replies.Call, job_id: str) -> replies.Reply:
         del call
-        reply = self._read(job_id)
+        _check_id(job_id)
+        reply = self._entry.job_store.read(job_id)
         if isinstance(reply, result.Failure):
             return replies.describe_table_error(reply.failure(), id=job_id)
-        record, _ = reply.unwrap()
-        return replies.Reply(200, replies.describe_job(record))
+        if reply.unwrap() is None:
+            raise _describe_missing(job_id)
+        return replies.Reply(200, replies.describe_job(reply.unwrap()[0]))
 
     def _cancel(self, call: replies.Call, job_id: str) -> replies.Reply:
         del call
         _check_id(job_id)
-        reply = _await_reply(self._intake.cancel([job_id])[0])
+        reply = _wait(self._intake.cancel([job_id])[0])
         if isinstance(reply, result.Failure):
             return replies.describe_table_error(reply.failure(), id=job_id)
         if reply.unwrap() is None:
-            raise _create_missing_error(job_id)
+            raise _describe_missing(job_id)
         events.log_info("job_cancelling", id=job_id)
         return replies.Reply(200, replies.describe_job(reply.unwrap()))
 
     def _cancel_many(self, call: replies.Call) -> replies.Reply:
         parsed = replies.parse_body(bodies.CancelBody, call.body)
-        futures_by_id = zip(
-            parsed.ids, self._intake.cancel(list(parsed.ids)), strict=True
-        )
+        pending = self._intake.cancel(list(parsed.ids))
+        futures.wait(pending, COMMIT_WAIT_S)
         entries = [
-            _describe_cancelled(job_id, _await_reply(future))
-            for job_id, future in futures_by_id
+            _describe_cancellation(job_id, _wait(future, 0))
+            for job_id, future in zip(parsed.ids, pending, strict=True)
         ]
+        events.log_info("jobs_cancelling", jobs=len(entries))
         return replies.Reply(200, {"jobs": entries})
 
-    def _read(self, job_id: str) -> result.Result:
-        _check_id(job_id)
-        reply = self._entry.job_store.read(job_id)
-        if isinstance(reply, result.Success) and reply.unwrap() is None:
-            raise _create_missing_error(job_id)
-        return reply
 
-
-def _await_reply(future: futures.Future) -> result.Result:
-    """Returns the result of a commit, uncertain when it takes too long."""
+def _wait(
+    future: futures.Future, timeout_s: float = COMMIT_WAIT_S
+) -> result.Result:
     try:
-        return future.result(requestapi.WAIT_LIMIT_S)
+        return future.result(timeout_s)
     except futures.TimeoutError:
-        return result.Failure(errors.TableUncertainError("no answer"))
+        # The commit may still take effect.
+        return result.Failure(errors.TableUncertainError("no answer in time"))
 
 
 def _check_id(job_id: str) -> None:
@@ -122,32 +147,23 @@
         )
 
 
-def _create_missing_error(job_id: str) -> replies.CallError:
+def _describe_missing(job_id: str) -> replies.CallError:
     return replies.CallError(
         404, "no_such_job", "id", f"there is no job {job_id}"
     )
 
 
-def _describe_cancelled(job_id: str, reply: result.Result) -> dict:
-    if isinstance(reply, result.Failure):
-        body = replies.describe_table_error(reply.failure()).body
-        return {"id": job_id, "error": body["reason"]}
-    if reply.unwrap() is None:
-        return {"id": job_id, "error": "no_such_job"}
-    return {"id": job_id, "state": reply.unwrap().state.value}
-
-
 def _describe_refusal(
-    error: errors.PersimmonError, job_id: str
+    error: errors.PersimmonError, job: work.Job
 ) -> replies.Reply:
-    """Returns the reply that tells why a job was not accepted."""
+    """Returns the reply for a job that was not committed, or perhaps."""
     if isinstance(error, errors.UnplaceableError):
         raise replies.CallError(
             400,
             "unplaceable",
             "resources",
             str(error),
-            "what a worker that the placement rules allow can carry",
+            "what a VM that the placement rules allow can carry",
         )
     if isinstance(error, errors.QuotaExceededError):
         raise replies.CallError(
@@ -155,7 +171,7 @@
             "quota_exceeded",
             "team",
             str(error),
-            "what the quota of the team leaves",
+            f"what the quota of team {job.team} leaves",
             outcome="not_run",
         )
     if isinstance(error, errors.TableConflictError):
@@ -163,7 +179,29 @@
             409,
             "id_reused",
             "id",
-            f"{job_id} was used for another job",
+            f"{job.id} was used for another job",
             "the same job as before, or another id",
         )
-    return replies.describe_table_error(error, id=job_id)
+    return replies.describe_table_error(error, id=job.id)
+
+
+def _describe_cancellation(job_id: str, reply: result.Result) -> dict:
+    if isinstance(reply, result.Failure):
+        body = replies.describe_table_error(reply.failure()).body
+        return {"id": job_id, "error": body["reason"]}
+    record = reply.unwrap()
+    if record is None:
+        return {"id": job_id, "error": "no_such_job"}
+    return {"id": job_id, "state": record.state.value}
+
+
+def _is_wanted(record: jobs.JobRecord, query: dict[str, str]) -> bool:
+    return (
+        query.get("team", record.job["team"]) == record.job["team"]
+        and query.get("state", record.state) == record.state
+    )
+
+
+def _summarize(record: jobs.JobRecord) -> dict:
+    body = replies.describe_job(record)
+    return {**body, "tasks": len(record.tasks)}
