Tell the owner which request a question is about

The question now carries the digest of the request, and the owner answers IdReusedError; it does not close the other request either.

The check for a missing configuration is in pipeline.check_shard alone.

--- a/packages/persimmonpath/persimmonpath/dispatch.py
+++ b/packages/persimmonpath/persimmonpath/dispatch.py
@@ -90,7 +90,10 @@
         return future
 
     def ask(
-        self, request_id: identifiers.RequestId, close: bool
+        self,
+        request_id: identifiers.RequestId,
+        close: bool,
+        digest: str = "",
     ) -> "futures.Future[Reply]":
         """Returns what became of an id.
 
@@ -99,10 +102,12 @@
             close: Whether to end it: an id not seen yet is made final as not
                 run, a queued one is cancelled, a started one is closed at its
                 worker.
+            digest: Digest of the request that the caller asks for; empty when
+                it asks for whatever the id stands for.
         """
         future: futures.Future = futures.Future()
         with self._lock:
-            reply = self._find_reply(request_id, close)
+            reply = self._find_reply(request_id, close, digest)
             pending = self._pending.find(request_id)
             if reply is None:
                 self._cancel(pending, future)
@@ -167,7 +172,7 @@
         return None
 
     def _find_reply(
-        self, request_id: identifiers.RequestId, close: bool
+        self, request_id: identifiers.RequestId, close: bool, digest: str
     ) -> Reply | None:
         """Returns the answer to a question, None when it must wait."""
         entry = self._ledger.find(request_id)
@@ -178,6 +183,9 @@
             if not close:
                 return result.Success(outcomes.Unknown("never_received"))
             return result.Success(self._ledger.close(request_id))
+        if entry.digest and digest and entry.digest != digest:
+            # The outcome belongs to another caller's request.
+            return result.Failure(errors.IdReusedError(str(request_id)))
         if entry.is_final():
             return result.Success(entry.outcome)
         if close and self._pending.find(request_id):
--- a/packages/persimmonpath/persimmonpath/journeys.py
+++ b/packages/persimmonpath/persimmonpath/journeys.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from persimmonpath import attempts
 from persimmonpath import entry as entry_module
 from persimmonpath import errors
 from persimmonpath import identifiers
@@ -36,7 +37,10 @@
 
 
 def ask_owner(
-    entry: entry_module.EntryVm, request_id: identifiers.RequestId, close: bool
+    entry: entry_module.EntryVm,
+    request_id: identifiers.RequestId,
+    close: bool,
+    digest: str = "",
 ) -> futures.Future:
     """Asks the owner of a shard what became of an id, here or elsewhere.
 
@@ -46,10 +50,10 @@
     """
     owned = entry.find_owned(request_id.shard)
     if owned is not None:
-        return owned.dispatcher.ask(request_id, close)
+        return owned.dispatcher.ask(request_id, close, digest)
     address = entry.find_owner_address(request_id.shard)
     if address is not None:
-        return entry.peers.ask(address, request_id, close)
+        return entry.peers.ask(address, request_id, close, digest)
     future: futures.Future = futures.Future()
     error = errors.PeerError("no owner is known", False)
     future.set_result(result.Failure(error))
@@ -170,7 +174,9 @@
             self._expire()
             return
         self._tries += 1
-        reply = ask_owner(self._entry, self._id, True)
+        # Under a reused id another request's outcome must not come back.
+        digest = attempts.compute_digest(self._request)
+        reply = ask_owner(self._entry, self._id, True, digest)
         reply.add_done_callback(lambda f: self._take_settled(f.result()))
 
     def _take_settled(self, reply: result.Result) -> None:
--- a/packages/persimmonpath/persimmonpath/peers.py
+++ b/packages/persimmonpath/persimmonpath/peers.py
@@ -66,11 +66,16 @@
 
     @abc.abstractmethod
     def ask(
-        self, address: str, request_id: identifiers.RequestId, close: bool
+        self,
+        address: str,
+        request_id: identifiers.RequestId,
+        close: bool,
+        digest: str = "",
     ) -> "Reply[result.Result[outcomes.Outcome, errors.PersimmonError]]":
         """Asks the owner of a shard what became of a request.
 
-        With `close` an id not seen yet is made final as not run.
+        With `close` an id not seen yet is made final as not run. With a digest
+        the answer is `IdReusedError` if the id stands for another request.
         """
 
     @abc.abstractmethod
--- a/packages/persimmonpath/persimmonpath/router.py
+++ b/packages/persimmonpath/persimmonpath/router.py
@@ -107,10 +107,7 @@
 
     def _parse(self, request_id: str) -> identifiers.RequestId:
         parsed = identifiers.parse_request_id(request_id)
-        config = self._entry.applied.config
-        # Without a configuration no zone is known, so none can be wrong.
-        if config.version > 0:
-            pipeline.check_shard(parsed, config.inventory)
+        pipeline.check_shard(parsed, self._entry.applied.config.inventory)
         return parsed
 
     def _run_fresh(
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -158,12 +158,14 @@
             lambda m: _read_reply(str(request_id), m),
         )
 
-    def ask(self, address, request_id, close):
+    def ask(self, address, request_id, close, digest=""):
         """Asks the owner of a shard what became of a request."""
         return self._call(
             address,
             "Ask",
-            peers_pb2.AskRequest(id=str(request_id), close=close),
+            peers_pb2.AskRequest(
+                id=str(request_id), close=close, digest=digest
+            ),
             CALL_TIMEOUT_S,
             lambda m: _read_reply(str(request_id), m),
         )
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/servicer.py
@@ -62,7 +62,7 @@
         owned = self._entry.find_owned(parsed.shard)
         if owned is None:
             return _reject(request.id)
-        future = owned.dispatcher.ask(parsed, request.close)
+        future = owned.dispatcher.ask(parsed, request.close, request.digest)
         return _wait(request.id, future, context.time_remaining() or 0.0)
 
     def IssueIds(self, request, context):  # noqa: N802
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -71,14 +71,14 @@
 
         return self._call(address, serve, request.timeout_s)
 
-    def ask(self, address, request_id, close):
+    def ask(self, address, request_id, close, digest=""):
         """Asks the owner of a shard what became of a request."""
 
         def serve(entry):
             owned = entry.find_owned(request_id.shard)
             if owned is None:
                 return _reject(request_id)
-            return owned.dispatcher.ask(request_id, close)
+            return owned.dispatcher.ask(request_id, close, digest)
 
         return self._call(address, serve)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -259,6 +259,15 @@
         shard.timers.advance(1.0)
         self.assertEqual(name(future), "done")
 
+    def test_question_for_another_request_gets_no_outcome_of_the_id(self):
+        """The caller of a reused id must not get the other's answer."""
+        shard = Shard()
+        request_id, future = shard.submit()
+        asked = shard.dispatcher.ask(request_id, True, "other").result(0)
+        self.assertIsInstance(asked.failure(), errors.IdReusedError)
+        shard.timers.advance(1.0)
+        self.assertEqual(name(future), "done")
+
     def test_duplicates_get_the_answer_of_one_run(self):
         """A retry while the first is in progress must not run again."""
         shard = Shard()
--- a/tests/test_grpcpeers.py
+++ b/tests/test_grpcpeers.py
@@ -52,7 +52,7 @@
         self.calls.append((request_id, request))
         return self._answer()
 
-    def ask(self, request_id, close):
+    def ask(self, request_id, close, digest=""):
         self.calls.append((request_id, close))
         return self._answer()
 
