--- a/bench/measure.py
+++ b/bench/measure.py
@@ -4,7 +4,15 @@
 import sys
 import time
 
-MODULES = ("placement", "jobs", "requests", "membership", "cells", "capacity")
+MODULES = (
+    "placement",
+    "jobs",
+    "requests",
+    "tuning",
+    "membership",
+    "cells",
+    "capacity",
+)
 
 
 def main(names):
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -125,14 +125,14 @@
         sent: Number of requests by kind.
     """
 
-    def __init__(self, is_plain, workers=WORKERS):
+    def __init__(self, is_plain, workers=WORKERS, policy=None):
         self.timers = timers.create_manual_timers()
         self.fleet = fleet.Fleet(1, "owner", self.timers)
         if is_plain:
             self.dispatcher = PlainDispatcher(SHARD, self.fleet)
         else:
             self.dispatcher = dispatch.Dispatcher(
-                SHARD, self.fleet, rules.Policy()
+                SHARD, self.fleet, policy or rules.Policy()
             )
         self.waits = collections.defaultdict(list)
         self.latencies = collections.defaultdict(list)
--- /dev/null
+++ b/bench/tuning.py
@@ -0,0 +1,55 @@
+"""The example rules of two deployments against the default policy."""
+
+import pathlib
+import tomllib
+
+from absl import logging
+
+from bench import report
+from bench import requests
+from persimmonpath import rules
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+NAMES = ("tafelberg", "teeblatt")
+# A peak of demand: twice the capacity of the shard.
+PEAK_FACTOR = 2
+
+
+def load_policy(name):
+    """Returns the policy of an example."""
+    text = (EXAMPLES / name / "rules.toml").read_text()
+    return rules.Rules.model_validate(tomllib.loads(text)).policy
+
+
+def measure_policy(policy):
+    """Returns the figures of a policy by name, with their units."""
+    peak = requests.Run(False, policy=policy)
+    rate = PEAK_FACTOR * requests.compute_capacity(requests.MIX)
+    peak.load(requests.MIX, rate)
+    flood = requests.Run(False, policy=policy)
+    flood.load(requests.FLOOD, requests.FLOOD_RATE)
+    short = peak.waits["lookup"]
+    return {
+        "peak_short_wait_p50": (requests.get_quantile(short, 0.5), "s"),
+        "peak_short_wait_p99": (requests.get_quantile(short, 0.99), "s"),
+        "peak_goodput": (peak.done / requests.DURATION_S, "requests/s"),
+        "flood_short_wait_p99": (
+            requests.get_quantile(flood.waits["lookup"], 0.99),
+            "s",
+        ),
+        "flood_stragglers_done": (
+            len(flood.latencies["straggler"]) / flood.sent["straggler"],
+            "share",
+        ),
+    }
+
+
+def measure():
+    """Prints each figure; the baseline is the default policy."""
+    logging.set_verbosity(logging.ERROR)
+    defaults = measure_policy(rules.Policy())
+    for name in NAMES:
+        for figure, (value, unit) in measure_policy(load_policy(name)).items():
+            report.print_figure(
+                f"{name}_{figure}", value, unit, defaults[figure][0]
+            )
