Keep only the last 20 whole versions of the configuration

Cause: 1,000 whole versions of 880 workers are 170 MB in the table, read by nobody but a VM that is more than 20 versions behind, which reads the current one. Changes and records of 1,000 versions, under 1 KB each, stay.

--- a/packages/persimmonpath/persimmonpath/versions.py
+++ b/packages/persimmonpath/persimmonpath/versions.py
@@ -14,8 +14,11 @@
 from persimmonpath import wire
 
 CURRENT_KEY = "config/current"
-# Older versions are deleted by the commit that exceeds this number.
+# Older changes and records are deleted by the commit that exceeds this number.
 KEPT_VERSIONS = 1000
+# A whole version of 880 workers is 170 KB. Only a VM that is too far behind for
+# the changes reads one, and it reads the current one.
+KEPT_WHOLE_VERSIONS = 20
 # A VM that is further behind reads the whole version.
 MAX_CHANGES_READ = 20
 MAX_HISTORY = 100
@@ -287,8 +290,11 @@
     ]
     old = config.version - KEPT_VERSIONS
     if old > 0:
-        for format_old in (format_history_key, format_change_key, format_key):
+        for format_old in (format_history_key, format_change_key):
             writes.append(tables.Write(format_old(old), None))
+    old = config.version - KEPT_WHOLE_VERSIONS
+    if old > 0:
+        writes.append(tables.Write(format_key(old), None))
     return writes
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -104,6 +104,17 @@
         newer = self.store.read_newer(first).unwrap()
         self.assertEqual(newer, self.store.read(4).unwrap())
 
+    def test_old_whole_versions_are_deleted(self):
+        """Guards against a table that grows by 170 KB with every change."""
+        last = versions.KEPT_WHOLE_VERSIONS + 5
+        for version in range(last):
+            self.commit(version, nonce=f"n{version}").unwrap()
+        rows = self.rows.scan("config/version/").unwrap()
+        self.assertEqual(len(rows), versions.KEPT_WHOLE_VERSIONS)
+        behind = configuration.Configuration(1, "one", NOTHING, RULES)
+        newest = self.store.read_newer(behind).unwrap()
+        self.assertEqual(newest.version, last)
+
     def test_damaged_change_is_not_applied(self):
         first = self.commit(0, content=create_inventory(["a"])).unwrap()
         second = self.commit(1, content=create_inventory(["a", "b"])).unwrap()
