Bound the settling time of the soak by the work that is left

The dump at the violation shows the last task of the last job in its third attempt and no fault in effect, so the case is allowed. Ruled out: a lost start or a stuck commit. The wait is now 150 s plus the longest time that the smallest shard needs for the unfinished jobs.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -286,7 +286,7 @@
             if self.observer.read_job(job_id) is not None
         ]
         intake.JobIntake(vm.entry).cancel(services)
-        end = cell.clock.now() + SETTLE_S
+        end = cell.clock.now() + SETTLE_S + self._bound_backlog()
         while cell.clock.now() < end and self._list_unfinished():
             cell.clock.advance(3.0)
             self.observer.check()
@@ -297,6 +297,22 @@
         )
         self._probe_every_vm()
 
+    def _bound_backlog(self):
+        """Returns the seconds that the smallest shard needs for all jobs.
+
+        Every task may fail as often as it is allowed to.
+        """
+        unfinished = set(self._list_unfinished())
+        seconds = sum(
+            job.tasks
+            * job.max_attempts
+            * (json.loads(job.payload)["run_s"] or 0.0)
+            for job_id, job in self.observer.jobs.items()
+            if job_id in unfinished
+        )
+        # The smallest shard has one worker.
+        return seconds / soakcells.SLOTS
+
     def _probe_every_vm(self):
         """Checks that every entry VM serves again.
 
