--- a/tests/faults.py
+++ b/tests/faults.py
@@ -220,7 +220,7 @@
     deadline = time.monotonic() + 40
     state = ""
     while time.monotonic() < deadline and state != "done":
-        shown = cell.control("job", "show", "lost").stdout
+        shown = cell.control("job", "show", "lost", "--json").stdout
         state = json.loads(shown or "{}").get("state", "")
         time.sleep(0.5)
     assert state == "done", f"job is {state!r}"
