--- a/packages/persimmonpath/persimmonpath/rules.py
+++ b/packages/persimmonpath/persimmonpath/rules.py
@@ -47,7 +47,7 @@
         short_slots_share: Share of each worker's slots kept for short work.
         queue_limit: Requests that wait per shard.
         quarantine_failures: Consecutive failures that quarantine a worker.
-        quarantine_share: Most of a zone's workers that may be quarantined.
+        quarantine_share: Most of a shard's workers that may be quarantined.
         retry_share: Retries allowed per first attempt.
         retry_failed: Whether an idempotent request that failed is retried.
         gang_hold_s: Longest time that a waiting gang holds resources.
