--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,12 @@
+"""Starts the program of an entry VM from a checkout."""
+
+import pathlib
+import sys
+
+PACKAGES = pathlib.Path(__file__).resolve().parent.parent / "packages"
+sys.path.insert(0, str(PACKAGES / "persimmonpath_entry"))
+
+from persimmonpath_entry import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main.main())
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VM: accepts submissions and places their tasks on workers."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input, output or a clock of their own."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -0,0 +1,202 @@
+"""Which worker carries a task: best fit over several resources.
+
+Answers the load of unlike tasks on one pool: a wide task finds room because
+the narrow ones before it were packed tightly instead of spread.
+"""
+
+from collections.abc import Iterable
+
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+
+# Processor time that fillers may claim of what other tasks leave, as a share
+# of the worker; beyond it they only slow each other down.
+FILLER_LIMIT = 1.0
+# Weight of a worker off the rack of the data, whose run time grows.
+FAR_WEIGHT = 4.0
+# Weight of mixing fillers with tasks that serve.
+MIXED_WEIGHT = 3.0
+AVOIDED_WEIGHT = 5.0
+
+
+class Room:
+    """The free room of workers while a plan is made."""
+
+    def __init__(self):
+        self._taken: dict[str, list[int]] = {}
+
+    def take(self, worker: fleet.Worker, spec: submissions.StepSpec):
+        """Takes the room of a task in the plan."""
+        row = self._taken.setdefault(worker.id, [0, 0, 0, 0, 0])
+        if spec.is_filler:
+            row[3] += spec.cpu
+        else:
+            row[0] += spec.cpu
+        row[1] += spec.memory_mb
+        row[2] += spec.gpu
+        row[4] += 1
+
+    def give_back(self, worker: fleet.Worker, spec: submissions.StepSpec):
+        """Undoes the taking of a task's room."""
+        row = self._taken[worker.id]
+        if spec.is_filler:
+            row[3] -= spec.cpu
+        else:
+            row[0] -= spec.cpu
+        row[1] -= spec.memory_mb
+        row[2] -= spec.gpu
+        row[4] -= 1
+
+    def copy(self) -> "Room":
+        """Returns a copy for a trial."""
+        trial = Room()
+        trial._taken = {key: list(row) for key, row in self._taken.items()}
+        return trial
+
+    def read(self, worker: fleet.Worker) -> tuple[int, int, int, int, int]:
+        """Returns free cpu, memory and gpu, filler cpu and tasks planned."""
+        row = self._taken.get(worker.id)
+        if row is None:
+            return (
+                worker.free_cpu,
+                worker.free_memory_mb,
+                worker.free_gpu,
+                worker.filler_cpu,
+                0,
+            )
+        return (
+            worker.free_cpu - row[0],
+            worker.free_memory_mb - row[1],
+            worker.free_gpu - row[2],
+            worker.filler_cpu + row[3],
+            row[4],
+        )
+
+
+def can_ever_fit(
+    worker: fleet.Worker, spec: submissions.StepSpec
+) -> bool:
+    """Returns whether an empty worker could carry a task."""
+    registration = worker.registration
+    return (
+        spec.cpu <= registration.cpu
+        and spec.memory_mb <= registration.memory_mb
+        and spec.gpu <= registration.gpu
+        and (not spec.label or spec.label in registration.labels)
+    )
+
+
+def fits(
+    worker: fleet.Worker, spec: submissions.StepSpec, room: Room
+) -> bool:
+    """Returns whether a worker has room for a task."""
+    cpu, memory_mb, gpu, filler_cpu, _ = room.read(worker)
+    if spec.memory_mb > memory_mb or spec.gpu > gpu:
+        return False
+    if spec.is_filler:
+        limit = FILLER_LIMIT * worker.registration.cpu
+        used = worker.registration.cpu - cpu
+        return used + filler_cpu + spec.cpu <= limit
+    return spec.cpu <= cpu
+
+
+def weigh(
+    worker: fleet.Worker,
+    spec: submissions.StepSpec,
+    room: Room,
+    avoided: Iterable[str] = (),
+) -> float:
+    """Returns how badly a task fits on a worker; the least is chosen."""
+    registration = worker.registration
+    cpu, memory_mb, gpu, filler_cpu, _ = room.read(worker)
+    left_cpu = cpu - spec.cpu
+    if spec.is_filler:
+        # Fillers run on what is left: the emptier the better.
+        weight = -(cpu - filler_cpu) / max(1, registration.cpu)
+    else:
+        weight = left_cpu / max(1, registration.cpu)
+    weight += 0.5 * (memory_mb - spec.memory_mb) / max(
+        1, registration.memory_mb
+    )
+    if registration.gpu:
+        weight += (gpu - spec.gpu) / registration.gpu
+    if spec.data_rack and registration.rack != spec.data_rack:
+        weight += FAR_WEIGHT
+    if spec.is_filler and worker.serving:
+        weight += MIXED_WEIGHT
+    if spec.target_ms and worker.fillers:
+        weight += MIXED_WEIGHT
+    if worker.id in avoided:
+        weight += AVOIDED_WEIGHT
+    return weight + 0.5 * worker.recent_failures
+
+
+def choose_worker(
+    workers: Iterable[fleet.Worker],
+    spec: submissions.StepSpec,
+    room: Room,
+    counts: dict[str, int],
+    avoided: Iterable[str] = (),
+) -> fleet.Worker | None:
+    """Returns the worker on which a task fits best.
+
+    Args:
+      workers: workers that may run the step.
+      spec: the step.
+      room: what the plan has taken so far.
+      counts: tasks of the step by worker id.
+      avoided: ids of workers that are the last choice.
+
+    Returns:
+      The worker, or None if none has room.
+    """
+    best = None
+    best_weight = 0.0
+    for worker in workers:
+        if spec.max_per_worker:
+            if counts.get(worker.id, 0) >= spec.max_per_worker:
+                continue
+        if not fits(worker, spec, room):
+            continue
+        weight = weigh(worker, spec, room, avoided)
+        if best is None or weight < best_weight:
+            best = worker
+            best_weight = weight
+    return best
+
+
+def plan_gang(
+    workers: list[fleet.Worker],
+    spec: submissions.StepSpec,
+    count: int,
+    room: Room,
+) -> list[fleet.Worker] | None:
+    """Returns a worker for each member of a gang, or None.
+
+    One rack is tried first where the gang is slower on more than one.
+    """
+    groups = [workers]
+    if spec.same_rack:
+        racks: dict[str, list[fleet.Worker]] = {}
+        for worker in workers:
+            racks.setdefault(worker.registration.rack, []).append(worker)
+        groups = [*racks.values(), workers]
+    for group in groups:
+        plan = _fill_group(group, spec, count, room)
+        if plan is not None:
+            return plan
+    return None
+
+
+def _fill_group(group, spec, count, room) -> list[fleet.Worker] | None:
+    trial = room.copy()
+    counts: dict[str, int] = {}
+    plan = []
+    for _ in range(count):
+        worker = choose_worker(group, spec, trial, counts)
+        if worker is None:
+            return None
+        trial.take(worker, spec)
+        counts[worker.id] = counts.get(worker.id, 0) + 1
+        plan.append(worker)
+    return plan
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/__init__.py
@@ -0,0 +1,1 @@
+"""What puts decisions, state and transport together."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -0,0 +1,155 @@
+"""Stores submissions before they are accepted, many in one transaction."""
+
+import asyncio
+import dataclasses
+import enum
+
+import msgspec
+
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
+
+ROWS_PER_COMMIT = 90
+BYTES_PER_COMMIT = 500_000
+RETRY_S = 0.15
+MAX_PENDING = 2000
+
+
+class Verdict(enum.Enum):
+    """What became of a submission.
+
+    ACCEPTED: the store holds it.
+    REPEATED: the store held it before.
+    REFUSED: the store was never asked to hold it, or has refused every time.
+    UNKNOWN: the store may hold it, now or later.
+    """
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Pending:
+    submission_id: str
+    value: bytes
+    deadline: float
+    future: asyncio.Future
+    may_be_stored: bool = False
+
+
+class Acceptance:
+    """Stores submissions in groups."""
+
+    def __init__(self, node: context.Context):
+        self._node = node
+        self._pending: list[_Pending] = []
+        self._wake = asyncio.Event()
+
+    async def store(
+        self,
+        submission_id: str,
+        record: submissions.SubmissionRecord,
+        deadline: float,
+    ) -> Verdict:
+        """Stores a submission.
+
+        Args:
+          submission_id: its id.
+          record: the submission.
+          deadline: the moment by which a verdict is needed.
+
+        Returns:
+          What became of it.
+        """
+        if len(self._pending) >= MAX_PENDING:
+            return Verdict.REFUSED
+        pending = _Pending(
+            submission_id,
+            msgspec.json.encode(record),
+            deadline,
+            asyncio.get_running_loop().create_future(),
+        )
+        self._pending.append(pending)
+        self._wake.set()
+        return await pending.future
+
+    async def run(self):
+        """Stores until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                batch = self._take_batch()
+                if not await self._commit(batch):
+                    await asyncio.sleep(RETRY_S)
+                self._expire()
+
+    def _take_batch(self) -> list[_Pending]:
+        batch = {}
+        size = 0
+        for pending in self._pending:
+            # A transaction holds each row once.
+            if pending.submission_id in batch:
+                continue
+            size += len(pending.value)
+            if batch and size > BYTES_PER_COMMIT:
+                break
+            batch[pending.submission_id] = pending
+            if len(batch) >= ROWS_PER_COMMIT:
+                break
+        return list(batch.values())
+
+    async def _commit(self, batch: list[_Pending]) -> bool:
+        now = clock.read_clock()
+        left = max(pending.deadline for pending in batch) - now
+        result = await self._node.store.commit(
+            ledgers.SUBMISSION_PART,
+            [
+                (ledgers.SUBMISSION_TABLE, pending.submission_id, 0)
+                for pending in batch
+            ],
+            [
+                (
+                    ledgers.SUBMISSION_TABLE,
+                    pending.submission_id,
+                    pending.value,
+                )
+                for pending in batch
+            ],
+            timeout_s=min(platform_store.CALL_TIMEOUT_S, max(0.2, left)),
+        )
+        if isinstance(result, platform_store.Committed):
+            for pending in batch:
+                self._resolve(pending, Verdict.ACCEPTED)
+            return True
+        if isinstance(result, platform_store.Conflict):
+            known = {row.key for row in result.rows if row.version}
+            for pending in batch:
+                if pending.submission_id in known:
+                    self._resolve(pending, Verdict.REPEATED)
+            return bool(known)
+        if isinstance(result, platform_store.Unknown):
+            for pending in batch:
+                pending.may_be_stored = True
+        return False
+
+    def _resolve(self, pending: _Pending, verdict: Verdict):
+        self._pending.remove(pending)
+        if not pending.future.done():
+            pending.future.set_result(verdict)
+
+    def _expire(self):
+        now = clock.read_clock()
+        for pending in list(self._pending):
+            if now >= pending.deadline:
+                self._resolve(
+                    pending,
+                    Verdict.UNKNOWN
+                    if pending.may_be_stored
+                    else Verdict.REFUSED,
+                )
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -0,0 +1,191 @@
+"""Looks after a shard: what time alone changes."""
+
+import asyncio
+
+from persimmonpath_entry.decisions import health
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.engine import orders as order_calls
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.transport import clock
+
+import msgspec
+from persimmonpath_entry.state import submissions
+
+TICK_S = 0.2
+FEED_S = 1.0
+REMOVE_OLD_S = 20.0
+SERVER_TABLE = "servers"
+SERVER_POLL_S = 0.7
+
+
+class Care:
+    """Looks after a shard."""
+
+    def __init__(
+        self,
+        shard: shards.Shard,
+        orders: order_calls.Orders,
+        ledger: ledgers.Ledger,
+    ):
+        self._shard = shard
+        self._node = shard.node
+        self._orders = orders
+        self._ledger = ledger
+        self._feed_version = 0
+
+    async def load(self) -> bool:
+        """Reads the submissions of the service and their progress."""
+        store = self._node.store
+        rows = await store.read_all(
+            ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART
+        )
+        if isinstance(rows, platform_store.Refused):
+            return False
+        progress = await store.read_all(
+            ledgers.PROGRESS_TABLE, self._shard.service
+        )
+        if isinstance(progress, platform_store.Refused):
+            return False
+        known = {
+            row.key: msgspec.json.decode(
+                row.value, type=submissions.ProgressRecord
+            )
+            for row in progress.rows
+        }
+        for row in rows.rows:
+            self._take_row(row, known.get(row.key), was_loaded=True)
+        self._feed_version = rows.version
+        return True
+
+    def _take_row(self, row, progress=None, was_loaded=False):
+        if row.is_deleted:
+            return
+        try:
+            record = msgspec.json.decode(
+                row.value, type=submissions.SubmissionRecord
+            )
+        except msgspec.MsgspecError as error:
+            self._node.log.warn("row_unreadable", row=row.key, reason=error)
+            return
+        if record.service == self._shard.service:
+            self._shard.take_submission(row.key, record, progress, was_loaded)
+
+    async def follow_submissions(self):
+        """Takes in what peers didn't tell: new submissions and cancels."""
+        while self._shard.is_open:
+            result = await self._node.store.follow(
+                ledgers.SUBMISSION_TABLE, self._feed_version, 0
+            )
+            if isinstance(result, platform_store.HistoryGone):
+                self._node.log.warn(
+                    "history_gone",
+                    table=ledgers.SUBMISSION_TABLE,
+                    version=self._feed_version,
+                )
+                result = await self._node.store.read_all(
+                    ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART
+                )
+            if isinstance(result, platform_store.Rows):
+                for row in result.rows:
+                    self._take_row(row)
+                self._feed_version = result.version
+                if result.has_more:
+                    continue
+            await asyncio.sleep(FEED_S)
+
+    async def follow_workers(self):
+        """Follows the registrations of workers."""
+        version: int | None = None
+        while self._shard.is_open:
+            if version is None:
+                result = await self._node.store.read_all(SERVER_TABLE, "")
+            else:
+                result = await self._node.store.follow(
+                    SERVER_TABLE, version, 0
+                )
+            if isinstance(result, platform_store.HistoryGone):
+                version = None
+                continue
+            if isinstance(result, platform_store.Rows):
+                if version is None:
+                    self._drop_missing({row.key for row in result.rows})
+                for row in result.rows:
+                    self._take_server(row)
+                version = result.version
+                if result.has_more:
+                    continue
+            await asyncio.sleep(SERVER_POLL_S)
+
+    def _drop_missing(self, listed: set[str]):
+        for worker_id in list(self._shard.workers):
+            if worker_id not in listed:
+                self._shard.drop_registration(worker_id)
+
+    def _take_server(self, row: platform_store.Row):
+        if row.is_deleted:
+            self._shard.drop_registration(row.key)
+            return
+        registration = messages.decode_registration(row.key, row.value)
+        if isinstance(registration, str):
+            self._node.log.warn(
+                "registration_unreadable", worker=row.key, reason=registration
+            )
+            self._shard.drop_registration(row.key)
+            return
+        if registration.service == self._shard.service:
+            self._shard.take_registration(registration)
+        else:
+            self._shard.drop_registration(row.key)
+
+    async def run(self):
+        """Ticks until the shard is closed."""
+        last_removal = clock.read_clock()
+        while self._shard.is_open:
+            await asyncio.sleep(TICK_S)
+            now = clock.read_clock()
+            self._settle_unsettled(now)
+            for submission in list(self._shard.timed.values()):
+                self._shard.open_occurrences(submission)
+            for worker in list(self._shard.workers.values()):
+                self._look_after(worker, now)
+            if now - last_removal > REMOVE_OLD_S:
+                last_removal = now
+                await self._ledger.remove_old()
+
+    def _settle_unsettled(self, now: float):
+        for worker_id, deadline in list(self._shard.unsettled.items()):
+            if now > deadline:
+                self._shard.unsettled.pop(worker_id)
+                self._node.log.warn("former_worker_settled", worker=worker_id)
+                self._shard.request_schedule()
+
+    def _look_after(self, worker: fleet.Worker, now: float):
+        if worker.silent_since is not None and worker.runs:
+            if now > worker.bound_lease_end():
+                self._shard.lose_worker(worker, "lease ended")
+        if not worker.is_listed and not worker.runs:
+            if worker.silent_since is not None:
+                self._shard.forget_worker(worker)
+                return
+        if worker.registration.is_draining:
+            self._empty(worker, now)
+        for run in list(worker.runs.values()):
+            if health.is_standing_still(run, now):
+                worker.recent_failures += 1
+                self._node.log.warn(
+                    "run_stands_still",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=worker.id,
+                    idle_s=now - run.idle_since,
+                )
+                run.task.avoided.add(worker.id)
+                self._orders.stop(run, "stands_still")
+
+    def _empty(self, worker: fleet.Worker, now: float):
+        for run in list(worker.runs.values()):
+            if health.is_to_leave(run, worker, now):
+                self._orders.stop(run, "worker_draining")
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -0,0 +1,64 @@
+"""What the parts of a process share."""
+
+import dataclasses
+import time
+
+from persimmonpath_entry.platform import settings as platform_settings
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import configuration as desired
+from persimmonpath_entry.transport import logs
+from persimmonpath_entry.transport import metrics
+
+
+@dataclasses.dataclass(eq=False)
+class Context:
+    """What the parts of a process share.
+
+    Attributes:
+      settings: the settings of the process.
+      store: the client of the store.
+      log: the log.
+      metrics: the metrics.
+      boot: tells one life of the process from another.
+      configuration: the newest version, or None before the first.
+      configuration_bytes: its row, for peers that can't reach the store.
+      is_stopping: whether the process was told to stop.
+    """
+
+    settings: platform_settings.Settings
+    store: platform_store.StoreClient
+    log: logs.Log
+    metrics: metrics.Metrics
+    boot: str = dataclasses.field(
+        default_factory=lambda: f"{time.time_ns():x}"
+    )
+    configuration: desired.Configuration | None = None
+    configuration_bytes: bytes = b""
+    is_stopping: bool = False
+
+    @property
+    def name(self) -> str:
+        """The name of the VM."""
+        return self.settings.node_name
+
+    @property
+    def peer_address(self) -> str:
+        """Where peers reach this process."""
+        return f"{self.settings.ip}:{self.settings.internal_ports[0]}"
+
+    def find_queue(self, name: str) -> desired.Queue | None:
+        """Returns a queue of the version in force, or None."""
+        if self.configuration is None:
+            return None
+        return self.configuration.queues.get(name)
+
+
+def find_origin(error: BaseException) -> str:
+    """Returns file and line at which an error was raised."""
+    frame = error.__traceback__
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    if frame is None:
+        return "unknown"
+    name = frame.tb_frame.f_code.co_filename.rsplit("/", 1)[-1]
+    return f"{name}:{frame.tb_lineno}"
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
@@ -0,0 +1,368 @@
+"""Answers callers: hand in, ask, cancel and count submissions."""
+
+import asyncio
+import re
+
+import msgspec
+
+from persimmonpath_entry.engine import acceptance
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.engine import members
+from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
+from persimmonpath_entry.transport import httpserver
+
+ID_FORM = re.compile(r"[0-9a-fA-F]{16}")
+DEADLINE_HEADER = "x-deadline-ms"
+DEFAULT_WAIT_S = 3.0
+# Time kept for the answer to reach the caller before its deadline.
+ANSWER_MARGIN_S = 0.35
+# When a rejected caller may come again: an outage of the store or a takeover
+# of a service takes some seconds.
+RETRY_AFTER_S = 2
+OWNER_TIMEOUT_S = 0.7
+# A VM that hasn't heard from the store for this time hands requests on.
+STORE_SILENCE_S = 1.0
+COUNT_TTL_S = 0.5
+
+
+class SubmissionView(msgspec.Struct):
+    """What an owner says of a submission.
+
+    Attributes:
+      state: its state.
+      has_started: whether a task of it has been started.
+    """
+
+    state: str
+    has_started: bool
+
+
+def reject(status: int, reason: str, retry_after_s: int | None = None):
+    """Returns an answer that says why a request was rejected."""
+    return httpserver.Answer(
+        status, msgspec.json.encode({"error": reason}), retry_after_s
+    )
+
+
+class Front:
+    """Answers callers."""
+
+    def __init__(
+        self,
+        node: context.Context,
+        accepting: acceptance.Acceptance,
+        ownership: owners.Ownership,
+        peers: members.Members,
+    ):
+        self._node = node
+        self._accepting = accepting
+        self._ownership = ownership
+        self._peers = peers
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    async def handle(
+        self, request: httpserver.Request, is_forwarded: bool = False
+    ) -> httpserver.Answer:
+        """Answers a request of a caller."""
+        start = clock.read_clock()
+        path = request.target.partition("?")[0]
+        current = self._node.configuration
+        if current is None:
+            return reject(503, "no configuration yet", 1)
+        queue = current.find_queue(request.headers.get("host", ""), path)
+        if queue is None:
+            self._node.log.write(
+                "request_unrouted",
+                method=request.method,
+                path=path,
+                version=current.version,
+            )
+            return reject(404, "no such queue")
+        submission_id = path[len(queue.prefix) :]
+        deadline = start + self._read_wait(request)
+        answer = await self._dispatch(
+            request, queue, submission_id, deadline, is_forwarded
+        )
+        elapsed_ms = (clock.read_clock() - start) * 1000
+        self._node.metrics.count(
+            f'requests{{method="{request.method}",status="{answer.status}"}}'
+        )
+        self._node.metrics.observe(
+            f'request_latency{{method="{request.method}"}}', elapsed_ms
+        )
+        if answer.status not in (200, 410):
+            self._node.log.warn(
+                "request_rejected",
+                id=submission_id,
+                method=request.method,
+                queue=queue.name,
+                status=answer.status,
+                reason=answer.body.decode("latin-1"),
+                after_ms=elapsed_ms,
+                version=current.version,
+            )
+        return answer
+
+    def _read_wait(self, request: httpserver.Request) -> float:
+        text = request.headers.get(DEADLINE_HEADER, "")
+        wait_s = int(text) / 1000 if text.isdigit() else DEFAULT_WAIT_S
+        return max(0.2, wait_s - ANSWER_MARGIN_S)
+
+    async def _dispatch(
+        self, request, queue, submission_id, deadline, is_forwarded
+    ):
+        if not submission_id:
+            if request.method != "GET":
+                return reject(405, "method; allowed: GET")
+            return await self._answer_count(queue)
+        if not ID_FORM.fullmatch(submission_id):
+            return reject(404, "id; allowed: 16 hexadecimal digits")
+        if self._is_cut_off() and not is_forwarded:
+            answer = await self._hand_on(request, deadline)
+            if answer is not None:
+                return answer
+        if request.method == "POST":
+            return await self._hand_in(request, queue, submission_id, deadline)
+        if request.method == "GET":
+            return await self._answer_state(queue, submission_id)
+        if request.method == "DELETE":
+            return await self._cancel(submission_id, deadline)
+        return reject(405, "method; allowed: POST, GET, DELETE")
+
+    def _is_cut_off(self) -> bool:
+        store = self._node.store
+        if store.last_failure <= store.last_answer:
+            return False
+        return clock.read_clock() - store.last_answer > STORE_SILENCE_S
+
+    async def _hand_on(self, request, deadline):
+        """Lets a peer that reaches the store answer, None if none does."""
+        envelope = msgspec.json.encode(
+            {
+                "method": request.method,
+                "target": request.target,
+                "host": request.headers.get("host", ""),
+                "body": request.body,
+            }
+        )
+        for address in self._peers.list_addresses()[:3]:
+            left = deadline - clock.read_clock()
+            if left < 0.2:
+                return None
+            outcome = await self._peers.call(
+                address, "POST", "/peer/front", envelope, min(left, 1.0)
+            )
+            if isinstance(outcome, httpclient.NoReply):
+                continue
+            if outcome.status == 503:
+                continue
+            return httpserver.Answer(outcome.status, outcome.body)
+        return None
+
+    # Handing in.
+
+    async def _hand_in(self, request, queue, submission_id, deadline):
+        if len(request.body) > self._node.configuration.max_body_bytes:
+            return reject(413, "body too large")
+        record = messages.decode_submission(
+            request.body, queue, ledgers.stamp_time()
+        )
+        if isinstance(record, str):
+            return reject(400, record)
+        if self._is_cut_off():
+            return reject(503, "store unreachable", RETRY_AFTER_S)
+        verdict = await self._accepting.store(submission_id, record, deadline)
+        self._node.log.write(
+            "submission_stored",
+            id=submission_id,
+            queue=queue.name,
+            outcome=verdict.value,
+            steps=len(record.steps),
+            tasks=sum(step.count for step in record.steps),
+            version=self._node.configuration.version,
+        )
+        if verdict is acceptance.Verdict.UNKNOWN:
+            return reject(504, "the store has not answered")
+        if verdict is acceptance.Verdict.REFUSED:
+            return reject(503, "store unavailable", RETRY_AFTER_S)
+        if verdict is acceptance.Verdict.ACCEPTED:
+            self._tell_owner(submission_id, record)
+        return httpserver.Answer(200)
+
+    def _tell_owner(self, submission_id, record):
+        shard = self._ownership.find_shard(record.service)
+        if shard is not None:
+            if shard.is_loaded:
+                shard.take_submission(submission_id, record)
+            return
+        address = self._ownership.find_owner(record.service)
+        if address is not None:
+            asyncio.get_running_loop().create_task(
+                self._peers.call(
+                    address,
+                    "POST",
+                    f"/peer/submission/{submission_id}",
+                    msgspec.json.encode(record),
+                )
+            )
+
+    # Asking.
+
+    async def _answer_state(self, queue, submission_id):
+        view = await self._ask_owner(queue.service, submission_id)
+        if view is None:
+            view = await self._read_view(submission_id)
+        if view is None:
+            return reject(503, "store unreachable", RETRY_AFTER_S)
+        if view == "unknown":
+            return reject(410, "no such submission")
+        return httpserver.Answer(
+            200, messages.encode_state(view.state, view.has_started)
+        )
+
+    def describe(self, service, submission_id) -> SubmissionView | None:
+        """Returns what this VM knows as owner of a service, or None."""
+        shard = self._ownership.find_shard(service)
+        if shard is None or not shard.is_loaded:
+            return None
+        # An owner whose lease has run out may have been replaced.
+        if clock.read_clock() > shard.lease_until:
+            return None
+        submission = shard.submissions.get(submission_id)
+        if submission is None:
+            return None
+        state = submission.stored_state
+        if submission.record.cancelled and state == submissions.ACTIVE:
+            state = submissions.CANCELLED
+        return SubmissionView(state, submission.has_started)
+
+    async def _ask_owner(self, service, submission_id):
+        view = self.describe(service, submission_id)
+        if view is not None:
+            return view
+        address = self._ownership.find_owner(service)
+        if address is None or address == self._node.peer_address:
+            return None
+        outcome = await self._peers.call(
+            address,
+            "GET",
+            f"/peer/state/{service}/{submission_id}",
+            timeout_s=OWNER_TIMEOUT_S,
+        )
+        if isinstance(outcome, httpclient.NoReply) or outcome.status != 200:
+            return None
+        return msgspec.json.decode(outcome.body, type=SubmissionView)
+
+    async def _read_view(self, submission_id):
+        """Reads a submission's state from the store."""
+        rows = await self._node.store.read_row(
+            ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART, submission_id
+        )
+        if isinstance(rows, platform_store.Refused):
+            return None
+        if not rows.rows:
+            return "unknown"
+        record = msgspec.json.decode(
+            rows.rows[0].value, type=submissions.SubmissionRecord
+        )
+        progress = await self._node.store.read_row(
+            ledgers.PROGRESS_TABLE, record.service, submission_id
+        )
+        if isinstance(progress, platform_store.Refused):
+            return None
+        state = submissions.ACTIVE
+        if progress.rows:
+            state = msgspec.json.decode(
+                progress.rows[0].value, type=submissions.ProgressRecord
+            ).state
+        if record.cancelled and state == submissions.ACTIVE:
+            state = submissions.CANCELLED
+        return SubmissionView(state, bool(progress.rows))
+
+    # Cancelling.
+
+    async def _cancel(self, submission_id, deadline):
+        while clock.read_clock() < deadline:
+            rows = await self._node.store.read_row(
+                ledgers.SUBMISSION_TABLE,
+                ledgers.SUBMISSION_PART,
+                submission_id,
+            )
+            if isinstance(rows, platform_store.Refused):
+                await asyncio.sleep(acceptance.RETRY_S)
+                continue
+            if not rows.rows:
+                return reject(410, "no such submission")
+            record = msgspec.json.decode(
+                rows.rows[0].value, type=submissions.SubmissionRecord
+            )
+            if record.cancelled:
+                return httpserver.Answer(200)
+            record.cancelled = True
+            result = await self._node.store.commit(
+                ledgers.SUBMISSION_PART,
+                [
+                    (
+                        ledgers.SUBMISSION_TABLE,
+                        submission_id,
+                        rows.rows[0].version,
+                    )
+                ],
+                [
+                    (
+                        ledgers.SUBMISSION_TABLE,
+                        submission_id,
+                        msgspec.json.encode(record),
+                    )
+                ],
+            )
+            if isinstance(result, platform_store.Committed):
+                self._node.log.write("submission_cancelled", id=submission_id)
+                self._tell_owner(submission_id, record)
+                return httpserver.Answer(200)
+            await asyncio.sleep(0.02)
+        return reject(503, "store unavailable", RETRY_AFTER_S)
+
+    # Counting.
+
+    def count_waiting(self, service: str, queue: str) -> int | None:
+        """Returns the waiting submissions as owner, or None."""
+        shard = self._ownership.find_shard(service)
+        if shard is None or not shard.is_loaded:
+            return None
+        return shard.count_waiting(queue)
+
+    async def _answer_count(self, queue: configuration.Queue):
+        count = self.count_waiting(queue.service, queue.name)
+        if count is None:
+            count = await self._ask_count(queue)
+        if count is None:
+            return reject(503, "owner unreachable", RETRY_AFTER_S)
+        return httpserver.Answer(200, messages.encode_waiting(count))
+
+    async def _ask_count(self, queue: configuration.Queue) -> int | None:
+        now = clock.read_clock()
+        kept = self._counts.get(queue.name)
+        if kept is not None and now - kept[0] < COUNT_TTL_S:
+            return kept[1]
+        address = self._ownership.find_owner(queue.service)
+        if address is None:
+            return None
+        outcome = await self._peers.call(
+            address,
+            "GET",
+            f"/peer/waiting/{queue.service}/{queue.name}",
+            timeout_s=OWNER_TIMEOUT_S,
+        )
+        if isinstance(outcome, httpclient.NoReply) or outcome.status != 200:
+            return None
+        count = int(outcome.body)
+        self._counts[queue.name] = (now, count)
+        return count
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -0,0 +1,261 @@
+"""Stores the progress of a shard and renews its ownership."""
+
+import asyncio
+import time
+
+import msgspec
+
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
+
+OWNER_TABLE = "owner"
+OWNER_KEY = "owner"
+PROGRESS_TABLE = "progress"
+SUBMISSION_TABLE = "submission"
+SUBMISSION_PART = "s"
+
+RENEW_S = 0.8
+# Orders to start stop this long after the last renewal; others may take the
+# shard over a little later.
+LEASE_S = 2.5
+TAKEOVER_SLACK_S = 0.3
+# Leases of tasks are renewed this long after the last renewal, so that a
+# short outage of the store ends no task.
+HOLD_S = 6.0
+# Least time between two transactions, which gathers what happens meanwhile.
+GATHER_S = 0.03
+RETRY_S = 0.12
+ROWS_PER_COMMIT = 80
+# Rows of ended submissions are removed some time after callers may ask.
+KEEP_SLACK_S = 60.0
+
+
+class OwnerRecord(msgspec.Struct, omit_defaults=True):
+    """Who owns a service.
+
+    Attributes:
+      owner: name of the VM, empty if nobody does.
+      boot: the life of its process.
+      address: where peers reach it.
+      workers: addresses of the workers that may run its tasks, by id.
+      sequence: number of the write in the owner's life.
+    """
+
+    owner: str = ""
+    boot: str = ""
+    address: str = ""
+    workers: dict[str, str] = {}
+    sequence: int = 0
+
+
+class Ledger:
+    """The one writer of a shard's rows."""
+
+    def __init__(self, shard: shards.Shard, version: int, on_stored):
+        self._shard = shard
+        self._node = shard.node
+        self._version = version
+        self._sequence = 0
+        self._on_stored = on_stored
+        self._is_releasing = False
+        self.release_done = asyncio.Event()
+        self._failed_since: float | None = None
+
+    def extend(self, sent_at: float):
+        """Extends the lease from the moment a renewal was sent."""
+        self._shard.lease_until = sent_at + LEASE_S
+        self._shard.hold_until = sent_at + HOLD_S
+
+    async def run(self):
+        """Writes until the shard is closed."""
+        shard = self._shard
+        next_renewal = clock.read_clock() + RENEW_S
+        while shard.is_open:
+            left = next_renewal - clock.read_clock()
+            if left > 0 and not self._is_releasing:
+                try:
+                    async with asyncio.timeout(left):
+                        await shard.on_dirty.wait()
+                except TimeoutError:
+                    pass
+            shard.on_dirty.clear()
+            stored = await self._write()
+            if stored:
+                next_renewal = clock.read_clock() + RENEW_S
+                if self._is_releasing and not shard.dirty:
+                    await self._release()
+                    return
+                await asyncio.sleep(GATHER_S)
+            else:
+                shard.on_dirty.set()
+                await asyncio.sleep(RETRY_S)
+
+    def _encode_owner(self, owner: str) -> bytes:
+        self._sequence += 1
+        shard = self._shard
+        workers = {
+            worker.id: worker.registration.address
+            for worker in shard.workers.values()
+        }
+        for worker_id in shard.unsettled:
+            workers.setdefault(worker_id, "")
+        return msgspec.json.encode(
+            OwnerRecord(
+                owner,
+                self._node.boot,
+                self._node.peer_address,
+                workers,
+                self._sequence,
+            )
+        )
+
+    async def _write(self) -> bool:
+        shard = self._shard
+        batch = [
+            submission
+            for _, submission in zip(
+                range(ROWS_PER_COMMIT), shard.dirty.values(), strict=False
+            )
+        ]
+        is_whole = len(batch) == len(shard.dirty)
+        states = [submission.progress.state for submission in batch]
+        rows = [
+            (
+                PROGRESS_TABLE,
+                submission.id,
+                msgspec.json.encode(submission.progress),
+            )
+            for submission in batch
+        ]
+        for submission in batch:
+            shard.dirty.pop(submission.id, None)
+        seen = {worker.id: worker.processed for worker in shard.workers.values()}
+        lifetimes = {w.id: w.born for w in shard.workers.values()}
+        recorded = list(shard.workers.values())
+        rows.append(
+            (OWNER_TABLE, OWNER_KEY, self._encode_owner(self._node.name))
+        )
+        sent_at = clock.read_clock()
+        result = await self._node.store.commit(
+            shard.service,
+            [(OWNER_TABLE, OWNER_KEY, self._version)],
+            rows,
+        )
+        if not self._take_result(result, sent_at):
+            for submission in batch:
+                shard.dirty[submission.id] = submission
+            return False
+        now = clock.read_clock()
+        for submission, state in zip(batch, states, strict=True):
+            shard.note_stored(submission, state, now)
+        for worker in recorded:
+            if not worker.is_recorded:
+                worker.is_recorded = True
+                shard.request_schedule()
+            if is_whole and worker.born == lifetimes[worker.id]:
+                worker.last_seen = max(worker.last_seen, seen[worker.id])
+        self._on_stored()
+        return True
+
+    def _take_result(self, result, sent_at: float) -> bool:
+        shard = self._shard
+        now = clock.read_clock()
+        if isinstance(result, platform_store.Committed):
+            self._version = result.version
+            self.extend(sent_at)
+            if self._failed_since is not None:
+                self._node.log.warn(
+                    "store_back",
+                    service=shard.service,
+                    away_s=now - self._failed_since,
+                )
+                self._failed_since = None
+                shard.request_schedule()
+            return True
+        if isinstance(result, platform_store.Conflict):
+            self._take_conflict(result)
+            return False
+        if self._failed_since is None:
+            self._failed_since = sent_at
+            self._node.log.warn(
+                "store_lost",
+                service=shard.service,
+                reason=getattr(result, "reason", None)
+                or getattr(result, "status", ""),
+                lease_left_s=shard.lease_until - now,
+            )
+        return False
+
+    def _take_conflict(self, conflict: platform_store.Conflict):
+        """Goes on if an own write without an answer came in between."""
+        for row in conflict.rows:
+            if row.table != OWNER_TABLE or not row.value:
+                continue
+            record = msgspec.json.decode(row.value, type=OwnerRecord)
+            if record.owner == self._node.name:
+                if record.boot == self._node.boot:
+                    self._version = row.version
+                    return
+            self._shard.close(f"taken over by {record.owner or 'nobody'}")
+            return
+        self._shard.close("owner row is gone")
+
+    def release(self):
+        """Stores what is left and gives the ownership up."""
+        self._is_releasing = True
+        self._shard.on_dirty.set()
+
+    async def _release(self):
+        result = await self._node.store.commit(
+            self._shard.service,
+            [(OWNER_TABLE, OWNER_KEY, self._version)],
+            [(OWNER_TABLE, OWNER_KEY, self._encode_owner(""))],
+        )
+        self._node.log.warn(
+            "ownership_released",
+            service=self._shard.service,
+            outcome=type(result).__name__,
+        )
+        self._shard.close("released")
+        self.release_done.set()
+
+    async def remove_old(self):
+        """Removes the rows of submissions that ended long ago."""
+        shard = self._shard
+        keep_s = self._node.settings.bounds.status_s + KEEP_SLACK_S
+        now = clock.read_clock()
+        old = [
+            submission
+            for submission in shard.submissions.values()
+            if submission.stored_at is not None
+            and now - submission.stored_at > keep_s
+        ][:ROWS_PER_COMMIT]
+        if not old:
+            return
+        result = await self._node.store.commit(
+            SUBMISSION_PART,
+            [],
+            [],
+            [(SUBMISSION_TABLE, submission.id) for submission in old],
+        )
+        if isinstance(result, platform_store.Committed):
+            await self._node.store.commit(
+                shard.service,
+                [],
+                [],
+                [(PROGRESS_TABLE, submission.id) for submission in old],
+            )
+            for submission in old:
+                shard.submissions.pop(submission.id, None)
+
+
+def stamp_time() -> int:
+    """Returns Unix milliseconds."""
+    return int(time.time() * 1000)
+
+
+def is_ended(progress: submissions.ProgressRecord) -> bool:
+    """Returns whether a submission has ended."""
+    return progress.state != submissions.ACTIVE
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -0,0 +1,154 @@
+"""Puts an entry VM's process together and runs it."""
+
+import asyncio
+import signal
+
+from persimmonpath_entry.engine import acceptance
+from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import front as fronts
+from persimmonpath_entry.engine import members
+from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.engine import peerapi
+from persimmonpath_entry.engine import versions
+from persimmonpath_entry.platform import settings as platform_settings
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpserver
+from persimmonpath_entry.transport import logs
+from persimmonpath_entry.transport import metrics
+
+METRICS_PORT = 9464
+# The platform's probe takes a VM out of rotation after two misses, a second
+# apart; until then new connections arrive.
+ROTATION_S = 2.3
+# Time kept of the grace period for closing down.
+EXIT_MARGIN_S = 0.8
+
+
+class Node:
+    """The process of an entry VM."""
+
+    def __init__(self, settings: platform_settings.Settings):
+        log = logs.Log(settings.node_name)
+        measures = metrics.Metrics()
+        store = platform_store.StoreClient(settings.store.address, measures)
+        self.context = context.Context(settings, store, log, measures)
+        self.members = members.Members(self.context)
+        self.versions = versions.Versions(self.context, self.members)
+        self._advisor = advising.Advisor(self.context, self.members)
+        self.ownership = owners.Ownership(
+            self.context, self.members, self._advisor
+        )
+        self._accepting = acceptance.Acceptance(self.context)
+        self.front = fronts.Front(
+            self.context, self._accepting, self.ownership, self.members
+        )
+        self._peer_api = peerapi.PeerApi(
+            self.context, self.front, self.ownership, self._advisor
+        )
+        self._stop = asyncio.Event()
+        self._servers: list[httpserver.HttpServer] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def run(self):
+        """Serves until the process is told to stop."""
+        settings = self.context.settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        peer = await self._listen(
+            self.context.peer_address, self._peer_api.handle
+        )
+        front = await self._listen(settings.listen.front, self.front.handle)
+        ready = await self._listen(settings.listen.ready, self._answer_ready)
+        await self._listen(
+            f"{settings.ip}:{METRICS_PORT}", self._answer_metrics
+        )
+        self.context.log.warn(
+            "started",
+            zone=settings.zone,
+            boot=self.context.boot,
+            front=settings.listen.front,
+            peer=self.context.peer_address,
+        )
+        self._tasks = [
+            loop.create_task(part)
+            for part in (
+                self.context.log.run(),
+                self.members.run(),
+                self.versions.run(),
+                self.ownership.run(),
+                self._accepting.run(),
+            )
+        ]
+        await self._stop.wait()
+        await self._shut_down(front, peer, ready)
+
+    async def _listen(self, address: str, handler) -> httpserver.HttpServer:
+        server = httpserver.HttpServer(handler, self._note_error)
+        host, _, port = address.rpartition(":")
+        await server.listen(host, int(port))
+        self._servers.append(server)
+        return server
+
+    def _note_error(self, text: str):
+        self.context.log.warn("request_broken", reason=text)
+
+    def _reload(self):
+        settings = platform_settings.load_settings()
+        if isinstance(settings, list):
+            self.context.log.warn("reload_failed", reason="; ".join(settings))
+            return
+        self.context.settings.bounds = settings.bounds
+        self.context.log.warn("reloaded")
+
+    async def _answer_ready(self, request):
+        is_ready = (
+            self.context.configuration is not None
+            and self.ownership.is_known
+            and not self.context.is_stopping
+        )
+        return httpserver.Answer(200 if is_ready else 503)
+
+    async def _answer_metrics(self, request):
+        measures = self.context.metrics
+        measures.set("log_lines_left_out", self.context.log.left_out_total)
+        for service, shard in self.ownership.shards.items():
+            label = f'{{service="{service}"}}'
+            measures.set(f"workers{label}", len(shard.workers))
+            measures.set(f"submissions{label}", len(shard.submissions))
+            measures.set(f"waiting_steps{label}", len(shard.ready_steps))
+        return httpserver.Answer(200, measures.render())
+
+    async def _shut_down(self, front, peer, ready):
+        """Answers what is under way, hands services over and ends."""
+        now = clock.read_clock()
+        deadline = now + self.context.settings.bounds.grace_s - EXIT_MARGIN_S
+        self.context.is_stopping = True
+        self.context.log.warn("stopping", requests=front.busy)
+        front.is_closing = True
+        release = asyncio.get_running_loop().create_task(
+            self._leave(deadline - now)
+        )
+        await asyncio.sleep(ROTATION_S)
+        front.stop_listening()
+        front.close_idle()
+        while clock.read_clock() < deadline:
+            if not front.connections and release.done():
+                break
+            front.close_idle()
+            await asyncio.sleep(0.05)
+        for server in (front, peer, ready):
+            server.stop_listening()
+        self.context.log.warn("stopped", requests=front.busy)
+        self.context.log.flush()
+
+    async def _leave(self, limit_s: float):
+        try:
+            async with asyncio.timeout(limit_s):
+                await self.ownership.release_all()
+                await self.members.unregister()
+        except TimeoutError:
+            self.context.log.warn("release_incomplete", limit_s=limit_s)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -0,0 +1,312 @@
+"""Takes over services that nobody owns and serves them."""
+
+import asyncio
+import zlib
+
+import msgspec
+
+from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import care
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import members
+from persimmonpath_entry.engine import orders as order_calls
+from persimmonpath_entry.engine import placing
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
+
+POLL_S = 0.8
+RETRY_S = 0.25
+# Candidates try one after another, in an order that differs by service.
+RANK_STEP_S = 0.15
+MAX_RANK_S = 0.9
+# A VM that owns another service lets the others try first.
+BUSY_RANK_S = 0.3
+PROBE_TIMEOUT_S = 0.4
+
+
+class _Sighting:
+    """The newest row of an owner and when it was seen to change."""
+
+    def __init__(self, record: ledgers.OwnerRecord, version: int, now: float):
+        self.record = record
+        self.version = version
+        self.changed_at = now
+        self.is_disowned = False
+        self.has_probed = False
+
+
+class Ownership:
+    """The services that this VM owns, and who owns the others."""
+
+    def __init__(
+        self,
+        node: context.Context,
+        peers: members.Members,
+        advisor: advising.Advisor,
+    ):
+        self._node = node
+        self._peers = peers
+        self._advisor = advisor
+        self.shards: dict[str, shards.Shard] = {}
+        self._ledgers: dict[str, ledgers.Ledger] = {}
+        self._sightings: dict[str, _Sighting] = {}
+        self._version: int | None = None
+        self._wake = asyncio.Event()
+        self._taking: set[str] = set()
+        self.is_known = False
+
+    def find_owner(self, service: str) -> str | None:
+        """Returns the address of a service's owner, or None."""
+        sighting = self._sightings.get(service)
+        if sighting is None or not sighting.record.owner:
+            return None
+        return sighting.record.address
+
+    def find_shard(self, service: str) -> shards.Shard | None:
+        """Returns the shard if this VM owns the service, or None."""
+        shard = self.shards.get(service)
+        if shard is None or not shard.is_open:
+            return None
+        return shard
+
+    def wake(self):
+        """Has the owners read now."""
+        self._wake.set()
+
+    async def run(self):
+        """Follows the owners and takes over until cancelled."""
+        while True:
+            is_current = await self._refresh()
+            if is_current:
+                self.is_known = True
+                self._consider_all()
+            for service, shard in list(self.shards.items()):
+                if not shard.is_open:
+                    del self.shards[service]
+            try:
+                async with asyncio.timeout(POLL_S if is_current else RETRY_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def _refresh(self) -> bool:
+        if self._version is None:
+            result = await self._read_all()
+        else:
+            result = await self._node.store.follow(
+                ledgers.OWNER_TABLE, self._version, 0
+            )
+        if isinstance(result, platform_store.HistoryGone):
+            self._version = None
+            return False
+        if isinstance(result, platform_store.Refused):
+            return False
+        now = clock.read_clock()
+        for row in result.rows:
+            self._see(row, now)
+        self._version = result.version
+        return True
+
+    async def _read_all(self):
+        rows = []
+        version = None
+        configuration = self._node.configuration
+        if configuration is None:
+            return platform_store.Refused(0)
+        for service in configuration.services:
+            result = await self._node.store.read_row(
+                ledgers.OWNER_TABLE, service, ledgers.OWNER_KEY
+            )
+            if isinstance(result, platform_store.Refused):
+                return result
+            version = result.version if version is None else version
+            rows += result.rows
+        if version is None:
+            return platform_store.Refused(0)
+        return platform_store.Rows(rows, version)
+
+    def _see(self, row: platform_store.Row, now: float):
+        if row.is_deleted:
+            self._sightings.pop(row.part, None)
+            return
+        record = msgspec.json.decode(row.value, type=ledgers.OwnerRecord)
+        known = self._sightings.get(row.part)
+        if known is not None and known.version >= row.version:
+            return
+        if known is None or known.record.owner != record.owner:
+            self._node.log.write(
+                "owner_seen",
+                service=row.part,
+                owner=record.owner or "nobody",
+                version=row.version,
+            )
+        sighting = _Sighting(record, row.version, now)
+        if known is not None and known.record.boot == record.boot:
+            sighting.has_probed = known.has_probed
+        self._sightings[row.part] = sighting
+
+    def _consider_all(self):
+        configuration = self._node.configuration
+        if configuration is None or self._node.is_stopping:
+            return
+        for service in configuration.services:
+            if service in self.shards or service in self._taking:
+                continue
+            self._taking.add(service)
+            asyncio.get_running_loop().create_task(self._consider(service))
+
+    async def _consider(self, service: str):
+        try:
+            sighting = self._sightings.get(service)
+            if await self._is_vacant(service, sighting):
+                await asyncio.sleep(self._rank(service))
+                await self._take(service, self._sightings.get(service))
+        finally:
+            self._taking.discard(service)
+
+    def _rank(self, service: str) -> float:
+        names = self._peers.list_names()
+        names.sort(key=lambda name: zlib.crc32(f"{service}/{name}".encode()))
+        delay = names.index(self._node.name) * RANK_STEP_S
+        if self.shards:
+            delay += BUSY_RANK_S
+        return min(MAX_RANK_S, delay)
+
+    async def _is_vacant(self, service: str, sighting) -> bool:
+        if sighting is None or not sighting.record.owner:
+            return True
+        now = clock.read_clock()
+        expiry = ledgers.LEASE_S + ledgers.TAKEOVER_SLACK_S
+        if now - sighting.changed_at > expiry:
+            return True
+        if sighting.record.owner == self._node.name:
+            return sighting.record.boot != self._node.boot
+        if now - sighting.changed_at < 2 * ledgers.RENEW_S:
+            if sighting.has_probed:
+                return False
+        return await self._is_disowned(service, sighting)
+
+    async def _is_disowned(self, service: str, sighting: _Sighting) -> bool:
+        """Asks the named owner; a new life of its process owns nothing."""
+        sighting.has_probed = True
+        outcome = await self._peers.call(
+            sighting.record.address,
+            "GET",
+            f"/peer/owner/{service}",
+            timeout_s=PROBE_TIMEOUT_S,
+        )
+        if isinstance(outcome, httpclient.NoReply) or outcome.status != 200:
+            return False
+        boot = outcome.body.decode()
+        sighting.is_disowned = boot != sighting.record.boot
+        return sighting.is_disowned
+
+    async def _take(self, service: str, sighting: _Sighting | None):
+        if sighting is not None and sighting.record.owner:
+            if not await self._is_vacant(service, sighting):
+                return
+        former = ledgers.OwnerRecord() if sighting is None else sighting.record
+        record = ledgers.OwnerRecord(
+            self._node.name,
+            self._node.boot,
+            self._node.peer_address,
+            former.workers,
+        )
+        sent_at = clock.read_clock()
+        version = 0 if sighting is None else sighting.version
+        result = await self._node.store.commit(
+            service,
+            [(ledgers.OWNER_TABLE, ledgers.OWNER_KEY, version)],
+            [
+                (
+                    ledgers.OWNER_TABLE,
+                    ledgers.OWNER_KEY,
+                    msgspec.json.encode(record),
+                )
+            ],
+        )
+        if not isinstance(result, platform_store.Committed):
+            self._node.log.write(
+                "takeover_failed",
+                service=service,
+                version=version,
+                outcome=type(result).__name__,
+            )
+            self.wake()
+            return
+        self._begin(service, result.version, former, sighting, sent_at)
+
+    def _begin(self, service, fence, former, sighting, sent_at: float):
+        now = clock.read_clock()
+        # The former owner may have extended leases until it had to stop.
+        grace_s = ledgers.HOLD_S
+        if former.owner in ("", self._node.name) or sighting.is_disowned:
+            grace_s = 0.5
+        since = now if sighting is None else sighting.changed_at
+        hold_s = self._node.settings.bounds.hold_max_ms / 1000
+        deadline = (
+            max(now, since + grace_s)
+            + hold_s * fleet.CLOCK_RATE_LIMIT
+            + 2 * fleet.LEASE_SLACK_S
+        )
+        unsettled = dict.fromkeys(former.workers, deadline)
+        self._node.log.warn(
+            "ownership_taken",
+            service=service,
+            fence=fence,
+            former=former.owner or "nobody",
+            workers=len(unsettled),
+        )
+        self._node.metrics.count("takeovers")
+        shard = shards.Shard(self._node, service, fence, unsettled)
+        follower = listings.Listings(shard)
+        orders = order_calls.Orders(shard, follower.look)
+        follower.orders = orders
+
+        def announce_stored():
+            event = follower.on_stored
+            follower.on_stored = asyncio.Event()
+            event.set()
+
+        ledger = ledgers.Ledger(shard, fence, announce_stored)
+        ledger.extend(sent_at)
+        keeper = care.Care(shard, orders, ledger)
+        shard.on_stop = orders.stop
+        shard.on_worker = follower.follow
+        self.shards[service] = shard
+        self._ledgers[service] = ledger
+        placer = placing.Placing(shard, orders, follower, self._advisor)
+        shard.spawn(ledger.run())
+        shard.spawn(self._serve(shard, keeper, placer))
+
+    async def _serve(self, shard, keeper, placer):
+        while not await keeper.load():
+            await asyncio.sleep(RETRY_S)
+        shard.is_loaded = True
+        self._node.log.warn(
+            "shard_loaded",
+            service=shard.service,
+            submissions=len(shard.submissions),
+        )
+        shard.spawn(keeper.follow_workers())
+        shard.spawn(keeper.follow_submissions())
+        shard.spawn(keeper.run())
+        shard.spawn(placer.run())
+
+    async def release_all(self):
+        """Gives every service up, after what is known has been stored."""
+        for service, shard in list(self.shards.items()):
+            if shard.is_open:
+                self._ledgers[service].release()
+        for service, shard in list(self.shards.items()):
+            ledger = self._ledgers[service]
+            while shard.is_open and not ledger.release_done.is_set():
+                await asyncio.sleep(0.02)
+        for address in self._peers.list_addresses():
+            await self._peers.call(address, "POST", "/peer/owners-changed")
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -0,0 +1,95 @@
+"""What peers may ask of this VM."""
+
+import msgspec
+
+from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import front as fronts
+from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import httpserver
+
+
+class _Envelope(msgspec.Struct):
+    method: str
+    target: str
+    host: str
+    body: bytes
+
+
+class PeerApi:
+    """Answers peers."""
+
+    def __init__(
+        self,
+        node: context.Context,
+        front: fronts.Front,
+        ownership: owners.Ownership,
+        advisor: advising.Advisor,
+    ):
+        self._node = node
+        self._front = front
+        self._ownership = ownership
+        self._advisor = advisor
+
+    async def handle(self, request: httpserver.Request) -> httpserver.Answer:
+        """Answers a request of a peer."""
+        words = request.target.strip("/").split("/")
+        match words[1:]:
+            case ["submission", submission_id]:
+                return self._take_submission(submission_id, request.body)
+            case ["state", service, submission_id]:
+                return self._answer_state(service, submission_id)
+            case ["waiting", service, queue]:
+                count = self._front.count_waiting(service, queue)
+                if count is None:
+                    return httpserver.Answer(421)
+                return httpserver.Answer(200, str(count).encode())
+            case ["advice"]:
+                return await self._ask_advice(request.body)
+            case ["owner", _]:
+                return httpserver.Answer(200, self._node.boot.encode())
+            case ["owners-changed"]:
+                self._ownership.wake()
+                return httpserver.Answer(200)
+            case ["configuration"]:
+                if not self._node.configuration_bytes:
+                    return httpserver.Answer(503)
+                return httpserver.Answer(200, self._node.configuration_bytes)
+            case ["front"]:
+                return await self._answer_caller(request.body)
+        return httpserver.Answer(404)
+
+    def _take_submission(self, submission_id, body):
+        record = msgspec.json.decode(body, type=submissions.SubmissionRecord)
+        shard = self._ownership.find_shard(record.service)
+        if shard is None or not shard.is_loaded:
+            self._ownership.wake()
+            return httpserver.Answer(421)
+        shard.take_submission(submission_id, record)
+        return httpserver.Answer(200)
+
+    def _answer_state(self, service, submission_id):
+        view = self._front.describe(service, submission_id)
+        if view is None:
+            return httpserver.Answer(421)
+        return httpserver.Answer(200, msgspec.json.encode(view))
+
+    async def _ask_advice(self, body):
+        request = msgspec.json.decode(body, type=advising.PeerAdvice)
+        tickets = await self._advisor.call(
+            request.step, request.workers, request.timeout_s
+        )
+        return httpserver.Answer(200, msgspec.json.encode(tickets))
+
+    async def _answer_caller(self, body):
+        envelope = msgspec.json.decode(body, type=_Envelope)
+        return await self._front.handle(
+            httpserver.Request(
+                envelope.method,
+                envelope.target,
+                {"host": envelope.host},
+                envelope.body,
+            ),
+            is_forwarded=True,
+        )
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -0,0 +1,209 @@
+"""Places the waiting tasks of a shard on its workers."""
+
+import asyncio
+
+from persimmonpath_entry.decisions import advising as advice_decisions
+from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import orders as order_calls
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import work
+from persimmonpath_entry.transport import clock
+
+# Events of this time are answered by one pass.
+GATHER_S = 0.004
+# A pass at least this often, for what depends on time alone.
+PASS_S = 0.25
+# Starts sent in one pass; the rest follow at once in the next one, so that
+# answers are read in between.
+STARTS_PER_PASS = 60
+
+
+class Placing:
+    """Places the waiting tasks of a shard."""
+
+    def __init__(
+        self,
+        shard: shards.Shard,
+        orders: order_calls.Orders,
+        follower: listings.Listings,
+        advisor: advising.Advisor,
+    ):
+        self._shard = shard
+        self._node = shard.node
+        self._orders = orders
+        self._listings = follower
+        self._advisor = advisor
+        self._started = 0
+
+    async def run(self):
+        """Places until the shard is closed."""
+        while self._shard.is_open:
+            try:
+                async with asyncio.timeout(PASS_S):
+                    await self._shard.on_schedule.wait()
+            except TimeoutError:
+                pass
+            self._shard.on_schedule.clear()
+            now = clock.read_clock()
+            if self._shard.may_start(now) and self._shard.ready_steps:
+                self._place_all(now)
+            await asyncio.sleep(GATHER_S)
+
+    def _list_usable(self, now: float) -> list[fleet.Worker]:
+        return [
+            worker
+            for worker in self._shard.workers.values()
+            if worker.is_fenced
+            and worker.is_recorded
+            and worker.is_listed
+            and not worker.registration.is_draining
+            and worker.silent_since is None
+            and worker.penalty_until <= now
+            and not worker.strangers
+            and worker.clock is not None
+        ]
+
+    def _place_all(self, now: float):
+        usable = self._list_usable(now)
+        room = placement.Room()
+        self._started = 0
+        for step in self._rank_steps(now):
+            waiting = step.list_waiting()
+            if not waiting or not step.submission.is_active:
+                self._shard.ready_steps.pop(step, None)
+                continue
+            if step.submission.was_loaded and self._shard.unsettled:
+                continue
+            if step.spec.gang and len(waiting) < step.left:
+                continue
+            self._place_step(step, waiting, usable, room, now)
+            if self._started >= STARTS_PER_PASS:
+                self._shard.request_schedule()
+                break
+
+    def _rank_steps(self, now: float) -> list[work.Step]:
+        ranked = []
+        for step in self._shard.ready_steps:
+            submission = step.submission
+            queue = self._shard.find_queue(submission)
+            chain_ms = ordering.estimate_chain_ms(submission.record.steps)
+            rank = ordering.rank_step(
+                step, queue, now - submission.known_since, chain_ms, now
+            )
+            ranked.append((rank, step))
+        ranked.sort(key=lambda row: row[0])
+        return [step for _, step in ranked]
+
+    def _place_step(self, step, waiting, usable, room, now: float):
+        spec = step.spec
+        fitting = [w for w in usable if placement.can_ever_fit(w, spec)]
+        policy = self._shard.find_queue(step.submission).advice
+        if policy is None or not self._node.settings.advice:
+            self._start_planned(
+                step, self._plan(step, waiting, fitting, room), room
+            )
+            return
+        book = step.tickets
+        valid = [w for w in fitting if book.find(w.id, now)]
+        plan = self._plan(step, waiting, valid, room)
+        self._start_planned(step, plan, room, now)
+        placed = {task for task, _ in plan}
+        left = [task for task in waiting if task not in placed]
+        if left:
+            self._prepare(step, left, fitting, room, policy, now)
+
+    def _plan(self, step, waiting, workers, room):
+        """Returns a worker for each task that has room, and takes the room."""
+        spec = step.spec
+        if not workers:
+            return []
+        if spec.gang:
+            plan = placement.plan_gang(workers, spec, len(waiting), room)
+            if plan is None:
+                return []
+            for worker in plan:
+                room.take(worker, spec)
+            return list(zip(waiting, plan, strict=True))
+        counts = step.count_runs_by_worker()
+        pairs = []
+        for task in waiting:
+            worker = placement.choose_worker(
+                workers, spec, room, counts, task.avoided
+            )
+            if worker is None:
+                break
+            room.take(worker, spec)
+            counts[worker.id] = counts.get(worker.id, 0) + 1
+            pairs.append((task, worker))
+        return pairs
+
+    def _start_planned(self, step, plan, room, now: float | None = None):
+        if not plan:
+            return
+        if step.spec.gang:
+            number = max(self._shard.next_number(task) for task, _ in plan)
+            for task, _ in plan:
+                task.last_number = number
+        for task, worker in plan:
+            ticket = ""
+            if now is not None:
+                ticket = step.tickets.find(worker.id, now) or ""
+            self._start(task, worker, ticket)
+        # The rooms of the workers themselves now hold what the plan took.
+        for _, worker in plan:
+            room.give_back(worker, step.spec)
+
+    def _start(self, task: work.Task, worker: fleet.Worker, ticket: str):
+        run = self._shard.create_run(task, worker)
+        self._started += 1
+        now = clock.read_clock()
+        self._node.metrics.observe(
+            f'start_wait{{queue="{task.step.submission.record.queue}"}}',
+            (now - task.waiting_since) * 1000,
+        )
+        self._node.log.write(
+            "run_placed",
+            task=task.name,
+            run=run.number,
+            worker=worker.id,
+            waited_s=now - task.waiting_since,
+            free_cpu=worker.free_cpu,
+            free_mb=worker.free_memory_mb,
+            free_gpu=worker.free_gpu,
+        )
+        self._orders.start(run, ticket)
+        self._listings.wake(worker)
+
+    def _prepare(
+        self,
+        step: work.Step,
+        left: list[work.Task],
+        fitting: list[fleet.Worker],
+        room: placement.Room,
+        policy: configuration.AdvicePolicy,
+        now: float,
+    ):
+        """Keeps room for tasks that lack only a ticket, and asks for it."""
+        book = step.tickets
+        good = [w for w in fitting if w.id in book.good]
+        plan = self._plan(step, left, good, room)
+        if book.is_asking or now < book.retry_at:
+            return
+        targets = advice_decisions.choose_targets(
+            step, fitting, [worker for _, worker in plan], len(left), room, now
+        )
+        if targets:
+            book.is_asking = True
+            self._shard.spawn(self._ask(step, targets, policy))
+
+    async def _ask(self, step, targets, policy):
+        try:
+            await self._advisor.ask(step, targets, policy)
+        finally:
+            step.tickets.is_asking = False
+        self._shard.request_schedule()
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -0,0 +1,507 @@
+"""The owner's side of one service: its submissions, workers and runs."""
+
+import asyncio
+from collections.abc import Coroutine
+import time
+
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.platform import workers as worker_calls
+from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import work
+from persimmonpath_entry.transport import clock
+
+# Run numbers of an owner begin at its fencing token times this, so that they
+# rise over every owner without a write for each start.
+RUNS_PER_FENCE = 1000
+# An age beyond this comes from a jump of the time of day.
+MAX_AGE_S = 600.0
+# A worker with this many failures on end gets no work for a while.
+QUARANTINE_FAILURES = 3
+QUARANTINE_S = 4.0
+
+
+class Shard:
+    """All that the owner of a service knows, and what events change in it."""
+
+    def __init__(
+        self,
+        node: context.Context,
+        service: str,
+        fence: int,
+        unsettled: dict[str, float],
+    ):
+        self.node = node
+        self.service = service
+        self.fence = fence
+        self.submissions: dict[str, work.Submission] = {}
+        self.workers: dict[str, fleet.Worker] = {}
+        self.clients: dict[str, worker_calls.WorkerClient] = {}
+        # Workers of the former owner that haven't answered yet, and when
+        # every lease that it granted there has ended.
+        self.unsettled = unsettled
+        self.ready_steps: dict[work.Step, None] = {}
+        self.dirty: dict[str, work.Submission] = {}
+        self.timed: dict[str, work.Submission] = {}
+        self.is_open = True
+        self.is_loaded = False
+        self.lease_until = 0.0
+        self.hold_until = 0.0
+        self.on_dirty = asyncio.Event()
+        self.on_schedule = asyncio.Event()
+        self.on_stop = None
+        self.on_worker = None
+        self.queues: dict[str, configuration.Queue] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, coroutine: Coroutine) -> asyncio.Task:
+        """Runs a coroutine until the shard is closed."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+        return task
+
+    def _finish_task(self, task: asyncio.Task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            self.node.log.warn(
+                "task_broken",
+                service=self.service,
+                reason=f"{type(error).__name__}: {error}",
+                where=context.find_origin(error),
+            )
+
+    def close(self, reason: str):
+        """Gives everything up; nothing is started or renewed afterwards."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.node.log.warn(
+            "ownership_lost",
+            service=self.service,
+            fence=self.fence,
+            reason=reason,
+        )
+        for task in list(self._tasks):
+            if task is not asyncio.current_task():
+                task.cancel()
+        for client in self.clients.values():
+            client.close()
+
+    def may_start(self, now: float) -> bool:
+        """Whether the lease allows orders to start."""
+        return self.is_open and self.is_loaded and now < self.lease_until
+
+    def may_hold(self, now: float) -> bool:
+        """Whether the leases of workers may be extended."""
+        return self.is_open and now < self.hold_until
+
+    def find_queue(self, submission: work.Submission) -> configuration.Queue:
+        """Returns the queue of a submission, also when it was removed."""
+        name = submission.record.queue
+        queue = self.node.find_queue(name)
+        if queue is not None:
+            self.queues[name] = queue
+            return queue
+        kept = self.queues.get(name)
+        if kept is not None:
+            return kept
+        return configuration.Queue(
+            name, "", "", self.service, 9, 3, 4.0, 3000.0, 3000.0, None
+        )
+
+    def request_schedule(self):
+        """Has waiting tasks placed soon."""
+        self.on_schedule.set()
+
+    def mark_dirty(self, submission: work.Submission):
+        """Has the progress of a submission stored soon."""
+        self.dirty[submission.id] = submission
+        self.on_dirty.set()
+
+    # Submissions.
+
+    def take_submission(
+        self,
+        submission_id: str,
+        record: submissions.SubmissionRecord,
+        progress: submissions.ProgressRecord | None = None,
+        was_loaded: bool = False,
+    ):
+        """Takes in a stored submission; a repeat only tells of a cancel."""
+        known = self.submissions.get(submission_id)
+        if known is not None:
+            if record.cancelled:
+                self.cancel(known)
+            return
+        now = clock.read_clock()
+        age_s = time.time() - record.accepted_ms / 1000
+        if 0 < age_s < MAX_AGE_S and was_loaded:
+            now -= age_s
+        submission = work.Submission(
+            submission_id, record, progress, was_loaded, now
+        )
+        self.submissions[submission_id] = submission
+        if not submission.is_active:
+            submission.stored_at = clock.read_clock()
+            submission.forget_details()
+            return
+        if record.cancelled:
+            self.end_submission(submission, submissions.CANCELLED)
+            return
+        if record.occurrences:
+            self.timed[submission_id] = submission
+            self.open_occurrences(submission)
+        else:
+            self._open(submission, 0)
+
+    def open_occurrences(self, submission: work.Submission):
+        """Opens the occurrences of a scheduled submission that are due."""
+        record = submission.record
+        now_ms = time.time() * 1000
+        for occurrence in range(record.occurrences):
+            if record.start_ms + occurrence * record.interval_ms > now_ms:
+                break
+            if f"{occurrence}.0" not in submission.steps:
+                self._open(submission, occurrence)
+
+    def _open(self, submission: work.Submission, occurrence: int):
+        now = clock.read_clock()
+        for step in submission.add_occurrence(occurrence, now):
+            if not step.is_done and submission.is_ready(step):
+                self.make_ready(step)
+        if submission.is_complete():
+            self.end_submission(submission, submissions.COMPLETED)
+
+    def make_ready(self, step: work.Step):
+        """Lets the tasks of a step be placed."""
+        if step.ready_since is None:
+            step.ready_since = clock.read_clock()
+        self.ready_steps[step] = None
+        self.request_schedule()
+
+    def cancel(self, submission: work.Submission):
+        """Ends a submission that its caller has cancelled."""
+        submission.record.cancelled = True
+        if submission.is_active:
+            self.end_submission(submission, submissions.CANCELLED)
+
+    def end_submission(self, submission: work.Submission, state: str):
+        """Ends a submission and stops what it still runs."""
+        submission.progress.state = state
+        submission.progress.ended_ms = int(time.time() * 1000)
+        self.timed.pop(submission.id, None)
+        for step in submission.steps.values():
+            self.ready_steps.pop(step, None)
+        self.mark_dirty(submission)
+        self.node.metrics.count(f'submissions_ended{{state="{state}"}}')
+        self.node.log.write(
+            "submission_ended",
+            id=submission.id,
+            queue=submission.record.queue,
+            state=state,
+            age_s=clock.read_clock() - submission.known_since,
+        )
+        for run in submission.list_runs():
+            run.requeue = False
+            self.on_stop(run, state)
+
+    def count_waiting(self, queue: str) -> int:
+        """Returns the accepted submissions of a queue that haven't begun."""
+        return sum(
+            1
+            for submission in self.submissions.values()
+            if submission.is_active
+            and not submission.has_started
+            and submission.record.queue == queue
+            and not submission.record.occurrences
+        )
+
+    # Workers.
+
+    def take_registration(self, registration: messages.Registration):
+        """Takes in what a worker says of itself."""
+        worker = self.workers.get(registration.worker_id)
+        if worker is None:
+            worker = fleet.Worker(registration)
+            self.workers[worker.id] = worker
+            self.clients[worker.id] = worker_calls.WorkerClient(
+                registration.address, worker.id
+            )
+            self.on_dirty.set()
+            self.on_worker(worker)
+            self.node.log.write(
+                "worker_up",
+                worker=worker.id,
+                service=self.service,
+                zone=registration.zone,
+                rack=registration.rack,
+            )
+        self._update_registration(worker, registration)
+
+    def _update_registration(self, worker, registration):
+        changed = worker.registration.address != registration.address
+        was_draining = worker.registration.is_draining
+        reborn = bool(
+            registration.born
+            and worker.born
+            and registration.born > worker.born
+        )
+        worker.registration = registration
+        worker.is_listed = True
+        if changed:
+            self.clients[worker.id].close()
+            self.clients[worker.id] = worker_calls.WorkerClient(
+                registration.address, worker.id
+            )
+        if reborn:
+            self.begin_lifetime(worker, registration.born, set())
+        if registration.is_draining and not was_draining:
+            worker.drain_deadline = (
+                clock.read_clock() + registration.remaining_ms / 1000
+            )
+            self.node.log.write(
+                "worker_draining",
+                worker=worker.id,
+                remaining_ms=registration.remaining_ms,
+                runs=len(worker.runs),
+            )
+        if not registration.is_draining:
+            worker.drain_deadline = None
+        if not worker.born:
+            worker.born = registration.born
+
+    def drop_registration(self, worker_id: str):
+        """Takes note that a worker is no longer registered."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.is_listed:
+            worker.is_listed = False
+            self.node.log.write(
+                "worker_unregistered", worker=worker_id, runs=len(worker.runs)
+            )
+
+    def begin_lifetime(
+        self, worker: fleet.Worker, born: int, listed: set[tuple[str, int]]
+    ):
+        """Takes note that a worker has started anew under its id."""
+        self.node.log.warn(
+            "worker_restarted",
+            worker=worker.id,
+            born=born,
+            former=worker.born,
+            runs=len(worker.runs),
+        )
+        worker.born = born
+        worker.processed = 0
+        worker.last_seen = 0
+        worker.clock = None
+        worker.max_until_ms = 0.0
+        worker.recent_failures = 0
+        for run in list(worker.runs.values()):
+            if run.settled_at is not None:
+                key = (run.task.name, run.number)
+                if key not in listed:
+                    self.remove_run(run, "lost", "")
+
+    def lose_worker(self, worker: fleet.Worker, reason: str):
+        """Takes note that nothing runs any more in a worker's lifetime."""
+        self.node.log.warn(
+            "worker_lost",
+            worker=worker.id,
+            reason=reason,
+            runs=len(worker.runs),
+            silent_s=0.0
+            if worker.silent_since is None
+            else clock.read_clock() - worker.silent_since,
+        )
+        self.unsettled.pop(worker.id, None)
+        for run in list(worker.runs.values()):
+            self.remove_run(run, "lost", "")
+
+    def forget_worker(self, worker: fleet.Worker):
+        """Drops a worker that has left."""
+        self.workers.pop(worker.id, None)
+        client = self.clients.pop(worker.id, None)
+        if client is not None:
+            client.close()
+
+    # Runs.
+
+    def create_run(self, task: work.Task, worker: fleet.Worker) -> work.Run:
+        """Takes room for a new run of a task."""
+        if task.step.spec.gang:
+            number = task.last_number
+        else:
+            number = self.next_number(task)
+        run = work.Run(
+            task, number, worker, work.Phase.STARTING, clock.read_clock()
+        )
+        task.last_number = number
+        task.runs.append(run)
+        worker.add_run(run)
+        return run
+
+    def next_number(self, task: work.Task) -> int:
+        """Returns the next run number of a task."""
+        return max(task.last_number, self.fence * RUNS_PER_FENCE) + 1
+
+    def adopt_run(
+        self, task: work.Task, number: int, worker: fleet.Worker, now: float
+    ) -> work.Run:
+        """Takes over a run that a worker lists."""
+        run = work.Run(
+            task, number, worker, work.Phase.RUNNING, now, settled_at=now
+        )
+        task.last_number = max(task.last_number, number)
+        task.runs.append(run)
+        worker.add_run(run)
+        task.step.submission.has_started = True
+        return run
+
+    def remove_run(self, run: work.Run, how: str, saved: str):
+        """Frees the room of a run that is over and goes on from its end.
+
+        Args:
+          run: the run.
+          how: done, failed, stopped, lapsed, broken or alone as the worker
+            says; lost if it is gone without a word; void if it never ran.
+          saved: its newest checkpoint, or empty.
+        """
+        task = run.task
+        run.worker.remove_run(run)
+        if run in task.runs:
+            task.runs.remove(run)
+        self.node.metrics.count(f'runs_ended{{how="{how}"}}')
+        if how != "done":
+            self.node.log.write(
+                "run_ended",
+                task=task.name,
+                run=run.number,
+                worker=run.worker.id,
+                how=how,
+                age_s=clock.read_clock() - run.sent_at,
+                failures=task.failures,
+            )
+        self._note_health(run.worker, how)
+        self.take_end(task, run.number, how, saved, run.worker)
+
+    def _note_health(self, worker: fleet.Worker, how: str):
+        if how == "done":
+            worker.recent_failures = 0
+        elif how == "failed":
+            worker.recent_failures += 1
+            if worker.recent_failures >= QUARANTINE_FAILURES:
+                worker.penalty_until = clock.read_clock() + QUARANTINE_S
+                self.node.log.warn(
+                    "worker_quarantined",
+                    worker=worker.id,
+                    failures=worker.recent_failures,
+                    for_s=QUARANTINE_S,
+                )
+
+    def take_end(
+        self,
+        task: work.Task,
+        number: int,
+        how: str,
+        saved: str,
+        worker: fleet.Worker,
+    ):
+        """Takes in that a run has ended."""
+        submission = task.step.submission
+        if not submission.is_active:
+            if submission.stored_at is not None:
+                self._forget_if_over(submission)
+            return
+        if task.is_done:
+            return
+        if saved:
+            self._keep_saved(task, saved)
+        if how == "done":
+            self._finish_task_of(task)
+        elif how == "failed":
+            self._count_failure(task, number, worker)
+        if submission.is_active and not task.is_done:
+            self._requeue(task, number)
+
+    def _keep_saved(self, task: work.Task, saved: str):
+        tasks = task.step.tasks if task.step.spec.gang else [task]
+        for member in tasks:
+            member.saved = saved
+            task.step.submission.progress.saved[member.key] = saved
+
+    def _finish_task_of(self, task: work.Task):
+        step = task.step
+        submission = step.submission
+        tasks = step.tasks if step.spec.gang else [task]
+        for member in tasks:
+            if not member.is_done:
+                submission.mark_done(member)
+        self.mark_dirty(submission)
+        if not step.spec.gang:
+            for run in list(task.runs):
+                run.requeue = False
+                self.on_stop(run, "copy_done")
+        if not step.is_done:
+            return
+        self.ready_steps.pop(step, None)
+        for later in submission.list_occurrence(step.occurrence):
+            if step.number in later.spec.after and not later.is_done:
+                if submission.is_ready(later):
+                    self.make_ready(later)
+        if submission.is_complete():
+            self.end_submission(submission, submissions.COMPLETED)
+
+    def _count_failure(
+        self, task: work.Task, number: int, worker: fleet.Worker
+    ):
+        step = task.step
+        submission = step.submission
+        task.avoided.add(worker.id)
+        if step.spec.long_running:
+            return
+        if step.spec.gang:
+            step.gang_failures += 1
+            failures = step.gang_failures
+            submission.progress.failures[f"{step.key}.gang"] = failures
+        else:
+            task.failures += 1
+            failures = task.failures
+            submission.progress.failures[task.key] = failures
+        self.mark_dirty(submission)
+        if failures >= self.find_queue(submission).max_attempts:
+            self.node.log.warn(
+                "attempts_used_up",
+                id=submission.id,
+                task=task.name,
+                run=number,
+                failures=failures,
+                worker=worker.id,
+            )
+            self.end_submission(submission, submissions.FAILED)
+
+    def _requeue(self, task: work.Task, number: int):
+        step = task.step
+        task.waiting_since = clock.read_clock()
+        if step.spec.gang:
+            for member in step.tasks:
+                for run in list(member.runs):
+                    if run.number <= number:
+                        self.on_stop(run, "gang_broken")
+        if step.ready_since is not None:
+            self.ready_steps[step] = None
+        self.request_schedule()
+
+    def _forget_if_over(self, submission: work.Submission):
+        if submission.steps and not submission.list_runs():
+            submission.forget_details()
+
+    def note_stored(self, submission: work.Submission, state: str, now: float):
+        """Takes note that the store holds the progress of a submission."""
+        submission.stored_state = state
+        if state != submissions.ACTIVE and submission.stored_at is None:
+            submission.stored_at = now
+            self._forget_if_over(submission)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/versions.py
@@ -0,0 +1,100 @@
+"""Follows the desired configuration; a version never goes back."""
+
+import asyncio
+
+from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import members
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
+
+TABLE = "op"
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+POLL_WAIT_S = 1.0
+RETRY_S = 0.15
+
+
+class Versions:
+    """Follows the configuration and what else the operator writes."""
+
+    def __init__(self, node: context.Context, peers: members.Members):
+        self._node = node
+        self._peers = peers
+        self._version: int | None = None
+        self.waves: dict[str, messages.WaveRequest] = {}
+        self.confirmed_at = -1e9
+
+    async def run(self):
+        """Follows until cancelled."""
+        while True:
+            if self._version is None:
+                result = await self._node.store.read_all(TABLE, "")
+            else:
+                result = await self._node.store.follow(
+                    TABLE, self._version, POLL_WAIT_S
+                )
+            if isinstance(result, platform_store.HistoryGone):
+                self._node.log.warn(
+                    "history_gone", table=TABLE, version=self._version
+                )
+                self._version = None
+                continue
+            if isinstance(result, platform_store.Refused):
+                await self._ask_peers()
+                await asyncio.sleep(RETRY_S)
+                continue
+            for row in result.rows:
+                self._take(row)
+            self._version = result.version
+            self.confirmed_at = clock.read_clock()
+
+    def _take(self, row: platform_store.Row):
+        if row.is_deleted:
+            if row.key.startswith(WAVE_PREFIX):
+                self.waves.pop(row.key, None)
+            return
+        if row.key == CONFIGURATION_KEY:
+            self.take_configuration(row.value, "store")
+        elif row.key.startswith(WAVE_PREFIX):
+            wave = messages.decode_wave(row.value)
+            if isinstance(wave, str):
+                self._node.log.warn(
+                    "row_unreadable", row=row.key, reason=wave
+                )
+            else:
+                self.waves[row.key] = wave
+
+    def take_configuration(self, value: bytes, source: str):
+        """Applies a version if it is newer than the one in force."""
+        configuration = messages.decode_configuration(value)
+        if isinstance(configuration, str):
+            self._node.log.warn(
+                "configuration_unreadable", reason=configuration
+            )
+            return
+        current = self._node.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._node.configuration = configuration
+        self._node.configuration_bytes = value
+        self._node.metrics.set("configuration_version", configuration.version)
+        self._node.log.warn(
+            "configuration_applied",
+            version=configuration.version,
+            former=0 if current is None else current.version,
+            queues=len(configuration.queues),
+            source=source,
+        )
+
+    async def _ask_peers(self):
+        """Asks two peers, as the store may serve them and not this VM."""
+        for address in self._peers.list_addresses()[:2]:
+            outcome = await self._peers.call(
+                address, "GET", "/peer/configuration", timeout_s=0.4
+            )
+            if isinstance(outcome, httpclient.Reply):
+                if outcome.status == 200:
+                    self.take_configuration(outcome.body, address)
+                    return
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/main.py
@@ -0,0 +1,32 @@
+"""The program of an entry VM."""
+
+import asyncio
+import gc
+import sys
+
+from persimmonpath_entry.engine import node as nodes
+from persimmonpath_entry.platform import settings as platform_settings
+
+EXIT_BAD_SETTINGS = 2
+# Objects between two collections; most garbage here is free of cycles.
+COLLECT_AFTER = 20_000
+
+
+def main() -> int:
+    """Runs an entry VM until it is told to stop.
+
+    Returns:
+      The exit status: 0, or 2 if the settings are faulty.
+    """
+    settings = platform_settings.load_settings()
+    if isinstance(settings, list):
+        for fault in settings:
+            print(f"event=settings_faulty reason={fault!r}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    gc.set_threshold(COLLECT_AFTER)
+    asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings: platform_settings.Settings):
+    await nodes.Node(settings).run()
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the platform; nothing here decides."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -0,0 +1,299 @@
+"""Messages of the platform, translated to and from the project's types."""
+
+import base64
+import dataclasses
+
+import msgspec
+
+from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import submissions
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    after: list[int] = []
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str | list[str] = ""
+    affinity: str | list[str] = ""
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    checkpointing: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Submission(msgspec.Struct, rename="camel"):
+    steps: list[_Step]
+    spec: str = ""
+    start_time_ms: int = 0
+    interval_ms: int = 0
+    run_count: int = 0
+
+
+def _take_first(value: str | list[str]) -> str:
+    if isinstance(value, str):
+        return value
+    return value[0] if value else ""
+
+
+def _translate_step(step: _Step) -> submissions.StepSpec:
+    return submissions.StepSpec(
+        count=step.count,
+        cpu=step.cpu,
+        memory_mb=step.mem_mb,
+        gpu=step.gpu,
+        estimated_ms=step.estimated_ms,
+        after=step.after,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=_take_first(step.requirements),
+        data_rack=_take_first(step.affinity),
+        max_per_worker=step.anti_affinity,
+        allow_copies=step.allow_duplicates,
+        long_running=step.long_running,
+        checkpointing=step.checkpointing,
+        image=step.image,
+        target_ms=step.target_ms,
+        is_filler=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def decode_submission(
+    body: bytes, queue: configuration.Queue, accepted_ms: int
+) -> submissions.SubmissionRecord | str:
+    """Returns the submission of a body, or what is wrong with it."""
+    try:
+        message = msgspec.json.decode(body, type=_Submission)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return str(error)
+    record = submissions.SubmissionRecord(
+        queue=queue.name,
+        service=queue.service,
+        spec=message.spec,
+        steps=[_translate_step(step) for step in message.steps],
+        accepted_ms=accepted_ms,
+        start_ms=message.start_time_ms,
+        interval_ms=message.interval_ms,
+        occurrences=message.run_count,
+    )
+    return submissions.check_steps(record.steps) or record
+
+
+class _Advice(msgspec.Struct, rename="camel"):
+    decide_ms: float = 0
+    each_ms: float = 0
+    valid_ms: float = 0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1
+    target_latency_ms: float = 0
+    timeout_ms: float = 3000
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, rename="camel", frozen=True):
+    max_body_bytes: int = 262144
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+def _translate_route(route: _Route) -> configuration.Queue:
+    advice = None
+    if route.advice is not None:
+        advice = configuration.AdvicePolicy(
+            route.advice.decide_ms, route.advice.each_ms, route.advice.valid_ms
+        )
+    return configuration.Queue(
+        name=route.name,
+        host=route.hostname,
+        prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_latency_ms=route.target_latency_ms,
+        timeout_ms=route.timeout_ms,
+        advice=advice,
+    )
+
+
+def decode_configuration(value: bytes) -> configuration.Configuration | str:
+    """Returns the configuration of a row, or what is wrong with it."""
+    try:
+        message = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return str(error)
+    return configuration.Configuration(
+        message.version,
+        [_translate_route(route) for route in message.routes],
+        [configuration.Service(s.name, s.standby) for s in message.services],
+        message.limits.max_body_bytes,
+    )
+
+
+class _Capacity(msgspec.Struct, rename="camel"):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Registration(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str]
+    sequence: int = 0
+    remaining_ms: float | None = None
+    cold_remaining_ms: float = 0
+    machine: str = ""
+    born: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registration:
+    """A worker as it registers itself.
+
+    Attributes:
+      worker_id: its id.
+      service: the service that it belongs to.
+      address: host and port of its interface.
+      zone: its availability zone.
+      is_draining: whether it is about to leave.
+      remaining_ms: milliseconds for which it stays at least, while draining.
+      cpu: its capacity in thousandths of a core.
+      memory_mb: its memory.
+      gpu: its accelerators.
+      labels: its labels.
+      rack: its rack.
+      machine: the machine that it is a life of, or empty.
+      born: Unix milliseconds of its start, 0 if unknown.
+    """
+
+    worker_id: str
+    service: str
+    address: str
+    zone: str
+    is_draining: bool
+    remaining_ms: float
+    cpu: int
+    memory_mb: int
+    gpu: int
+    labels: tuple[str, ...]
+    rack: str
+    machine: str
+    born: int
+
+
+def decode_registration(worker_id: str, value: bytes) -> Registration | str:
+    """Returns the registration of a row, or what is wrong with it."""
+    try:
+        message = msgspec.json.decode(value, type=_Registration)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return str(error)
+    if message.state not in ("ready", "draining"):
+        return f"state: {message.state}"
+    host, _, port = message.address.rpartition(":")
+    if not host or not port.isdigit():
+        return f"address: {message.address}"
+    return Registration(
+        worker_id=worker_id,
+        service=message.service,
+        address=message.address,
+        zone=message.zone,
+        is_draining=message.state == "draining",
+        remaining_ms=message.remaining_ms or 0.0,
+        cpu=message.capacity.cpu,
+        memory_mb=message.capacity.mem_mb,
+        gpu=message.capacity.gpu,
+        labels=tuple(message.labels),
+        # The labels are the worker's kind and, behind it, its rack.
+        rack=message.labels[-1] if len(message.labels) > 1 else "",
+        machine=message.machine,
+        born=message.born,
+    )
+
+
+class WaveRequest(msgspec.Struct, rename="camel"):
+    """A request that machines have their upkeep.
+
+    Attributes:
+      wave: its number.
+      machines: the machines.
+      duration_s: seconds in which the upkeep is to be done.
+      max_count: most machines that may be in upkeep at once.
+    """
+
+    wave: int
+    machines: list[str]
+    duration_s: float = 0
+    max_count: int = 1
+
+
+def decode_wave(value: bytes) -> WaveRequest | str:
+    """Returns the request of a row, or what is wrong with it."""
+    try:
+        return msgspec.json.decode(value, type=WaveRequest)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return str(error)
+
+
+def encode_wave_status(wave: int, completed: bool) -> bytes:
+    """Returns the row that tells how far a wave is."""
+    state = "completed" if completed else "running"
+    return msgspec.json.encode({"wave": wave, "state": state})
+
+
+def encode_value(value: bytes) -> str:
+    """Returns the text under which a row carries bytes."""
+    return base64.b64encode(value).decode("ascii")
+
+
+def decode_value(text: str) -> bytes:
+    """Returns the bytes that a row carries."""
+    return base64.b64decode(text)
+
+
+STATE_WORDS = {
+    submissions.COMPLETED: "completed",
+    submissions.FAILED: "failed",
+    submissions.CANCELLED: "cancelled",
+}
+
+
+def encode_state(state: str, has_started: bool) -> bytes:
+    """Returns the answer to a question for a submission's state."""
+    word = STATE_WORDS.get(state) or ("running" if has_started else "pending")
+    return b'{"state":"%s"}' % word.encode()
+
+
+def encode_waiting(count: int) -> bytes:
+    """Returns the answer to a question for a queue's waiting submissions."""
+    return b'{"waiting":%d}' % count
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -0,0 +1,115 @@
+"""The settings file of a process."""
+
+import os
+import tomllib
+
+import msgspec
+
+SETTINGS_VARIABLE = "PERSIMMONPATH_BOOT"
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct, rename="camel", frozen=True):
+    hold_max_ms: float = 6000
+    grace_s: float = 6
+    config_ms: float = 2000
+    drain_ms: float = 2000
+    stop_timeout_ms: float = 400
+    gang_timeout_ms: float = 3000
+    restore_ms: float = 600
+    far_x: float = 2
+    pace_ms: float = 100
+    harm_ms: float = 4000
+    notice_ms: float = 4500
+    lease_ms: float = 3000
+    contact_ms: float = 3000
+    maintenance_s: float = 2
+    checkpoint_s: float = msgspec.field(name="checkpointS", default=1)
+    status_s: float = msgspec.field(name="status_s", default=120)
+
+
+class _Store(msgspec.Struct, rename="camel", frozen=True):
+    address: str = ""
+    writes_per_s: float = 600
+    reads_per_s: float = 2000
+
+
+class _Machines(msgspec.Struct, rename="camel", frozen=True):
+    address: str = ""
+    rate_per_s: float = 0
+    duty_per_s: float = 0
+
+
+class Settings(msgspec.Struct, rename="camel"):
+    """The settings of a process; unknown keys are ignored.
+
+    Attributes:
+      node_name: the name of the VM.
+      ip: its address.
+      zone: its availability zone.
+      internal_ports: first and last port for the project's own protocol.
+      listen: addresses for callers and for the readiness probe.
+      bounds: the platform's time bounds.
+      store: the platform's store.
+      machines: the interface for moving and maintaining machines.
+      advice: address of the placement advisor, or empty.
+      contracts: the parts of the platform's rules that are in force.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    listen: _Listen = msgspec.field(name="listenAddrs", default=_Listen())
+    bounds: _Bounds = _Bounds()
+    store: _Store = msgspec.field(name="platform", default=_Store())
+    machines: _Machines = msgspec.field(name="cloudApi", default=_Machines())
+    advice: str = ""
+    contracts: list[str] = []
+
+
+def load_settings(path: str | None = None) -> Settings | list[str]:
+    """Reads and checks the settings file.
+
+    Args:
+      path: the file; by default the one that the environment names.
+
+    Returns:
+      The settings, or every fault found in the file.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        return [f"{SETTINGS_VARIABLE}: not set"]
+    try:
+        with open(path, "rb") as file:
+            table = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        return [f"{path}: {error}"]
+    try:
+        settings = msgspec.convert(table, Settings)
+    except msgspec.ValidationError as error:
+        return [f"{path}: {error}"]
+    return _find_faults(settings) or settings
+
+
+def _find_faults(settings: Settings) -> list[str]:
+    faults = []
+    addresses = {
+        "listenAddrs.front": settings.listen.front,
+        "listenAddrs.ready": settings.listen.ready,
+        "platform.address": settings.store.address,
+    }
+    for name, address in addresses.items():
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            faults.append(f"{name}: {address!r}; allowed: HOST:PORT")
+    if not settings.internal_ports:
+        faults.append("internalPorts: empty; allowed: first and last port")
+    if settings.bounds.hold_max_ms < 1000:
+        faults.append("bounds.holdMaxMs: below 1000")
+    return faults
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -0,0 +1,261 @@
+"""Calls to the platform's store."""
+
+import dataclasses
+from urllib.parse import urlencode
+
+import msgspec
+
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
+from persimmonpath_entry.transport import metrics
+
+CALL_TIMEOUT_S = 1.2
+# The answer to a long poll may come this much later than it was asked to.
+POLL_SLACK_S = 0.8
+ROWS_PER_CALL = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Row:
+    """A row of the store.
+
+    Attributes:
+      table: its table.
+      part: its partition.
+      key: its key.
+      value: its bytes.
+      version: the version at which it was written.
+      is_deleted: whether the row was removed at that version.
+    """
+
+    table: str
+    part: str
+    key: str
+    value: bytes
+    version: int = 0
+    is_deleted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Committed:
+    """A transaction was applied at a version."""
+
+    version: int
+
+
+@dataclasses.dataclass(slots=True)
+class Conflict:
+    """A transaction was not applied; the rows are the current ones."""
+
+    rows: list[Row]
+
+
+@dataclasses.dataclass(slots=True)
+class Refused:
+    """The store did nothing.
+
+    Attributes:
+      status: the HTTP status, 0 if the call was never sent.
+    """
+
+    status: int
+
+
+@dataclasses.dataclass(slots=True)
+class Unknown:
+    """The call may have been, or may yet be, carried out."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Rows:
+    """Rows as of one moment.
+
+    Attributes:
+      rows: the rows.
+      version: the newest version of the store.
+      has_more: whether there are further rows.
+    """
+
+    rows: list[Row]
+    version: int
+    has_more: bool = False
+
+
+class HistoryGone:
+    """The feed no longer reaches back to the version asked for."""
+
+
+class _WireRow(msgspec.Struct):
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    deleted: bool = False
+
+
+class _WireRows(msgspec.Struct, rename="camel"):
+    rows: list[_WireRow] = []
+    ver: int = 0
+    has_more: bool = False
+
+
+_decode_rows = msgspec.json.Decoder(_WireRows).decode
+
+
+def _translate(row: _WireRow) -> Row:
+    value = messages.decode_value(row.value) if row.value else b""
+    return Row(row.table, row.part, row.key, value, row.ver, row.deleted)
+
+
+class StoreClient:
+    """The one client of the platform's store."""
+
+    def __init__(self, address: str, measures: metrics.Metrics):
+        self._client = httpclient.HttpClient(address, limit=8)
+        self._metrics = measures
+        self.last_answer = -1e9
+        self.last_failure = -1e9
+
+    async def _call(
+        self, kind: str, method: str, target: str, body: bytes, timeout_s: float
+    ) -> httpclient.Outcome:
+        start = clock.read_clock()
+        outcome = await self._client.call(
+            method, target, body, timeout_s=timeout_s
+        )
+        now = clock.read_clock()
+        if isinstance(outcome, httpclient.NoReply):
+            result = outcome.reason
+            self.last_failure = now
+        else:
+            result = str(outcome.status)
+            if outcome.status in (429, 503):
+                self.last_failure = now
+            else:
+                self.last_answer = now
+        self._metrics.count(f'store_calls{{call="{kind}",result="{result}"}}')
+        if kind != "feed":
+            self._metrics.observe(
+                f'store_latency{{call="{kind}"}}', (now - start) * 1000
+            )
+        return outcome
+
+    async def commit(
+        self,
+        part: str,
+        expect: list[tuple[str, str, int]],
+        put: list[tuple[str, str, bytes]],
+        remove: list[tuple[str, str]] = (),
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Committed | Conflict | Refused | Unknown:
+        """Applies all changes or none.
+
+        Args:
+          part: the partition of every row.
+          expect: table, key and version that rows must have, 0 for no row.
+          put: table, key and value of the rows to write.
+          remove: table and key of the rows to remove.
+          timeout_s: seconds until the call is given up.
+
+        Returns:
+          What became of it.
+        """
+        body = msgspec.json.encode(
+            {
+                "expect": [
+                    {"table": t, "part": part, "key": k, "ver": v}
+                    for t, k, v in expect
+                ],
+                "put": [
+                    {
+                        "table": t,
+                        "part": part,
+                        "key": k,
+                        "value": messages.encode_value(v),
+                    }
+                    for t, k, v in put
+                ],
+                "remove": [
+                    {"table": t, "part": part, "key": k} for t, k in remove
+                ],
+            }
+        )
+        outcome = await self._call(
+            "tx", "POST", "/api/rows-tx", body, timeout_s
+        )
+        if isinstance(outcome, httpclient.NoReply):
+            if outcome.sent:
+                return Unknown(outcome.reason)
+            return Refused(0)
+        if outcome.status == 200:
+            return Committed(_decode_rows(outcome.body).ver)
+        if outcome.status == 412:
+            rows = _decode_rows(outcome.body).rows
+            return Conflict([_translate(row) for row in rows])
+        if outcome.status in (429, 503):
+            return Refused(outcome.status)
+        if outcome.status >= 500:
+            return Unknown(str(outcome.status))
+        return Refused(outcome.status)
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        first: str = "",
+        end: str = "",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Rows | Refused:
+        """Reads the rows of a partition with first <= key < end."""
+        query = {"table": table, "part": part, "limit": ROWS_PER_CALL}
+        if first:
+            query["from"] = first
+        if end:
+            query["to"] = end
+        return await self._read("get", "/api/rows-get", query, timeout_s)
+
+    async def read_row(self, table: str, part: str, key: str) -> Rows | Refused:
+        """Reads one row."""
+        return await self.read(table, part, key, key + "\0")
+
+    async def read_all(self, table: str, part: str) -> Rows | Refused:
+        """Reads a whole partition; the version is that of the first page."""
+        rows: list[Row] = []
+        version = None
+        first = ""
+        while True:
+            page = await self.read(table, part, first, timeout_s=3.0)
+            if isinstance(page, Refused):
+                return page
+            version = page.version if version is None else version
+            rows += page.rows
+            if not page.has_more or not page.rows:
+                return Rows(rows, version)
+            first = page.rows[-1].key + "\0"
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> Rows | Refused | HistoryGone:
+        """Returns the changes of a table since a version, as they come."""
+        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
+        return await self._read(
+            "feed", "/api/rows-feed", query, wait_s + POLL_SLACK_S
+        )
+
+    async def _read(self, kind, path, query, timeout_s):
+        outcome = await self._call(
+            kind, "GET", f"{path}?{urlencode(query)}", b"", timeout_s
+        )
+        if isinstance(outcome, httpclient.NoReply):
+            return Refused(0)
+        if outcome.status == 410:
+            return HistoryGone()
+        if outcome.status != 200:
+            return Refused(outcome.status)
+        message = _decode_rows(outcome.body)
+        rows = [_translate(row) for row in message.rows]
+        return Rows(rows, message.ver, message.has_more)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/__init__.py
@@ -0,0 +1,1 @@
+"""What an entry VM knows: submissions, workers, configuration."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections, logs and metrics."""
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -0,0 +1,200 @@
+"""An HTTP/1.1 server that ends gracefully."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import socket
+
+import httptools
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+MAX_BODY_BYTES = 1 << 20
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+      method: the HTTP method.
+      target: path and query as sent.
+      headers: values by lower-case name.
+      body: the whole body.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a handler returns.
+
+    Attributes:
+      status: the HTTP status.
+      body: the body, JSON or text.
+      retry_after_s: seconds for the Retry-After header, or None.
+    """
+
+    status: int
+    body: bytes = b"{}"
+    retry_after_s: int | None = None
+
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+class _ServerConnection(asyncio.Protocol):
+    """One accepted connection; its requests are answered in order."""
+
+    def __init__(self, server: "HttpServer"):
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: list[Request] = []
+        self._task: asyncio.Task | None = None
+        self._start()
+
+    def _start(self):
+        self._target = ""
+        self._headers: dict[str, str] = {}
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def connection_made(self, transport):
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc):
+        self._server.connections.discard(self)
+
+    def data_received(self, data):
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, ValueError):
+            self._transport.write(
+                b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            self._transport.close()
+
+    def on_url(self, url: bytes):
+        self._target += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes):
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes):
+        self._size += len(body)
+        if self._size <= MAX_BODY_BYTES:
+            self._chunks.append(body)
+
+    def on_message_complete(self):
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._target,
+            self._headers,
+            b"".join(self._chunks),
+        )
+        if not self._parser.should_keep_alive():
+            request.headers["connection"] = "close"
+        too_large = self._size > MAX_BODY_BYTES
+        self._start()
+        if too_large:
+            self._write(Answer(413), close=True)
+            return
+        self._queue.append(request)
+        if self._task is None:
+            self._server.busy += 1
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self):
+        try:
+            while self._queue:
+                request = self._queue.pop(0)
+                answer = await self._server.handle(request)
+                closing = request.headers.get("connection") == "close"
+                self._write(answer, close=closing or self._server.is_closing)
+        finally:
+            self._task = None
+            self._server.busy -= 1
+
+    def _write(self, answer: Answer, close: bool):
+        if self._transport is None or self._transport.is_closing():
+            return
+        extra = ""
+        if answer.retry_after_s is not None:
+            extra = f"Retry-After: {answer.retry_after_s}\r\n"
+        if close:
+            extra += "Connection: close\r\n"
+        head = (
+            f"HTTP/1.1 {answer.status} {REASONS.get(answer.status, 'Other')}"
+            f"\r\nContent-Type: application/json\r\n{extra}"
+            f"Content-Length: {len(answer.body)}\r\n\r\n"
+        )
+        self._transport.write(head.encode("latin-1") + answer.body)
+        if close:
+            self._transport.close()
+
+    @property
+    def is_idle(self) -> bool:
+        return self._task is None and self._size == 0
+
+    def close(self):
+        self._transport.close()
+
+
+class HttpServer:
+    """Accepts connections and hands each request to a handler."""
+
+    def __init__(self, handler: Handler, on_error: Callable[[str], None]):
+        self._handler = handler
+        self._on_error = on_error
+        self._listener: asyncio.Server | None = None
+        self.connections: set[_ServerConnection] = set()
+        self.busy = 0
+        self.is_closing = False
+
+    async def listen(self, host: str, port: int):
+        """Listens on an address."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: _ServerConnection(self), host, port, backlog=512
+        )
+
+    async def handle(self, request: Request) -> Answer:
+        """Returns the handler's answer, 500 if the handler raised."""
+        try:
+            return await self._handler(request)
+        except Exception as error:  # noqa: BLE001
+            self._on_error(f"{request.method} {type(error).__name__}: {error}")
+            return Answer(500)
+
+    def stop_listening(self):
+        """Refuses new connections; open ones go on."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def close_idle(self):
+        """Closes the connections on which nothing is under way."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
@@ -0,0 +1,117 @@
+"""Structured key=value lines on standard output that never block."""
+
+import asyncio
+import collections
+import os
+import time
+
+from persimmonpath_entry.transport import clock
+
+# Lines kept while the reader of standard output stalls.
+BUFFER_LINES = 2000
+# Lines a second; further ones are counted by event and left out.
+BUDGET_PER_S = 150
+# Lines about failures come from a reserve of their own, so that the ordinary
+# decisions of a busy second never displace them.
+RESERVE_PER_S = 100
+FLUSH_S = 0.2
+STDOUT = 1
+
+
+def _render(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    text = str(value)
+    if text and not any(c in text for c in ' "=\n'):
+        return text
+    return '"' + text.replace('"', "'").replace("\n", " ") + '"'
+
+
+class Log:
+    """Writes one line for each event, within a budget."""
+
+    def __init__(self, node: str, fd: int = STDOUT):
+        self._node = node
+        self._fd = fd
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self.left_out_total = 0
+        self._second = 0.0
+        self._used = 0
+        self._used_reserve = 0
+        os.set_blocking(fd, False)
+
+    def write(self, event: str, **fields: object):
+        """Logs a decision.
+
+        Args:
+          event: the name of the event.
+          **fields: what decided it and the outcome.
+        """
+        self._roll()
+        if self._used >= BUDGET_PER_S:
+            self._leave_out(event)
+            return
+        self._used += 1
+        self._append(event, fields)
+
+    def warn(self, event: str, **fields: object):
+        """Logs a failure or a change of what the process believes."""
+        self._roll()
+        if self._used < BUDGET_PER_S:
+            self._used += 1
+        elif self._used_reserve < RESERVE_PER_S:
+            self._used_reserve += 1
+        else:
+            self._leave_out(event)
+            return
+        self._append(event, fields)
+
+    def _leave_out(self, event: str):
+        self._left_out[event] += 1
+        self.left_out_total += 1
+
+    def _roll(self):
+        now = clock.read_clock()
+        if now - self._second < 1.0:
+            return
+        self._second = now
+        self._used = 0
+        self._used_reserve = 0
+        if self._left_out:
+            counts = dict(self._left_out)
+            self._left_out.clear()
+            self._append("lines_left_out", counts)
+
+    def _append(self, event: str, fields: dict[str, object]):
+        if len(self._lines) >= BUFFER_LINES:
+            self._leave_out(event)
+            return
+        parts = [f"t={time.time():.3f} node={self._node} event={event}"]
+        for name, value in fields.items():
+            parts.append(f"{name}={_render(value)}")
+        self._lines.append((" ".join(parts) + "\n").encode())
+
+    def flush(self):
+        """Writes what the reader takes without waiting."""
+        while self._lines:
+            batch = []
+            while self._lines and len(batch) < 40:
+                batch.append(self._lines.popleft())
+            data = b"".join(batch)
+            try:
+                written = os.write(self._fd, data)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                self._lines.clear()
+                return
+            if written < len(data):
+                self._lines.appendleft(data[written:])
+                return
+
+    async def run(self):
+        """Flushes until cancelled."""
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            self.flush()
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/metrics.py
@@ -0,0 +1,58 @@
+"""Counters, gauges and latency histograms in the Prometheus text form."""
+
+import bisect
+import collections
+
+# Upper bounds of the buckets in milliseconds.
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self):
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, list[float]] = {}
+
+    def count(self, name: str, amount: float = 1):
+        """Adds to a counter; labels are part of the name."""
+        self._counters[name] += amount
+
+    def set(self, name: str, value: float):
+        """Sets a gauge."""
+        self._gauges[name] = value
+
+    def observe(self, name: str, milliseconds: float):
+        """Adds a latency to a histogram, in milliseconds."""
+        row = self._histograms.get(name)
+        if row is None:
+            row = [0.0] * (len(BUCKETS_MS) + 2)
+            self._histograms[name] = row
+        row[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
+        row[-1] += milliseconds
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        lines = [f"persimmon_{k} {v}" for k, v in sorted(self._counters.items())]
+        lines += [f"persimmon_{k} {v}" for k, v in sorted(self._gauges.items())]
+        for name, row in sorted(self._histograms.items()):
+            lines += _render_histogram(name, row)
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _render_histogram(name: str, row: list[float]) -> list[str]:
+    base, _, labels = name.partition("{")
+    labels = labels.rstrip("}")
+    prefix = f"{labels}," if labels else ""
+    braces = f"{{{labels}}}" if labels else ""
+    lines = []
+    total = 0.0
+    for bound, amount in zip((*BUCKETS_MS, "+Inf"), row, strict=False):
+        total += amount
+        lines.append(
+            f'persimmon_{base}_ms_bucket{{{prefix}le="{bound}"}} {total}'
+        )
+    lines.append(f"persimmon_{base}_ms_sum{braces} {row[-1]}")
+    lines.append(f"persimmon_{base}_ms_count{braces} {total}")
+    return lines
