Hand requests on only to a peer that reaches the store

A peer is probed first, a hand-on without an answer is answered 504, and a VM that reaches neither the store nor another zone reports that it isn't ready.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from persimmonpath_entry.engine import acceptance
+from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import ledger as ledgers
 from persimmonpath_entry.engine import members
@@ -27,8 +28,9 @@
 # of a service takes some seconds.
 RETRY_AFTER_S = 2
 OWNER_TIMEOUT_S = 0.7
-# A VM that hasn't heard from the store for this time hands requests on.
-STORE_SILENCE_S = 1.0
+# A request is handed on to a peer with at least and at most this time left.
+MIN_HAND_ON_S = 0.2
+HAND_ON_S = 1.2
 COUNT_TTL_S = 0.5
 
 
@@ -60,8 +62,10 @@
         accepting: acceptance.Acceptance,
         ownership: owners.Ownership,
         peers: members.Members,
+        reach: connectivity.Connectivity,
     ):
         self._node = node
+        self._reach = reach
         self._accepting = accepting
         self._ownership = ownership
         self._peers = peers
@@ -137,13 +141,14 @@
         return reject(405, "method; allowed: POST, GET, DELETE")
 
     def _is_cut_off(self) -> bool:
-        store = self._node.store
-        if store.last_failure <= store.last_answer:
-            return False
-        return clock.read_clock() - store.last_answer > STORE_SILENCE_S
+        return not self._reach.reaches_store()
 
     async def _hand_on(self, request, deadline):
         """Lets a peer that reaches the store answer, None if none does."""
+        address = self._reach.helper
+        left = deadline - clock.read_clock()
+        if address is None or left < MIN_HAND_ON_S:
+            return None
         envelope = msgspec.json.encode(
             {
                 "method": request.method,
@@ -152,18 +157,15 @@
                 "body": request.body,
             }
         )
-        for address in self._peers.list_addresses()[:3]:
-            left = deadline - clock.read_clock()
-            if left < 0.2:
-                return None
-            outcome = await self._peers.call(
-                address, "POST", "/peer/front", envelope, min(left, 1.0)
-            )
-            if isinstance(outcome, httpclient.NoReply):
-                continue
-            if outcome.status == 503:
-                continue
+        outcome = await self._peers.call(
+            address, "POST", "/peer/front", envelope, min(left, HAND_ON_S)
+        )
+        if isinstance(outcome, httpclient.Reply):
             return httpserver.Answer(outcome.status, outcome.body)
+        if outcome.sent:
+            # The peer may still read the request and store the submission,
+            # so that a rejection would not be true.
+            return reject(504, "the peer has not answered")
         return None
 
     # Handing in.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -107,6 +107,19 @@
         ]
         return [address for _, _, address in sorted(rows)]
 
+    def list_distant(self, count: int) -> list[str]:
+        """Returns peers to probe, of as many other zones as possible."""
+        zones: dict[str, list[str]] = {}
+        for name, record in sorted(self._records.items()):
+            if record.zone != self._node.settings.zone:
+                zones.setdefault(record.zone, []).append(record.address)
+        rows = [
+            (place, address)
+            for addresses in zones.values()
+            for place, address in enumerate(addresses)
+        ]
+        return [address for _, address in sorted(rows)][:count]
+
     def list_names(self) -> list[str]:
         """Returns the names of all VMs that are registered."""
         return sorted({*self._records, self._node.name})
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -5,6 +5,7 @@
 
 from persimmonpath_entry.engine import acceptance
 from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import front as fronts
 from persimmonpath_entry.engine import members
@@ -41,11 +42,20 @@
             self.context, self.members, self._advisor
         )
         self._accepting = acceptance.Acceptance(self.context)
+        self._reach = connectivity.Connectivity(self.context, self.members)
         self.front = fronts.Front(
-            self.context, self._accepting, self.ownership, self.members
+            self.context,
+            self._accepting,
+            self.ownership,
+            self.members,
+            self._reach,
         )
         self._peer_api = peerapi.PeerApi(
-            self.context, self.front, self.ownership, self._advisor
+            self.context,
+            self.front,
+            self.ownership,
+            self._advisor,
+            self._reach,
         )
         self._stop = asyncio.Event()
         self._servers: list[httpserver.HttpServer] = []
@@ -81,6 +91,7 @@
                 self.versions.run(),
                 self.ownership.run(),
                 self._accepting.run(),
+                self._reach.run(),
             )
         ]
         await self._stop.wait()
@@ -109,6 +120,7 @@
             self.context.configuration is not None
             and self.ownership.is_known
             and not self.context.is_stopping
+            and self._reach.reach is not connectivity.Reach.ISOLATED
         )
         return httpserver.Answer(200 if is_ready else 503)
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from persimmonpath_entry.engine import advising
+from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import front as fronts
 from persimmonpath_entry.engine import ownership as owners
@@ -26,8 +27,10 @@
         front: fronts.Front,
         ownership: owners.Ownership,
         advisor: advising.Advisor,
+        reach: connectivity.Connectivity,
     ):
         self._node = node
+        self._reach = reach
         self._front = front
         self._ownership = ownership
         self._advisor = advisor
@@ -56,6 +59,9 @@
                 if not self._node.configuration_bytes:
                     return httpserver.Answer(503)
                 return httpserver.Answer(200, self._node.configuration_bytes)
+            case ["store"]:
+                reaches = self._reach.reaches_store()
+                return httpserver.Answer(200 if reaches else 503)
             case ["front"]:
                 return await self._answer_caller(request.body)
         return httpserver.Answer(404)
