--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
@@ -1,87 +1,87 @@
-"""For which workers the placement advisor is asked, and when.
+"""For which workers the placement advisor is asked, when, and by which VM.
 
 Answers the load of an advisor that handles one call at a time for each VM:
-calls name many workers at once, and a call isn't repeated while its tickets
-hold.
+a call is made only while the VM that makes it has none under way, so that
+calls for work that can't start anyway never queue before those that matter.
 """
 
+import enum
+
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
 from persimmonpath_entry.state import work
 
 # Workers named in one call; each one named lengthens the call.
 WORKERS_PER_CALL = 30
-# Tasks that a worker takes at least before another one is asked for.
-SPARE_TARGETS = 1
+# Calls up to this length stay on the own VM; longer ones go to the others, so
+# that urgent work with short calls never waits behind them.
+SHORT_CALL_S = 0.1
+# VMs that are kept free of calls ahead of need.
+SPARE_CALLERS = 2
+
+
+class Need(enum.Enum):
+    """Why the advisor is asked.
+
+    START: there is room, and only the ticket is missing.
+    AHEAD: there is no room yet.
+    """
+
+    START = "start"
+    AHEAD = "ahead"
 
 
 def choose_targets(
-    step: work.Step,
+    book: work.TicketBook,
+    spec: submissions.StepSpec,
     fitting: list[fleet.Worker],
     planned: list[fleet.Worker],
-    wanted: int,
     room: placement.Room,
     now: float,
 ) -> list[str]:
-    """Returns the workers for which to ask, none if it isn't worth a call.
+    """Returns the workers for which to ask.
 
     Args:
-      step: the waiting step.
+      book: what the advisor has said of the step.
+      spec: the step.
       fitting: workers that could carry its tasks when empty.
-      planned: workers with room and a good word, whose tickets have expired.
-      wanted: tasks that wait.
+      planned: workers on which its tasks would start now.
       room: what the plan has taken so far.
       now: the steady clock.
     """
-    book = step.tickets
-    unasked = [worker for worker in fitting if worker.id not in book.asked]
-    if not book.asked:
-        unasked.sort(key=lambda w: not placement.fits(w, step.spec, room))
-        return [worker.id for worker in unasked[:WORKERS_PER_CALL]]
     targets = {
-        worker.id: None
-        for worker in planned
-        if not book.find(worker.id, now)
+        worker.id: None for worker in planned if not book.find(worker.id, now)
     }
-    if targets:
-        return list(targets)[:WORKERS_PER_CALL]
-    with_room = [w for w in unasked if placement.fits(w, step.spec, room)]
-    if with_room and len(planned) < wanted:
-        return [worker.id for worker in with_room[:WORKERS_PER_CALL]]
-    return []
+    if book.asked and all(worker_id in book.good for worker_id in targets):
+        if targets:
+            return list(targets)[:WORKERS_PER_CALL]
+        good = [w.id for w in fitting if w.id in book.good]
+        if good:
+            return good[:WORKERS_PER_CALL]
+    unasked = [worker for worker in fitting if worker.id not in book.asked]
+    unasked.sort(key=lambda worker: not placement.fits(worker, spec, room))
+    for worker in unasked:
+        targets[worker.id] = None
+    return list(targets)[:WORKERS_PER_CALL]
 
 
 def choose_caller(
-    backlogs: dict[str, float], own: str, length_s: float, now: float
-) -> str:
-    """Returns the VM that makes a call to the advisor.
-
-    Calls of one VM are handled in turn, so a call goes to the VM at which it
-    ends first; short ones stay on the own VM while that costs little.
+    own: str, peers: list[str], busy: set[str], length_s: float, need: Need
+) -> str | None:
+    """Returns the VM that makes a call now, or None to try again later.
 
     Args:
-      backlogs: when the calls of each VM have ended, by address.
       own: the address of this VM.
+      peers: the addresses of the others, nearest first.
+      busy: addresses with a call under way.
       length_s: the time that the call takes, in seconds.
-      now: the steady clock.
+      need: why the call is made.
     """
-    own_wait = max(0.0, backlogs.get(own, 0.0) - now)
-    if length_s <= SHORT_CALL_S and own_wait <= SHORT_CALL_S:
-        return own
-    best = own
-    best_wait = own_wait
-    if length_s > SHORT_CALL_S and len(backlogs) > 1:
-        best_wait = float("inf")
-    for address, until in backlogs.items():
-        if address == own:
-            continue
-        wait = max(0.0, until - now)
-        if wait < best_wait:
-            best = address
-            best_wait = wait
-    return best
-
-
-# Calls up to this length stay on the own VM; longer ones go to the others, so
-# that urgent work with short calls never waits behind them.
-SHORT_CALL_S = 0.1
+    idle = [address for address in peers if address not in busy]
+    if need is Need.AHEAD and len(idle) <= SPARE_CALLERS:
+        return None
+    if length_s <= SHORT_CALL_S or not peers:
+        if own not in busy:
+            return own
+    return idle[0] if idle else None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/advising.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/advising.py
@@ -11,8 +11,9 @@
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
 
-# The advisor may take this much longer than its policy says.
-SLACK_S = 0.6
+# The advisor may take this much longer than its policy says; other owners
+# call through the same VM, and a call given up is handled all the same.
+SLACK_S = 2.0
 # A ticket isn't used in the last part of its validity: the start takes time.
 MARGIN_S = 0.15
 RETRY_S = 0.3
@@ -33,38 +34,59 @@
 
 
 class Advisor:
-    """Spreads the calls to the advisor over the VMs."""
+    """Spreads the calls to the advisor over the VMs, one at a time for each."""
 
     def __init__(self, node: context.Context, peers: members.Members):
         self._node = node
         self._peers = peers
         self._client = advice_calls.AdviceClient(node.settings.advice)
-        self._backlogs: dict[str, float] = {}
+        self._busy: set[str] = set()
+
+    def take_caller(
+        self,
+        policy: configuration.AdvicePolicy,
+        count: int,
+        need: advising.Need,
+    ) -> str | None:
+        """Returns the VM that may make a call now, or None.
+
+        Args:
+          policy: the advisor's policy for the queue.
+          count: number of workers named.
+          need: why the call is made.
+        """
+        length_s = (policy.decide_ms + policy.each_ms * count) / 1000
+        caller = advising.choose_caller(
+            self._node.peer_address,
+            self._peers.list_addresses(),
+            self._busy,
+            length_s,
+            need,
+        )
+        if caller is not None:
+            self._busy.add(caller)
+        return caller
 
     async def ask(
         self,
         step: work.Step,
         workers: list[str],
         policy: configuration.AdvicePolicy,
+        caller: str,
     ):
         """Asks which workers may run a step and notes the answer there."""
         length_s = (policy.decide_ms + policy.each_ms * len(workers)) / 1000
         sent_at = clock.read_clock()
-        own = self._node.peer_address
-        backlogs = {
-            address: self._backlogs.get(address, 0.0)
-            for address in (own, *self._peers.list_addresses())
-        }
-        caller = advising.choose_caller(backlogs, own, length_s, sent_at)
-        wait_s = max(0.0, backlogs[caller] - sent_at)
-        self._backlogs[caller] = sent_at + wait_s + length_s
-        timeout_s = wait_s + length_s + SLACK_S
-        if caller == own:
-            tickets = await self.call(step.name, workers, timeout_s)
-        else:
-            tickets = await self._call_through(
-                caller, PeerAdvice(step.name, workers, timeout_s)
-            )
+        timeout_s = length_s + SLACK_S
+        try:
+            if caller == self._node.peer_address:
+                tickets = await self.call(step.name, workers, timeout_s)
+            else:
+                tickets = await self._call_through(
+                    caller, PeerAdvice(step.name, workers, timeout_s)
+                )
+        finally:
+            self._busy.discard(caller)
         self._note(step, workers, policy, tickets, sent_at, caller)
 
     def _note(self, step, workers, policy, tickets, sent_at, caller):
@@ -106,6 +128,5 @@
             request.timeout_s + 0.2,
         )
         if isinstance(outcome, httpclient.NoReply) or outcome.status != 200:
-            self._backlogs[address] = clock.read_clock() + 1.0
             return None
         return msgspec.json.decode(outcome.body, type=dict[str, str] | None)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -39,6 +39,7 @@
         self._listings = follower
         self._advisor = advisor
         self._started = 0
+        self._ahead: list[tuple] = []
 
     async def run(self):
         """Places until the shard is closed."""
@@ -72,6 +73,7 @@
         usable = self._list_usable(now)
         room = placement.Room()
         self._started = 0
+        self._ahead = []
         for step in self._rank_steps(now):
             waiting = step.list_waiting()
             if not waiting or not step.submission.is_active:
@@ -84,7 +86,8 @@
             self._place_step(step, waiting, usable, room, now)
             if self._started >= STARTS_PER_PASS:
                 self._shard.request_schedule()
-                break
+                return
+        self._ask_ahead(room, now)
 
     def _rank_steps(self, now: float) -> list[work.Step]:
         ranked = []
@@ -190,20 +193,50 @@
     ):
         """Keeps room for tasks that lack only a ticket, and asks for it."""
         book = step.tickets
-        good = [w for w in fitting if w.id in book.good]
-        plan = self._plan(step, left, good, room)
-        if book.is_asking or now < book.retry_at:
+        maybe = [
+            worker
+            for worker in fitting
+            if worker.id in book.good or worker.id not in book.asked
+        ]
+        plan = self._plan(step, left, maybe, room)
+        if book.is_asking or now < book.retry_at or not maybe:
             return
-        targets = advice_decisions.choose_targets(
-            step, fitting, [worker for _, worker in plan], len(left), room, now
+        if not plan:
+            self._ahead.append((step, maybe, policy))
+            return
+        planned = [worker for _, worker in plan]
+        self._ask_if_possible(
+            step, maybe, planned, room, policy, now, advice_decisions.Need.START
         )
-        if targets:
-            book.is_asking = True
-            self._shard.spawn(self._ask(step, targets, policy))
 
-    async def _ask(self, step, targets, policy):
+    def _ask_ahead(self, room: placement.Room, now: float):
+        """Asks for steps without room, as far as VMs are free for it."""
+        for step, maybe, policy in self._ahead:
+            if any(step.tickets.find(worker.id, now) for worker in maybe):
+                continue
+            if not self._ask_if_possible(
+                step, maybe, [], room, policy, now, advice_decisions.Need.AHEAD
+            ):
+                return
+
+    def _ask_if_possible(
+        self, step, maybe, planned, room, policy, now, need
+    ) -> bool:
+        targets = advice_decisions.choose_targets(
+            step.tickets, step.spec, maybe, planned, room, now
+        )
+        if not targets:
+            return True
+        caller = self._advisor.take_caller(policy, len(targets), need)
+        if caller is None:
+            return False
+        step.tickets.is_asking = True
+        self._shard.spawn(self._ask(step, targets, policy, caller))
+        return True
+
+    async def _ask(self, step, targets, policy, caller):
         try:
-            await self._advisor.ask(step, targets, policy)
+            await self._advisor.ask(step, targets, policy, caller)
         finally:
             step.tickets.is_asking = False
         self._shard.request_schedule()
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
@@ -120,7 +120,7 @@
         # Orders have connections of their own, so that a listing that waits
         # for an end never delays them.
         self._orders = httpclient.HttpClient(address, limit=6)
-        self._listings = httpclient.HttpClient(address, limit=1)
+        self._listings = httpclient.HttpClient(address, limit=2)
         self._header = f"X-Target-Instance: {worker_id}\r\n"
 
     async def start(
