--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 .PHONY: install run up down format lint test measure proto soak mutants faults
 
 BIN = .venv/bin
-PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl
+PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl \
+  packages/persimmonpath_entry
 
 install: .venv/installed
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
@@ -81,7 +81,6 @@
     idle = [address for address in peers if address not in busy]
     if need is Need.AHEAD and len(idle) <= SPARE_CALLERS:
         return None
-    if length_s <= SHORT_CALL_S or not peers:
-        if own not in busy:
-            return own
+    if (length_s <= SHORT_CALL_S or not peers) and own not in busy:
+        return own
     return idle[0] if idle else None
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -73,9 +73,7 @@
         )
 
 
-def can_ever_fit(
-    worker: fleet.Worker, spec: submissions.StepSpec
-) -> bool:
+def can_ever_fit(worker: fleet.Worker, spec: submissions.StepSpec) -> bool:
     """Returns whether an empty worker could carry a task."""
     registration = worker.registration
     return (
@@ -86,9 +84,7 @@
     )
 
 
-def fits(
-    worker: fleet.Worker, spec: submissions.StepSpec, room: Room
-) -> bool:
+def fits(worker: fleet.Worker, spec: submissions.StepSpec, room: Room) -> bool:
     """Returns whether a worker has room for a task."""
     cpu, memory_mb, gpu, filler_cpu, _ = room.read(worker)
     if spec.memory_mb > memory_mb or spec.gpu > gpu:
@@ -115,8 +111,8 @@
         weight = -(cpu - filler_cpu) / max(1, registration.cpu)
     else:
         weight = left_cpu / max(1, registration.cpu)
-    weight += 0.5 * (memory_mb - spec.memory_mb) / max(
-        1, registration.memory_mb
+    weight += (
+        0.5 * (memory_mb - spec.memory_mb) / max(1, registration.memory_mb)
     )
     if registration.gpu:
         weight += (gpu - spec.gpu) / registration.gpu
@@ -153,9 +149,9 @@
     best = None
     best_weight = 0.0
     for worker in workers:
-        if spec.max_per_worker:
-            if counts.get(worker.id, 0) >= spec.max_per_worker:
-                continue
+        limit = spec.max_per_worker
+        if limit and counts.get(worker.id, 0) >= limit:
+            continue
         if not fits(worker, spec, room):
             continue
         weight = weigh(worker, spec, room, avoided)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.engine import ledger as ledgers
 from persimmonpath_entry.engine import orders as order_calls
@@ -9,10 +11,8 @@
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
-from persimmonpath_entry.transport import clock
-
-import msgspec
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
 
 TICK_S = 0.2
 FEED_S = 1.0
@@ -103,9 +103,7 @@
             if version is None:
                 result = await self._node.store.read_all(SERVER_TABLE, "")
             else:
-                result = await self._node.store.follow(
-                    SERVER_TABLE, version, 0
-                )
+                result = await self._node.store.follow(SERVER_TABLE, version, 0)
             if isinstance(result, platform_store.HistoryGone):
                 version = None
                 continue
@@ -163,13 +161,12 @@
                 self._shard.request_schedule()
 
     def _look_after(self, worker: fleet.Worker, now: float):
-        if worker.silent_since is not None and worker.runs:
-            if now > worker.bound_lease_end():
-                self._shard.lose_worker(worker, "lease ended")
-        if not worker.is_listed and not worker.runs:
-            if worker.silent_since is not None:
-                self._shard.forget_worker(worker)
-                return
+        is_silent = worker.silent_since is not None
+        if is_silent and worker.runs and now > worker.bound_lease_end():
+            self._shard.lose_worker(worker, "lease ended")
+        if is_silent and not worker.is_listed and not worker.runs:
+            self._shard.forget_worker(worker)
+            return
         if worker.registration.is_draining:
             self._empty(worker, now)
         for run in list(worker.runs.values()):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -29,9 +29,7 @@
     store: platform_store.StoreClient
     log: logs.Log
     metrics: metrics.Metrics
-    boot: str = dataclasses.field(
-        default_factory=lambda: f"{time.time_ns():x}"
-    )
+    boot: str = dataclasses.field(default_factory=lambda: f"{time.time_ns():x}")
     configuration: desired.Configuration | None = None
     configuration_bytes: bytes = b""
     is_stopping: bool = False
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -131,7 +131,9 @@
         ]
         for submission in batch:
             shard.dirty.pop(submission.id, None)
-        seen = {worker.id: worker.processed for worker in shard.workers.values()}
+        seen = {
+            worker.id: worker.processed for worker in shard.workers.values()
+        }
         lifetimes = {w.id: w.born for w in shard.workers.values()}
         recorded = list(shard.workers.values())
         rows.append(
@@ -194,10 +196,10 @@
             if row.table != OWNER_TABLE or not row.value:
                 continue
             record = msgspec.json.decode(row.value, type=OwnerRecord)
-            if record.owner == self._node.name:
-                if record.boot == self._node.boot:
-                    self._version = row.version
-                    return
+            is_own = record.owner == self._node.name
+            if is_own and record.boot == self._node.boot:
+                self._version = row.version
+                return
             self._shard.close(f"taken over by {record.owner or 'nobody'}")
             return
         self._shard.close("owner row is gone")
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -110,7 +110,7 @@
     def list_distant(self, count: int) -> list[str]:
         """Returns peers to probe, of as many other zones as possible."""
         zones: dict[str, list[str]] = {}
-        for name, record in sorted(self._records.items()):
+        for _name, record in sorted(self._records.items()):
             if record.zone != self._node.settings.zone:
                 zones.setdefault(record.zone, []).append(record.address)
         rows = [
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -187,9 +187,9 @@
             return True
         if sighting.record.owner == self._node.name:
             return sighting.record.boot != self._node.boot
-        if now - sighting.changed_at < 2 * ledgers.RENEW_S:
-            if sighting.has_probed:
-                return False
+        is_fresh = now - sighting.changed_at < 2 * ledgers.RENEW_S
+        if is_fresh and sighting.has_probed:
+            return False
         return await self._is_disowned(service, sighting)
 
     async def _is_disowned(self, service: str, sighting: _Sighting) -> bool:
@@ -208,9 +208,8 @@
         return sighting.is_disowned
 
     async def _take(self, service: str, sighting: _Sighting | None):
-        if sighting is not None and sighting.record.owner:
-            if not await self._is_vacant(service, sighting):
-                return
+        if not await self._is_vacant(service, sighting):
+            return
         former = ledgers.OwnerRecord() if sighting is None else sighting.record
         record = ledgers.OwnerRecord(
             self._node.name,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -383,7 +383,7 @@
                 worker=run.worker.id,
                 how=how,
                 age_s=clock.read_clock() - run.sent_at,
-                failures=task.failures,
+                failures=len(task.failures),
             )
         self._note_health(run.worker, how)
         self.take_end(task, run.number, how, saved, run.worker)
@@ -449,9 +449,10 @@
             return
         self.ready_steps.pop(step, None)
         for later in submission.list_occurrence(step.occurrence):
-            if step.number in later.spec.after and not later.is_done:
-                if submission.is_ready(later):
-                    self.make_ready(later)
+            if step.number not in later.spec.after or later.is_done:
+                continue
+            if submission.is_ready(later):
+                self.make_ready(later)
         if submission.is_complete():
             self.end_submission(submission, submissions.COMPLETED)
 
@@ -463,14 +464,11 @@
         task.avoided.add(worker.id)
         if step.spec.long_running:
             return
-        if step.spec.gang:
-            step.gang_failures += 1
-            failures = step.gang_failures
-            submission.progress.failures[f"{step.key}.gang"] = failures
-        else:
-            task.failures += 1
-            failures = task.failures
-            submission.progress.failures[task.key] = failures
+        numbers = submission.progress.failures.setdefault(task.failure_key, [])
+        if number in numbers:
+            return
+        numbers.append(number)
+        failures = len(numbers)
         self.mark_dirty(submission)
         if failures >= self.find_queue(submission).max_attempts:
             self.node.log.warn(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/versions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/versions.py
@@ -60,9 +60,7 @@
         elif row.key.startswith(WAVE_PREFIX):
             wave = messages.decode_wave(row.value)
             if isinstance(wave, str):
-                self._node.log.warn(
-                    "row_unreadable", row=row.key, reason=wave
-                )
+                self._node.log.warn("row_unreadable", row=row.key, reason=wave)
             else:
                 self.waves[row.key] = wave
 
@@ -94,7 +92,8 @@
             outcome = await self._peers.call(
                 address, "GET", "/peer/configuration", timeout_s=0.4
             )
-            if isinstance(outcome, httpclient.Reply):
-                if outcome.status == 200:
-                    self.take_configuration(outcome.body, address)
-                    return
+            if isinstance(outcome, httpclient.NoReply):
+                continue
+            if outcome.status == 200:
+                self.take_configuration(outcome.body, address)
+                return
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -84,14 +84,16 @@
     Attributes:
       state: ACTIVE, COMPLETED, FAILED or CANCELLED.
       done: ended tasks by "occurrence.step", as a bit mask of their indexes.
-      failures: failed runs by "occurrence.step.index".
+      failures: numbers of the failed runs by "occurrence.step.index", or by
+        "occurrence.step.gang". A worker lists an end again to a new owner, so
+        a mere count would count it twice.
       saved: newest checkpoints by "occurrence.step.index".
       ended_ms: Unix milliseconds of the end of the submission.
     """
 
     state: str = ACTIVE
     done: dict[str, int] = {}
-    failures: dict[str, int] = {}
+    failures: dict[str, list[int]] = {}
     saved: dict[str, str] = {}
     ended_ms: int = 0
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -55,6 +55,7 @@
 
     @property
     def spec(self) -> submissions.StepSpec:
+        """The step of its task."""
         return self.task.step.spec
 
 
@@ -66,7 +67,6 @@
         "index",
         "runs",
         "is_done",
-        "failures",
         "saved",
         "last_number",
         "waiting_since",
@@ -78,7 +78,6 @@
         self.index = index
         self.runs: list[Run] = []
         self.is_done = False
-        self.failures = 0
         self.saved = ""
         self.last_number = 0
         self.waiting_since = waiting_since
@@ -95,6 +94,17 @@
         """The name that workers know."""
         return f"{self.step.submission.id}.{self.key}"
 
+    @property
+    def failure_key(self) -> str:
+        """Under which name its failures are kept; a gang fails as one."""
+        return f"{self.step.key}.gang" if self.step.spec.gang else self.key
+
+    @property
+    def failures(self) -> list[int]:
+        """The numbers of its failed runs."""
+        progress = self.step.submission.progress
+        return progress.failures.get(self.failure_key, [])
+
     @property
     def is_waiting(self) -> bool:
         """Whether it isn't done and has no run."""
@@ -119,7 +129,6 @@
         self.key = f"{occurrence}.{number}"
         self.tasks = [Task(self, index, now) for index in range(spec.count)]
         self.left = spec.count
-        self.gang_failures = 0
         self.ready_since: float | None = None
         self.tickets = TicketBook()
 
@@ -236,12 +245,10 @@
 
     def _restore(self, step: Step):
         mask = self.progress.done.get(step.key, 0)
-        step.gang_failures = self.progress.failures.get(f"{step.key}.gang", 0)
         for task in step.tasks:
             if mask >> task.index & 1:
                 task.is_done = True
                 step.left -= 1
-            task.failures = self.progress.failures.get(task.key, 0)
             task.saved = self.progress.saved.get(task.key, "")
 
     def is_ready(self, step: Step) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/metrics.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/metrics.py
@@ -34,7 +34,9 @@
 
     def render(self) -> bytes:
         """Returns all metrics as text."""
-        lines = [f"persimmon_{k} {v}" for k, v in sorted(self._counters.items())]
+        lines = [
+            f"persimmon_{k} {v}" for k, v in sorted(self._counters.items())
+        ]
         lines += [f"persimmon_{k} {v}" for k, v in sorted(self._gauges.items())]
         for name, row in sorted(self._histograms.items()):
             lines += _render_histogram(name, row)
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry VM on the platform."""
