Rank waiting work by priority before lateness

Urgent work that was late stood behind batch work with half a minute to spare. The budget of log lines is raised, since the ends of submissions were among the lines left out.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -1,8 +1,8 @@
 """The order of waiting work.
 
-Answers the load of a crest: more work waits than fits, so the work whose
-latency objective can still be met comes first, then what is late, then what
-is beyond any use.
+Answers the load of a crest: more work waits than fits, so urgent work comes
+first, within it what can still meet its objective, and last of all what is
+beyond any use.
 """
 
 import dataclasses
@@ -18,14 +18,19 @@
 class Rank:
     """The place of a step among the waiting ones; the least comes first.
 
+    Urgent work comes before less urgent work even when it is late: its tasks
+    are short, and the others can wait longer before they are late.
+
     Attributes:
-      lateness: 0 on time, 1 late, 2 beyond any use.
+      is_hopeless: whether it is beyond any use for its caller.
       priority: that of the queue.
+      is_late: whether its objective can't be met any more.
       due_s: when the objective ends, on the steady clock.
     """
 
-    lateness: int
+    is_hopeless: bool
     priority: int
+    is_late: bool
     due_s: float
 
 
@@ -55,13 +60,13 @@
       now: the steady clock.
     """
     objective_s = (queue.stretch * chain_ms + queue.target_latency_ms) / 1000
+    due_s = now - age_s + objective_s
     if step.spec.long_running:
-        return Rank(0, queue.priority, now - age_s + objective_s)
-    left_s = step.spec.estimated_ms / 1000
-    finish_s = age_s + left_s
-    lateness = 0
-    if finish_s > LATE_FACTOR * objective_s:
-        lateness = 2
-    elif finish_s > objective_s:
-        lateness = 1
-    return Rank(lateness, queue.priority, now - age_s + objective_s)
+        return Rank(False, queue.priority, False, due_s)
+    finish_s = age_s + step.spec.estimated_ms / 1000
+    return Rank(
+        finish_s > LATE_FACTOR * objective_s,
+        queue.priority,
+        finish_s > objective_s,
+        due_s,
+    )
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
@@ -10,10 +10,10 @@
 # Lines kept while the reader of standard output stalls.
 BUFFER_LINES = 2000
 # Lines a second; further ones are counted by event and left out.
-BUDGET_PER_S = 150
+BUDGET_PER_S = 500
 # Lines about failures come from a reserve of their own, so that the ordinary
 # decisions of a busy second never displace them.
-RESERVE_PER_S = 100
+RESERVE_PER_S = 200
 FLUSH_S = 0.2
 STDOUT = 1
 
