Make store calls through a peer while the store turns a VM away

A peer that reaches the store now makes the calls; the owner's row still fences them. Requests are no longer handed on whole, and the configuration comes over the same way. Ruled out: the order of waiting work, which changed nothing.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -3,17 +3,25 @@
 import asyncio
 import enum
 
+import msgspec
+
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
+from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
 
 CHECK_S = 0.25
-# The long poll for the configuration answers at least once a second, so that
-# a longer silence after a failure means that the store is out of reach.
+# A direct call this often tells when the store answers again.
+RETRY_S = 0.5
+# A VM that neither the store nor a peer has answered for this time takes
+# itself out of rotation; shorter gaps come from single lost packets.
 SILENCE_S = 1.3
 PROBE_TIMEOUT_S = 0.25
 PROBED_PEERS = 4
+# Time on top of that of a call that a peer makes.
+RELAY_SLACK_S = 0.15
+PROBE_TARGET = "/api/rows-get?table=vm&part=&limit=1"
 
 
 class Reach(enum.Enum):
@@ -32,30 +40,42 @@
 
 
 class Connectivity:
-    """Follows what this VM reaches."""
+    """Follows what this VM reaches and sends store calls through a peer."""
 
     def __init__(self, node: context.Context, peers: members.Members):
         self._node = node
         self._peers = peers
+        self._wake = asyncio.Event()
+        self._helper: str | None = None
         self.reach = Reach.STORE
-        # A peer through which requests can be handed on.
-        self.helper: str | None = None
+        node.store.on_failure = self._wake.set
 
     def reaches_store(self) -> bool:
-        """Returns whether the store has answered this VM lately."""
+        """Returns whether the store answers this VM directly."""
         store = self._node.store
-        if store.last_answer >= store.last_failure:
-            return True
-        return clock.read_clock() - store.last_answer < SILENCE_S
+        return store.last_answer >= store.last_failure
+
+    def can_store(self) -> bool:
+        """Returns whether calls to the store are likely to succeed."""
+        return self.reach in (Reach.STORE, Reach.PEER)
 
     async def run(self):
         """Follows until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_S)
+            try:
+                async with asyncio.timeout(CHECK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
             if self.reaches_store():
                 self._change(Reach.STORE, None)
-            else:
-                await self._probe()
+                continue
+            await self._probe()
+            await asyncio.sleep(RETRY_S if self._helper else CHECK_S)
+            await self._node.store.call_directly(
+                "GET", PROBE_TARGET, b"", RETRY_S
+            )
 
     async def _probe(self):
         addresses = self._peers.list_distant(PROBED_PEERS)
@@ -73,15 +93,19 @@
             if isinstance(outcome, httpclient.Reply)
         ]
         helpers = [address for address, status in answers if status == 200]
-        if helpers:
-            self._change(Reach.PEER, helpers[0])
+        silence_s = clock.read_clock() - self._node.store.last_answer
+        if self.reaches_store():
+            self._change(Reach.STORE, None)
+        elif helpers:
+            if self._helper not in helpers:
+                self._change(Reach.PEER, helpers[0])
         elif answers:
             self._change(Reach.NO_STORE, None)
-        else:
+        elif silence_s > SILENCE_S:
             self._change(Reach.ISOLATED, None)
 
     def _change(self, reach: Reach, helper: str | None):
-        if reach is not self.reach:
+        if reach is not self.reach or helper != self._helper:
             self._node.log.warn(
                 "reach_changed",
                 reach=reach.value,
@@ -91,4 +115,52 @@
                 - self._node.store.last_answer,
             )
         self.reach = reach
-        self.helper = helper
+        self._helper = helper
+        self._node.store.relay = self._relay if helper else None
+
+    async def _relay(self, call: platform_store.Relay) -> httpclient.Outcome:
+        helper = self._helper
+        if helper is None:
+            return httpclient.NoReply(sent=False, reason="no_helper")
+        outcome = await self._peers.call(
+            helper,
+            "POST",
+            "/peer/relay",
+            msgspec.json.encode(call),
+            call.timeout_s + RELAY_SLACK_S,
+        )
+        if isinstance(outcome, httpclient.NoReply):
+            self._wake.set()
+            return outcome
+        result = msgspec.json.decode(outcome.body, type=RelayResult)
+        if result.status == 0:
+            return httpclient.NoReply(result.was_sent, result.reason)
+        return httpclient.Reply(result.status, result.body)
+
+
+class RelayResult(msgspec.Struct):
+    """What came of a call that a peer made.
+
+    Attributes:
+      status: the HTTP status, 0 if there was no answer.
+      body: the answer's body.
+      was_sent: whether the store may have read the call.
+      reason: why there was no answer.
+    """
+
+    status: int
+    body: bytes = b""
+    was_sent: bool = True
+    reason: str = ""
+
+
+async def relay_call(
+    store: platform_store.StoreClient, call: platform_store.Relay
+) -> RelayResult:
+    """Makes a call to the store for a peer."""
+    outcome = await store.call_directly(
+        call.method, call.target, call.body, call.timeout_s
+    )
+    if isinstance(outcome, httpclient.NoReply):
+        return RelayResult(0, b"", outcome.sent, outcome.reason)
+    return RelayResult(outcome.status, outcome.body)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -21,7 +21,6 @@
       metrics: the metrics.
       boot: tells one life of the process from another.
       configuration: the newest version, or None before the first.
-      configuration_bytes: its row, for peers that can't reach the store.
       is_stopping: whether the process was told to stop.
     """
 
@@ -31,7 +30,6 @@
     metrics: metrics.Metrics
     boot: str = dataclasses.field(default_factory=lambda: f"{time.time_ns():x}")
     configuration: desired.Configuration | None = None
-    configuration_bytes: bytes = b""
     is_stopping: bool = False
 
     @property
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
@@ -28,9 +28,6 @@
 # of a service takes some seconds.
 RETRY_AFTER_S = 2
 OWNER_TIMEOUT_S = 0.7
-# A request is handed on to a peer with at least and at most this time left.
-MIN_HAND_ON_S = 0.2
-HAND_ON_S = 1.2
 COUNT_TTL_S = 0.5
 
 
@@ -71,9 +68,7 @@
         self._peers = peers
         self._counts: dict[str, tuple[float, int]] = {}
 
-    async def handle(
-        self, request: httpserver.Request, is_forwarded: bool = False
-    ) -> httpserver.Answer:
+    async def handle(self, request: httpserver.Request) -> httpserver.Answer:
         """Answers a request of a caller."""
         start = clock.read_clock()
         path = request.target.partition("?")[0]
@@ -91,9 +86,7 @@
             return reject(404, "no such queue")
         submission_id = path[len(queue.prefix) :]
         deadline = start + self._read_wait(request)
-        answer = await self._dispatch(
-            request, queue, submission_id, deadline, is_forwarded
-        )
+        answer = await self._dispatch(request, queue, submission_id, deadline)
         elapsed_ms = (clock.read_clock() - start) * 1000
         self._node.metrics.count(
             f'requests{{method="{request.method}",status="{answer.status}"}}'
@@ -119,19 +112,13 @@
         wait_s = int(text) / 1000 if text.isdigit() else DEFAULT_WAIT_S
         return max(0.2, wait_s - ANSWER_MARGIN_S)
 
-    async def _dispatch(
-        self, request, queue, submission_id, deadline, is_forwarded
-    ):
+    async def _dispatch(self, request, queue, submission_id, deadline):
         if not submission_id:
             if request.method != "GET":
                 return reject(405, "method; allowed: GET")
             return await self._answer_count(queue)
         if not ID_FORM.fullmatch(submission_id):
             return reject(404, "id; allowed: 16 hexadecimal digits")
-        if self._is_cut_off() and not is_forwarded:
-            answer = await self._hand_on(request, deadline)
-            if answer is not None:
-                return answer
         if request.method == "POST":
             return await self._hand_in(request, queue, submission_id, deadline)
         if request.method == "GET":
@@ -140,34 +127,6 @@
             return await self._cancel(submission_id, deadline)
         return reject(405, "method; allowed: POST, GET, DELETE")
 
-    def _is_cut_off(self) -> bool:
-        return not self._reach.reaches_store()
-
-    async def _hand_on(self, request, deadline):
-        """Lets a peer that reaches the store answer, None if none does."""
-        address = self._reach.helper
-        left = deadline - clock.read_clock()
-        if address is None or left < MIN_HAND_ON_S:
-            return None
-        envelope = msgspec.json.encode(
-            {
-                "method": request.method,
-                "target": request.target,
-                "host": request.headers.get("host", ""),
-                "body": request.body,
-            }
-        )
-        outcome = await self._peers.call(
-            address, "POST", "/peer/front", envelope, min(left, HAND_ON_S)
-        )
-        if isinstance(outcome, httpclient.Reply):
-            return httpserver.Answer(outcome.status, outcome.body)
-        if outcome.sent:
-            # The peer may still read the request and store the submission,
-            # so that a rejection would not be true.
-            return reject(504, "the peer has not answered")
-        return None
-
     # Handing in.
 
     async def _hand_in(self, request, queue, submission_id, deadline):
@@ -178,7 +137,7 @@
         )
         if isinstance(record, str):
             return reject(400, record)
-        if self._is_cut_off():
+        if not self._reach.can_store():
             return reject(503, "store unreachable", RETRY_AFTER_S)
         verdict = await self._accepting.store(submission_id, record, deadline)
         self._node.log.write(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -36,7 +36,7 @@
         store = platform_store.StoreClient(settings.store.address, measures)
         self.context = context.Context(settings, store, log, measures)
         self.members = members.Members(self.context)
-        self.versions = versions.Versions(self.context, self.members)
+        self.versions = versions.Versions(self.context)
         self._advisor = advising.Advisor(self.context, self.members)
         self.ownership = owners.Ownership(
             self.context, self.members, self._advisor
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -171,6 +171,9 @@
             self._taking.discard(service)
 
     def _rank(self, service: str) -> float:
+        sighting = self._sightings.get(service)
+        if sighting is not None and sighting.record.owner == self._node.name:
+            return 0.0
         names = self._peers.list_names()
         names.sort(key=lambda name: zlib.crc32(f"{service}/{name}".encode()))
         delay = names.index(self._node.name) * RANK_STEP_S
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -7,17 +7,11 @@
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import front as fronts
 from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import httpserver
 
 
-class _Envelope(msgspec.Struct):
-    method: str
-    target: str
-    host: str
-    body: bytes
-
-
 class PeerApi:
     """Answers peers."""
 
@@ -55,15 +49,11 @@
             case ["owners-changed"]:
                 self._ownership.wake()
                 return httpserver.Answer(200)
-            case ["configuration"]:
-                if not self._node.configuration_bytes:
-                    return httpserver.Answer(503)
-                return httpserver.Answer(200, self._node.configuration_bytes)
             case ["store"]:
                 reaches = self._reach.reaches_store()
                 return httpserver.Answer(200 if reaches else 503)
-            case ["front"]:
-                return await self._answer_caller(request.body)
+            case ["relay"]:
+                return await self._relay(request.body)
         return httpserver.Answer(404)
 
     def _take_submission(self, submission_id, body):
@@ -88,14 +78,7 @@
         )
         return httpserver.Answer(200, msgspec.json.encode(tickets))
 
-    async def _answer_caller(self, body):
-        envelope = msgspec.json.decode(body, type=_Envelope)
-        return await self._front.handle(
-            httpserver.Request(
-                envelope.method,
-                envelope.target,
-                {"host": envelope.host},
-                envelope.body,
-            ),
-            is_forwarded=True,
-        )
+    async def _relay(self, body):
+        call = msgspec.json.decode(body, type=platform_store.Relay)
+        result = await connectivity.relay_call(self._node.store, call)
+        return httpserver.Answer(200, msgspec.json.encode(result))
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/versions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/versions.py
@@ -3,11 +3,9 @@
 import asyncio
 
 from persimmonpath_entry.engine import context
-from persimmonpath_entry.engine import members
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
-from persimmonpath_entry.transport import httpclient
 
 TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -19,9 +17,8 @@
 class Versions:
     """Follows the configuration and what else the operator writes."""
 
-    def __init__(self, node: context.Context, peers: members.Members):
+    def __init__(self, node: context.Context):
         self._node = node
-        self._peers = peers
         self._version: int | None = None
         self.waves: dict[str, messages.WaveRequest] = {}
         self.confirmed_at = -1e9
@@ -42,7 +39,6 @@
                 self._version = None
                 continue
             if isinstance(result, platform_store.Refused):
-                await self._ask_peers()
                 await asyncio.sleep(RETRY_S)
                 continue
             for row in result.rows:
@@ -56,7 +52,7 @@
                 self.waves.pop(row.key, None)
             return
         if row.key == CONFIGURATION_KEY:
-            self.take_configuration(row.value, "store")
+            self.take_configuration(row.value)
         elif row.key.startswith(WAVE_PREFIX):
             wave = messages.decode_wave(row.value)
             if isinstance(wave, str):
@@ -64,7 +60,7 @@
             else:
                 self.waves[row.key] = wave
 
-    def take_configuration(self, value: bytes, source: str):
+    def take_configuration(self, value: bytes):
         """Applies a version if it is newer than the one in force."""
         configuration = messages.decode_configuration(value)
         if isinstance(configuration, str):
@@ -76,24 +72,10 @@
         if current is not None and configuration.version <= current.version:
             return
         self._node.configuration = configuration
-        self._node.configuration_bytes = value
         self._node.metrics.set("configuration_version", configuration.version)
         self._node.log.warn(
             "configuration_applied",
             version=configuration.version,
             former=0 if current is None else current.version,
             queues=len(configuration.queues),
-            source=source,
         )
-
-    async def _ask_peers(self):
-        """Asks two peers, as the store may serve them and not this VM."""
-        for address in self._peers.list_addresses()[:2]:
-            outcome = await self._peers.call(
-                address, "GET", "/peer/configuration", timeout_s=0.4
-            )
-            if isinstance(outcome, httpclient.NoReply):
-                continue
-            if outcome.status == 200:
-                self.take_configuration(outcome.body, address)
-                return
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -111,36 +111,74 @@
     return Row(row.table, row.part, row.key, value, row.ver, row.deleted)
 
 
+class Relay(msgspec.Struct):
+    """A call to the store that a peer makes for a VM that can't.
+
+    Attributes:
+      method: the HTTP method.
+      target: path and query.
+      body: the body.
+      timeout_s: seconds until the call is given up.
+    """
+
+    method: str
+    target: str
+    body: bytes
+    timeout_s: float
+
+
 class StoreClient:
-    """The one client of the platform's store."""
+    """The one client of the platform's store.
+
+    Attributes:
+      relay: sends a call through a peer, or None to call directly.
+      last_answer: when the store last answered directly.
+      last_failure: when a direct call last failed.
+      on_failure: called when a direct call fails.
+    """
 
     def __init__(self, address: str, measures: metrics.Metrics):
         self._client = httpclient.HttpClient(address, limit=8)
         self._metrics = measures
+        self.relay = None
+        self.on_failure = None
         self.last_answer = -1e9
         self.last_failure = -1e9
 
-    async def _call(
-        self, kind: str, method: str, target: str, body: bytes, timeout_s: float
+    async def call_directly(
+        self, method: str, target: str, body: bytes, timeout_s: float
     ) -> httpclient.Outcome:
-        start = clock.read_clock()
+        """Makes a call from this VM and notes whether the store answers."""
         outcome = await self._client.call(
             method, target, body, timeout_s=timeout_s
         )
         now = clock.read_clock()
+        has_failed = isinstance(outcome, httpclient.NoReply)
+        if has_failed or outcome.status in (429, 503):
+            self.last_failure = now
+            if self.on_failure is not None:
+                self.on_failure()
+        else:
+            self.last_answer = now
+        return outcome
+
+    async def _call(
+        self, kind: str, method: str, target: str, body: bytes, timeout_s: float
+    ) -> httpclient.Outcome:
+        start = clock.read_clock()
+        if self.relay is None:
+            outcome = await self.call_directly(method, target, body, timeout_s)
+        else:
+            outcome = await self.relay(Relay(method, target, body, timeout_s))
         if isinstance(outcome, httpclient.NoReply):
             result = outcome.reason
-            self.last_failure = now
         else:
             result = str(outcome.status)
-            if outcome.status in (429, 503):
-                self.last_failure = now
-            else:
-                self.last_answer = now
         self._metrics.count(f'store_calls{{call="{kind}",result="{result}"}}')
         if kind != "feed":
             self._metrics.observe(
-                f'store_latency{{call="{kind}"}}', (now - start) * 1000
+                f'store_latency{{call="{kind}"}}',
+                (clock.read_clock() - start) * 1000,
             )
         return outcome
 
