Keep tickets for the next step of each worker, reserve workers for wide tasks

photo-match of tkh is good on one or two of seven workers, and its ticket had run out whenever one of them had room. Tickets are renewed while a step is the first that waits for a worker, and narrower work is kept off the worker that lacks least.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advising.py
@@ -21,7 +21,7 @@
 # advisor and back.
 OWN_CALLS = 3
 # VMs that are kept free of calls ahead of need.
-SPARE_CALLERS = 2
+SPARE_CALLERS = 1
 
 
 class Need(enum.Enum):
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -17,6 +17,8 @@
 # Weight of mixing fillers with tasks that serve.
 MIXED_WEIGHT = 3.0
 AVOIDED_WEIGHT = 5.0
+# A worker that lacks a larger share of itself isn't kept free for a task.
+RESERVE_LIMIT = 1.0
 
 
 class Room:
@@ -161,6 +163,32 @@
     return best
 
 
+def choose_reserved(
+    workers: Iterable[fleet.Worker], spec: submissions.StepSpec, room: Room
+) -> fleet.Worker | None:
+    """Returns the worker that lacks least for a task without room.
+
+    A wide task would wait for good if narrow ones kept filling every gap.
+    Workers that are reserved for another task already are left out.
+    """
+    best = None
+    best_lack = RESERVE_LIMIT
+    for worker in workers:
+        cpu, memory_mb, gpu, _, _ = room.read(worker)
+        if min(cpu, memory_mb, gpu) < 0:
+            continue
+        registration = worker.registration
+        lack = max(
+            0.0 if spec.is_filler else (spec.cpu - cpu) / registration.cpu,
+            (spec.memory_mb - memory_mb) / registration.memory_mb,
+            (spec.gpu - gpu) / max(1, registration.gpu),
+        )
+        if lack <= best_lack:
+            best = worker
+            best_lack = lack
+    return best
+
+
 def plan_gang(
     workers: list[fleet.Worker],
     spec: submissions.StepSpec,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -221,6 +221,7 @@
         if book.is_asking or now < book.retry_at or not maybe:
             return
         if not plan:
+            self._reserve(step, maybe, room)
             self._ahead.append((step, maybe, policy))
             return
         planned = [worker for _, worker in plan]
@@ -254,13 +255,36 @@
                 return
             self._shard.next_steps.pop(step, None)
 
+    def _reserve(self, step: work.Step, maybe: list[fleet.Worker], room):
+        """Keeps what comes less urgently off the worker that is free first."""
+        worker = placement.choose_reserved(maybe, step.spec, room)
+        if worker is not None:
+            room.take(worker, step.spec)
+
     def _ask_ahead(self, room: placement.Room, now: float):
-        """Asks for steps without room, as far as VMs are free for it."""
+        """Keeps tickets of steps without room, as far as VMs are free.
+
+        The room that a worker gets next goes to the first waiting step that
+        may run there, so only that one needs a ticket there.
+        """
+        covered: set[str] = set()
         for step, maybe, policy in self._ahead:
-            if any(step.tickets.find(worker.id, now) for worker in maybe):
+            book = step.tickets
+            open_workers = [w for w in maybe if w.id not in covered]
+            if not open_workers:
+                continue
+            covered.update(worker.id for worker in open_workers)
+            length_s = (policy.decide_ms + policy.each_ms * len(maybe)) / 1000
+            if any(book.find(w.id, now + length_s) for w in open_workers):
                 continue
             if not self._ask_if_possible(
-                step, maybe, [], room, policy, now, advice_decisions.Need.AHEAD
+                step,
+                maybe,
+                [],
+                room,
+                policy,
+                now,
+                advice_decisions.Need.AHEAD,
             ):
                 return
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -378,16 +378,18 @@
         if run in task.runs:
             task.runs.remove(run)
         self.node.metrics.count(f'runs_ended{{how="{how}"}}')
-        if how != "done":
-            self.node.log.write(
-                "run_ended",
-                task=task.name,
-                run=run.number,
-                worker=run.worker.id,
-                how=how,
-                age_s=clock.read_clock() - run.sent_at,
-                failures=len(task.failures),
-            )
+        self.node.log.write(
+            "run_ended",
+            task=task.name,
+            run=run.number,
+            worker=run.worker.id,
+            how=how,
+            age_s=clock.read_clock() - run.sent_at,
+            failures=len(task.failures),
+            free_cpu=run.worker.free_cpu,
+            free_mb=run.worker.free_memory_mb,
+            free_gpu=run.worker.free_gpu,
+        )
         self._note_health(run.worker, how)
         self.take_end(task, run.number, how, saved, run.worker)
 
