Store submissions in eight partitions, take over from owners that are silent

Submissions now lie in eight partitions, and a call is given up after five times its usual length. In the zone cut the owners' zone was away and the services stood for 4 s; an owner that hasn't renewed for 1.2 s and doesn't answer a peer is replaced now. Tasks that it may have started meanwhile still wait for the workers' answers.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -15,7 +15,7 @@
 ROWS_PER_COMMIT = 90
 BYTES_PER_COMMIT = 500_000
 RETRY_S = 0.15
-MAX_PENDING = 2000
+MAX_PENDING = 500
 
 
 class Verdict(enum.Enum):
@@ -43,12 +43,12 @@
 
 
 class Acceptance:
-    """Stores submissions in groups."""
+    """Stores submissions in groups, one for each partition."""
 
     def __init__(self, node: context.Context):
-        self._node = node
-        self._pending: list[_Pending] = []
-        self._wake = asyncio.Event()
+        self._groups = {
+            part: _Group(node, part) for part in ledgers.list_parts()
+        }
 
     async def store(
         self,
@@ -66,6 +66,29 @@
         Returns:
           What became of it.
         """
+        group = self._groups[ledgers.find_part(submission_id)]
+        return await group.store(submission_id, record, deadline)
+
+    async def run(self):
+        """Stores until cancelled."""
+        await asyncio.gather(*(group.run() for group in self._groups.values()))
+
+
+class _Group:
+    """The submissions of one partition that wait to be stored."""
+
+    def __init__(self, node: context.Context, part: str):
+        self._node = node
+        self._part = part
+        self._pending: list[_Pending] = []
+        self._wake = asyncio.Event()
+
+    async def store(
+        self,
+        submission_id: str,
+        record: submissions.SubmissionRecord,
+        deadline: float,
+    ) -> Verdict:
         if len(self._pending) >= MAX_PENDING:
             return Verdict.REFUSED
         pending = _Pending(
@@ -79,7 +102,6 @@
         return await pending.future
 
     async def run(self):
-        """Stores until cancelled."""
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -108,7 +130,7 @@
         now = clock.read_clock()
         left = max(pending.deadline for pending in batch) - now
         result = await self._node.store.commit(
-            ledgers.SUBMISSION_PART,
+            self._part,
             [
                 (ledgers.SUBMISSION_TABLE, pending.submission_id, 0)
                 for pending in batch
@@ -121,7 +143,7 @@
                 )
                 for pending in batch
             ],
-            timeout_s=min(platform_store.CALL_TIMEOUT_S, max(0.2, left)),
+            timeout_s=min(self._node.store.choose_timeout(), max(0.2, left)),
         )
         if isinstance(result, platform_store.Committed):
             for pending in batch:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -39,9 +39,7 @@
     async def load(self) -> bool:
         """Reads the submissions of the service and their progress."""
         store = self._node.store
-        rows = await store.read_all(
-            ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART
-        )
+        rows = await self._read_submissions()
         if isinstance(rows, platform_store.Refused):
             return False
         progress = await store.read_all(
@@ -60,6 +58,21 @@
         self._feed_version = rows.version
         return True
 
+    async def _read_submissions(self):
+        """Reads all partitions; the version is that of the first one."""
+        pages = await asyncio.gather(
+            *(
+                self._node.store.read_all(ledgers.SUBMISSION_TABLE, part)
+                for part in ledgers.list_parts()
+            )
+        )
+        rows = []
+        for page in pages:
+            if isinstance(page, platform_store.Refused):
+                return page
+            rows += page.rows
+        return platform_store.Rows(rows, min(page.version for page in pages))
+
     def _take_row(self, row, progress=None, was_loaded=False):
         if row.is_deleted:
             return
@@ -85,9 +98,7 @@
                     table=ledgers.SUBMISSION_TABLE,
                     version=self._feed_version,
                 )
-                result = await self._node.store.read_all(
-                    ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART
-                )
+                result = await self._read_submissions()
             if isinstance(result, platform_store.Rows):
                 for row in result.rows:
                     self._take_row(row)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
@@ -239,7 +239,9 @@
     async def _read_view(self, submission_id):
         """Reads a submission's state from the store."""
         rows = await self._node.store.read_row(
-            ledgers.SUBMISSION_TABLE, ledgers.SUBMISSION_PART, submission_id
+            ledgers.SUBMISSION_TABLE,
+            ledgers.find_part(submission_id),
+            submission_id,
         )
         if isinstance(rows, platform_store.Refused):
             return None
@@ -268,7 +270,7 @@
         while clock.read_clock() < deadline:
             rows = await self._node.store.read_row(
                 ledgers.SUBMISSION_TABLE,
-                ledgers.SUBMISSION_PART,
+                ledgers.find_part(submission_id),
                 submission_id,
             )
             if isinstance(rows, platform_store.Refused):
@@ -283,7 +285,7 @@
                 return httpserver.Answer(200)
             record.cancelled = True
             result = await self._node.store.commit(
-                ledgers.SUBMISSION_PART,
+                ledgers.find_part(submission_id),
                 [
                     (
                         ledgers.SUBMISSION_TABLE,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -14,7 +14,9 @@
 OWNER_KEY = "owner"
 PROGRESS_TABLE = "progress"
 SUBMISSION_TABLE = "submission"
-SUBMISSION_PART = "s"
+# A partition carries its transactions one after another; several of them keep
+# acceptance going while the store is slow.
+SUBMISSION_PARTS = 8
 
 RENEW_S = 0.8
 # Orders to start stop this long after the last renewal; others may take the
@@ -229,28 +231,37 @@
         keep_s = self._node.settings.bounds.status_s + KEEP_SLACK_S
         now = clock.read_clock()
         old = [
-            submission
+            submission.id
             for submission in shard.submissions.values()
             if submission.stored_at is not None
             and now - submission.stored_at > keep_s
-        ][:ROWS_PER_COMMIT]
-        if not old:
-            return
+        ]
+        for part in list_parts():
+            ids = [i for i in old if find_part(i) == part][:ROWS_PER_COMMIT]
+            if ids:
+                await self._remove(part, ids)
+
+    async def _remove(self, part: str, ids: list[str]):
         result = await self._node.store.commit(
-            SUBMISSION_PART,
-            [],
-            [],
-            [(SUBMISSION_TABLE, submission.id) for submission in old],
+            part, [], [], [(SUBMISSION_TABLE, i) for i in ids]
         )
-        if isinstance(result, platform_store.Committed):
-            await self._node.store.commit(
-                shard.service,
-                [],
-                [],
-                [(PROGRESS_TABLE, submission.id) for submission in old],
-            )
-            for submission in old:
-                shard.submissions.pop(submission.id, None)
+        if not isinstance(result, platform_store.Committed):
+            return
+        await self._node.store.commit(
+            self._shard.service, [], [], [(PROGRESS_TABLE, i) for i in ids]
+        )
+        for submission_id in ids:
+            self._shard.submissions.pop(submission_id, None)
+
+
+def find_part(submission_id: str) -> str:
+    """Returns the partition of a submission."""
+    return f"s{int(submission_id[-2:], 16) % SUBMISSION_PARTS}"
+
+
+def list_parts() -> list[str]:
+    """Returns the partitions of all submissions."""
+    return [f"s{number}" for number in range(SUBMISSION_PARTS)]
 
 
 def stamp_time() -> int:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -19,14 +19,22 @@
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
 
-POLL_S = 0.8
+# The first candidates for a service read its owner more often than the rest.
+POLL_S = 0.4
+IDLE_POLL_S = 1.6
+FIRST_CANDIDATES = 2
 RETRY_S = 0.25
 # Candidates try one after another, in an order that differs by service.
-RANK_STEP_S = 0.15
-MAX_RANK_S = 0.9
+RANK_STEP_S = 0.1
+MAX_RANK_S = 0.6
 # A VM that owns another service lets the others try first.
-BUSY_RANK_S = 0.3
-PROBE_TIMEOUT_S = 0.4
+BUSY_RANK = 2
+PROBE_TIMEOUT_S = 0.35
+# An owner that hasn't renewed for this time is asked whether it is there; if
+# it doesn't answer, its service is taken over at once. Its fencing token and
+# its row keep it from doing harm, and tasks that it may have started meanwhile
+# wait as after every takeover.
+SUSPICION_S = 1.2
 
 
 class _Sighting:
@@ -97,7 +105,8 @@
                 if not shard.is_open:
                     del self.shards[service]
             try:
-                async with asyncio.timeout(POLL_S if is_current else RETRY_S):
+                pause_s = self._choose_pause() if is_current else RETRY_S
+                async with asyncio.timeout(pause_s):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -173,21 +182,42 @@
         try:
             sighting = self._sightings.get(service)
             if await self._is_vacant(service, sighting):
-                await asyncio.sleep(self._rank(service))
+                await asyncio.sleep(self._choose_delay(service))
                 await self._take(service, self._sightings.get(service))
         finally:
             self._taking.discard(service)
 
-    def _rank(self, service: str) -> float:
+    def _choose_pause(self) -> float:
+        configuration = self._node.configuration
+        if configuration is None:
+            return RETRY_S
+        ranks = [
+            self._rank(service)
+            for service in configuration.services
+            if service not in self.shards
+        ]
+        if ranks and min(ranks) < FIRST_CANDIDATES:
+            return POLL_S
+        return IDLE_POLL_S
+
+    def _rank(self, service: str) -> int:
+        """Returns how many VMs try to take a service over before this one."""
+        own = self._node.peer_address
+        owner = self.find_owner(service)
+        addresses = [
+            address
+            for address in (own, *self._peers.list_addresses())
+            if address != owner or address == own
+        ]
+        addresses.sort(key=lambda a: zlib.crc32(f"{service}/{a}".encode()))
+        rank = addresses.index(own)
+        return rank + BUSY_RANK if self.shards else rank
+
+    def _choose_delay(self, service: str) -> float:
         sighting = self._sightings.get(service)
         if sighting is not None and sighting.record.owner == self._node.name:
             return 0.0
-        names = self._peers.list_names()
-        names.sort(key=lambda name: zlib.crc32(f"{service}/{name}".encode()))
-        delay = names.index(self._node.name) * RANK_STEP_S
-        if self.shards:
-            delay += BUSY_RANK_S
-        return min(MAX_RANK_S, delay)
+        return min(MAX_RANK_S, self._rank(service) * RANK_STEP_S)
 
     async def _is_vacant(self, service: str, sighting) -> bool:
         if sighting is None or not sighting.record.owner:
@@ -198,24 +228,28 @@
             return True
         if sighting.record.owner == self._node.name:
             return sighting.record.boot != self._node.boot
-        is_fresh = now - sighting.changed_at < 2 * ledgers.RENEW_S
-        if is_fresh and sighting.has_probed:
+        silence_s = now - sighting.changed_at
+        if sighting.has_probed and silence_s < SUSPICION_S:
             return False
-        return await self._is_disowned(service, sighting)
+        return await self._probe(sighting, silence_s)
 
-    async def _is_disowned(self, service: str, sighting: _Sighting) -> bool:
-        """Asks the named owner; a new life of its process owns nothing."""
+    async def _probe(self, sighting: _Sighting, silence_s: float) -> bool:
+        """Asks the named owner whether it is there and still the same.
+
+        Returns:
+          Whether it isn't: another life of its process answers, or nobody
+          does and it hasn't renewed lately.
+        """
         sighting.has_probed = True
         outcome = await self._peers.call(
             sighting.record.address,
             "GET",
-            f"/peer/owner/{service}",
+            "/peer/boot",
             timeout_s=PROBE_TIMEOUT_S,
         )
         if isinstance(outcome, httpclient.NoReply) or outcome.status != 200:
-            return False
-        boot = outcome.body.decode()
-        sighting.is_disowned = boot != sighting.record.boot
+            return silence_s >= SUSPICION_S
+        sighting.is_disowned = outcome.body.decode() != sighting.record.boot
         return sighting.is_disowned
 
     async def _take(self, service: str, sighting: _Sighting | None):
@@ -266,6 +300,9 @@
             + 2 * fleet.LEASE_SLACK_S
         )
         unsettled = dict.fromkeys(former.workers, deadline)
+        may_be_shared_until = 0.0
+        if grace_s == ledgers.HOLD_S:
+            may_be_shared_until = since + ledgers.LEASE_S
         self._node.log.warn(
             "ownership_taken",
             service=service,
@@ -275,6 +312,7 @@
         )
         self._node.metrics.count("takeovers")
         shard = shards.Shard(self._node, service, fence, unsettled)
+        shard.shared_until = may_be_shared_until
         follower = listings.Listings(shard)
         orders = order_calls.Orders(shard, follower.look)
         follower.orders = orders
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -44,7 +44,7 @@
                 return httpserver.Answer(200, str(count).encode())
             case ["advice"]:
                 return await self._ask_advice(request.body)
-            case ["owner", _]:
+            case ["boot"]:
                 return httpserver.Answer(200, self._node.boot.encode())
             case ["owners-changed"]:
                 self._ownership.wake()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -82,7 +82,7 @@
             if not waiting or not step.submission.is_active:
                 self._shard.ready_steps.pop(step, None)
                 continue
-            if step.submission.was_loaded and self._shard.unsettled:
+            if step.submission.may_be_started and self._shard.unsettled:
                 continue
             if step.spec.gang and len(waiting) < step.left:
                 continue
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -42,6 +42,8 @@
         # Workers of the former owner that haven't answered yet, and when
         # every lease that it granted there has ended.
         self.unsettled = unsettled
+        # Until then the former owner may still start tasks.
+        self.shared_until = 0.0
         self.ready_steps: dict[work.Step, None] = {}
         # Steps that may be ready soon, for which advice is asked early.
         self.next_steps: dict[work.Step, None] = {}
@@ -143,8 +145,9 @@
         age_s = time.time() - record.accepted_ms / 1000
         if 0 < age_s < MAX_AGE_S and was_loaded:
             now -= age_s
+        may_be_started = was_loaded or now < self.shared_until
         submission = work.Submission(
-            submission_id, record, progress, was_loaded, now
+            submission_id, record, progress, may_be_started, now
         )
         self.submissions[submission_id] = submission
         if not submission.is_active:
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -10,7 +10,13 @@
 from persimmonpath_entry.transport import httpclient
 from persimmonpath_entry.transport import metrics
 
-CALL_TIMEOUT_S = 1.2
+# A call is given up after some times its usual length, within these bounds: a
+# slow store needs patience, a silent channel doesn't deserve it.
+MIN_TIMEOUT_S = 1.0
+MAX_TIMEOUT_S = 2.5
+TIMEOUT_FACTOR = 5.0
+# Weight of the newest call in the usual length.
+LENGTH_WEIGHT = 0.2
 # The answer to a long poll may come this much later than it was asked to.
 POLL_SLACK_S = 0.8
 ROWS_PER_CALL = 500
@@ -144,6 +150,12 @@
         self.on_failure = None
         self.last_answer = -1e9
         self.last_failure = -1e9
+        self._usual_s = 0.02
+
+    def choose_timeout(self) -> float:
+        """Returns the seconds after which a call is given up."""
+        usual_s = TIMEOUT_FACTOR * self._usual_s
+        return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, usual_s))
 
     async def call_directly(
         self, method: str, target: str, body: bytes, timeout_s: float
@@ -163,9 +175,16 @@
         return outcome
 
     async def _call(
-        self, kind: str, method: str, target: str, body: bytes, timeout_s: float
+        self,
+        kind: str,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float | None,
     ) -> httpclient.Outcome:
         start = clock.read_clock()
+        if timeout_s is None:
+            timeout_s = self.choose_timeout()
         if self.relay is None:
             outcome = await self.call_directly(method, target, body, timeout_s)
         else:
@@ -176,9 +195,10 @@
             result = str(outcome.status)
         self._metrics.count(f'store_calls{{call="{kind}",result="{result}"}}')
         if kind != "feed":
+            length_s = clock.read_clock() - start
+            self._usual_s += LENGTH_WEIGHT * (length_s - self._usual_s)
             self._metrics.observe(
-                f'store_latency{{call="{kind}"}}',
-                (clock.read_clock() - start) * 1000,
+                f'store_latency{{call="{kind}"}}', length_s * 1000
             )
         return outcome
 
@@ -188,7 +208,7 @@
         expect: list[tuple[str, str, int]],
         put: list[tuple[str, str, bytes]],
         remove: list[tuple[str, str]] = (),
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> Committed | Conflict | Refused | Unknown:
         """Applies all changes or none.
 
@@ -197,7 +217,7 @@
           expect: table, key and version that rows must have, 0 for no row.
           put: table, key and value of the rows to write.
           remove: table and key of the rows to remove.
-          timeout_s: seconds until the call is given up.
+          timeout_s: seconds until the call is given up, None for the usual.
 
         Returns:
           What became of it.
@@ -246,7 +266,7 @@
         part: str,
         first: str = "",
         end: str = "",
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> Rows | Refused:
         """Reads the rows of a partition with first <= key < end."""
         query = {"table": table, "part": part, "limit": ROWS_PER_CALL}
@@ -266,7 +286,7 @@
         version = None
         first = ""
         while True:
-            page = await self.read(table, part, first, timeout_s=3.0)
+            page = await self.read(table, part, first, timeout_s=MAX_TIMEOUT_S)
             if isinstance(page, Refused):
                 return page
             version = page.version if version is None else version
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -199,15 +199,14 @@
         submission_id: str,
         record: submissions.SubmissionRecord,
         progress: submissions.ProgressRecord | None,
-        was_loaded: bool,
+        may_be_started: bool,
         now: float,
     ):
         self.id = submission_id
         self.record = record
         self.progress = progress or submissions.ProgressRecord()
-        # Loaded from the store at a takeover: the former owner may have
-        # started tasks of it.
-        self.was_loaded = was_loaded
+        # Whether the former owner may have started tasks of it.
+        self.may_be_started = may_be_started
         self.known_since = now
         self.has_started = False
         # The state that the store holds and that callers may be shown.
