--- /dev/null
+++ b/tests/entry/test_acceptance.py
@@ -0,0 +1,97 @@
+"""What a caller may be told of a submission that is to be stored."""
+
+import asyncio
+import unittest
+
+from persimmonpath_entry.engine import acceptance
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.transport import clock
+from tests.entry import fakes
+
+ID = "00000000000000aa"
+
+
+class ScriptedStore(fakes.FakeStore):
+    """Repeats its last outcome."""
+
+    async def commit(self, part, expect, put, remove=(), timeout_s=None):
+        self.commits.append((part, expect, put, remove))
+        await asyncio.sleep(0)
+        if len(self.outcomes) > 1:
+            return self.outcomes.pop(0)
+        return self.outcomes[0]
+
+    def choose_timeout(self):
+        return 1.0
+
+
+def make_row(submission_id, version):
+    return platform_store.Row(
+        ledgers.SUBMISSION_TABLE,
+        ledgers.find_part(submission_id),
+        submission_id,
+        b"{}",
+        version,
+    )
+
+
+class VerdictTest(unittest.IsolatedAsyncioTestCase):
+    async def store_all(self, outcomes, ids=(ID,), wait_s=0.4):
+        store = ScriptedStore(outcomes)
+        accepting = acceptance.Acceptance(fakes.make_context(store))
+        task = asyncio.create_task(accepting.run())
+        deadline = clock.read_clock() + wait_s
+        verdicts = await asyncio.gather(
+            *(accepting.store(i, fakes.make_record(), deadline) for i in ids)
+        )
+        task.cancel()
+        return store, verdicts
+
+    async def test_verdict_for_each_course_of_events(self):
+        """A rejection is a promise that the submission never runs."""
+        committed = platform_store.Committed(5)
+        refused = platform_store.Refused(503)
+        unknown = platform_store.Unknown("timeout")
+        repeated = platform_store.Conflict([make_row(ID, 3)])
+        accepted = acceptance.Verdict.ACCEPTED
+        cases = [
+            ("stored", [committed], accepted),
+            ("stored at the second try", [refused, committed], accepted),
+            ("never read by the store", [refused], "refused"),
+            ("perhaps stored", [unknown], "unknown"),
+            ("perhaps stored, then refused", [unknown, refused], "unknown"),
+            ("a repeat", [repeated], "repeated"),
+            ("stored late, then found", [unknown, repeated], "repeated"),
+        ]
+        for name, outcomes, expected in cases:
+            with self.subTest(name):
+                _, verdicts = await self.store_all(list(outcomes))
+                expected = acceptance.Verdict(expected)
+                self.assertEqual(verdicts, [expected])
+
+    async def test_a_repeat_doesn_t_hold_up_the_others_of_its_group(self):
+        other = "00000000000000b2"
+        self.assertEqual(ledgers.find_part(ID), ledgers.find_part(other))
+        conflict = platform_store.Conflict(
+            [make_row(ID, 3), make_row(other, 0)]
+        )
+        store, verdicts = await self.store_all(
+            [conflict, platform_store.Committed(5)], (ID, other)
+        )
+        self.assertEqual(
+            verdicts,
+            [acceptance.Verdict.REPEATED, acceptance.Verdict.ACCEPTED],
+        )
+        self.assertEqual(len(store.commits), 2)
+
+    async def test_submissions_share_a_transaction(self):
+        """Each call to the store costs, and a partition takes 200 a second."""
+        ids = [f"{n * 8:016x}" for n in range(20)]
+        store, _ = await self.store_all([platform_store.Committed(5)], ids)
+        self.assertEqual(len(store.commits), 1)
+
+    async def test_a_row_is_written_only_if_there_is_none(self):
+        store, _ = await self.store_all([platform_store.Committed(5)])
+        expected = [(ledgers.SUBMISSION_TABLE, ID, 0)]
+        self.assertEqual(store.commits[0][1], expected)
--- /dev/null
+++ b/tests/entry/test_decisions.py
@@ -0,0 +1,158 @@
+"""Order of waiting work, advice and health."""
+
+import unittest
+
+from persimmonpath_entry.decisions import advising
+from persimmonpath_entry.decisions import health
+from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import work
+from tests.entry import fakes
+
+NOW = 1000.0
+
+
+def make_step(**changes):
+    fields = {"count": 1, "cpu": 1000, "memory_mb": 100, "estimated_ms": 400}
+    spec = submissions.StepSpec(**{**fields, **changes})
+    record = fakes.make_record(spec)
+    submission = work.Submission("00000000000000aa", record, None, False, NOW)
+    return submission.add_occurrence(0, NOW)[0]
+
+
+class RankTest(unittest.TestCase):
+    def rank(self, age_s, **changes):
+        queue = fakes.make_queue(**changes)
+        return ordering.rank_step(make_step(), queue, age_s, 400, NOW)
+
+    def test_urgent_work_comes_first_even_when_late(self):
+        """Batch work with half a minute to spare stood before it."""
+        urgent = self.rank(1.0, priority=0)
+        batch = self.rank(0.0, priority=2, stretch=40.0)
+        self.assertLess(urgent, batch)
+
+    def test_what_can_be_on_time_comes_before_what_is_late(self):
+        """A late submission earns a fifth; it must not make others late."""
+        self.assertLess(self.rank(0.1), self.rank(1.0))
+
+    def test_hopeless_work_comes_last(self):
+        """Beyond three times its objective nobody waits for it."""
+        hopeless = self.rank(60.0, priority=0)
+        batch = self.rank(0.0, priority=2)
+        self.assertLess(batch, hopeless)
+
+    def test_chain_of_steps(self):
+        """Parallel steps don't add up."""
+        specs = [
+            submissions.StepSpec(count=1, estimated_ms=100),
+            submissions.StepSpec(count=1, estimated_ms=300),
+            submissions.StepSpec(count=1, estimated_ms=50, after=[0, 1]),
+        ]
+        self.assertEqual(ordering.estimate_chain_ms(specs), 350)
+
+
+class ChooseCallerTest(unittest.TestCase):
+    """Replays the crest in which work waited for advice, not for room."""
+
+    PEERS = ["p1", "p2", "p3"]
+
+    def choose(self, busy, length_s, need=advising.Need.START, peers=None):
+        peers = self.PEERS if peers is None else peers
+        return advising.choose_caller("own", peers, busy, length_s, need)
+
+    def test_short_calls_stay_at_home(self):
+        """At a peer they waited 0.8 s behind a long call."""
+        self.assertEqual(self.choose({}, 0.02), "own")
+
+    def test_long_calls_leave_the_own_vm_free(self):
+        self.assertEqual(self.choose({}, 0.9), "p1")
+
+    def test_no_vm_gets_a_second_long_call(self):
+        """Calls given up are handled all the same and pile up."""
+        busy = dict.fromkeys(self.PEERS, 1)
+        self.assertIsNone(self.choose(busy, 0.9))
+
+    def test_calls_ahead_leave_a_vm_for_work_with_room(self):
+        busy = {"p1": 1, "p2": 1}
+        self.assertIsNone(self.choose(busy, 0.9, advising.Need.AHEAD))
+        self.assertEqual(self.choose(busy, 0.9), "p3")
+
+    def test_alone_all_calls_are_made_at_home(self):
+        self.assertEqual(self.choose({}, 0.9, peers=[]), "own")
+
+
+class ChooseTargetsTest(unittest.TestCase):
+    def setUp(self):
+        self.workers = [
+            fleet.Worker(fakes.make_registration(f"w{n}")) for n in range(40)
+        ]
+        self.book = work.TicketBook()
+        self.spec = submissions.StepSpec(count=1, cpu=1000, memory_mb=100)
+
+    def choose(self, planned=()):
+        return advising.choose_targets(
+            self.book,
+            self.spec,
+            self.workers,
+            list(planned),
+            placement.Room(),
+            NOW,
+        )
+
+    def test_the_first_call_names_a_batch(self):
+        """One call a start would keep the advisor busy for minutes."""
+        self.assertEqual(len(self.choose()), advising.WORKERS_PER_CALL)
+
+    def test_known_good_workers_are_asked_again_by_themselves(self):
+        """Each worker named lengthens the call."""
+        self.book.asked = {worker.id for worker in self.workers}
+        self.book.good = {"w3", "w7"}
+        self.assertEqual(self.choose([self.workers[3]]), ["w3"])
+        self.assertEqual(self.choose(), ["w3", "w7"])
+
+    def test_a_valid_ticket_isn_t_asked_for(self):
+        self.book.asked = {worker.id for worker in self.workers}
+        self.book.good = {"w3"}
+        self.book.tickets["w3"] = ("t", NOW + 1)
+        self.assertEqual(self.book.find("w3", NOW), "t")
+        self.assertIsNone(self.book.find("w3", NOW + 1))
+
+
+class HealthTest(unittest.TestCase):
+    def make_run(self, **changes):
+        worker = fleet.Worker(fakes.make_registration())
+        task = make_step(**changes).tasks[0]
+        return work.Run(task, 1, worker, work.Phase.RUNNING, NOW - 10)
+
+    def test_a_task_without_any_load_stands_still(self):
+        """Workers that hang report no failure."""
+        run = self.make_run()
+        run.idle_since = NOW - health.STILL_S - 0.1
+        self.assertTrue(health.is_standing_still(run, NOW))
+
+    def test_what_waits_or_is_paced_doesn_t_stand_still(self):
+        for changes in ({"gang": True}, {"is_filler": True}, {"target_ms": 5}):
+            with self.subTest(changes):
+                run = self.make_run(**changes)
+                run.idle_since = NOW - 9
+                self.assertFalse(health.is_standing_still(run, NOW))
+        run = self.make_run()
+        run.idle_since = NOW - 9
+        run.percent = 30
+        self.assertFalse(health.is_standing_still(run, NOW))
+
+    def test_leaving_a_draining_worker(self):
+        """What can't end there goes on elsewhere from its checkpoint."""
+        lasting = self.make_run(long_running=True)
+        lasting.worker.drain_deadline = NOW + 5
+        self.assertTrue(health.is_to_leave(lasting, lasting.worker, NOW))
+        saving = self.make_run(checkpointing=True)
+        saving.worker.drain_deadline = NOW + 5
+        self.assertFalse(health.is_to_leave(saving, saving.worker, NOW))
+        saving.worker.drain_deadline = NOW + 0.5
+        self.assertTrue(health.is_to_leave(saving, saving.worker, NOW))
+        plain = self.make_run()
+        plain.worker.drain_deadline = NOW + 0.5
+        self.assertFalse(health.is_to_leave(plain, plain.worker, NOW))
--- /dev/null
+++ b/tests/entry/test_ledger.py
@@ -0,0 +1,135 @@
+"""What the owner stores, and when it gives up."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from persimmonpath_entry.engine import ledger as ledgers
+from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import submissions
+from tests.entry import fakes
+
+ID = "00000000000000aa"
+
+
+def make_owner_row(node, boot, version):
+    record = ledgers.OwnerRecord(owner=node, boot=boot)
+    return platform_store.Row(
+        ledgers.OWNER_TABLE,
+        fakes.SERVICE,
+        ledgers.OWNER_KEY,
+        msgspec.json.encode(record),
+        version,
+    )
+
+
+class LedgerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.node = fakes.make_context(self.store)
+        self.shard = fakes.make_shard(self.node)
+        self.shard.lease_until = 0.0
+        self.worker = fakes.add_worker(self.shard)
+        self.worker.is_recorded = False
+        self.ledger = ledgers.Ledger(self.shard, 10, lambda: None)
+        self.shard.take_submission(ID, fakes.make_record())
+        self.submission = self.shard.submissions[ID]
+
+    async def end_all(self):
+        for number, task in enumerate(self.submission.steps["0.0"].tasks):
+            run = fakes.start_run(self.shard, task, self.worker)
+            self.shard.remove_run(run, "done", "")
+            self.worker.processed = number + 1
+
+    async def write(self, outcome):
+        self.store.outcomes.append(outcome)
+        return await self.ledger._write()
+
+    async def test_ends_are_acknowledged_only_once_stored(self):
+        """Without it a task that ended would run again after a takeover."""
+        await self.end_all()
+        await self.write(platform_store.Unknown("timeout"))
+        self.assertEqual(self.worker.last_seen, 0)
+        self.assertEqual(self.submission.stored_state, submissions.ACTIVE)
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.worker.last_seen, 2)
+        self.assertEqual(self.submission.stored_state, submissions.COMPLETED)
+
+    async def test_a_failed_write_keeps_what_it_carried(self):
+        await self.end_all()
+        await self.write(platform_store.Refused(503))
+        self.assertIn(ID, self.shard.dirty)
+
+    async def test_ends_wait_for_all_that_was_dirty_before_them(self):
+        """A batch that doesn't hold everything acknowledges nothing."""
+        await self.end_all()
+        for number in range(ledgers.ROWS_PER_COMMIT + 1):
+            name = f"{number:016x}"
+            self.shard.take_submission(name, fakes.make_record())
+            self.shard.mark_dirty(self.shard.submissions[name])
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.worker.last_seen, 0)
+        await self.write(platform_store.Committed(12))
+        self.assertEqual(self.worker.last_seen, 2)
+
+    async def test_every_write_expects_the_owner_row(self):
+        """A replaced owner must not be able to store anything."""
+        await self.write(platform_store.Committed(11))
+        await self.write(platform_store.Committed(12))
+        expected = [
+            [(ledgers.OWNER_TABLE, ledgers.OWNER_KEY, version)]
+            for version in (10, 11)
+        ]
+        self.assertEqual([c[1] for c in self.store.commits], expected)
+
+    async def test_an_own_write_without_an_answer_is_recognised(self):
+        """It was applied late; the owner is still the owner."""
+        row = make_owner_row("vm-1", self.node.boot, 15)
+        await self.write(platform_store.Unknown("timeout"))
+        await self.write(platform_store.Conflict([row]))
+        self.assertTrue(self.shard.is_open)
+        await self.write(platform_store.Committed(16))
+        self.assertEqual(self.store.commits[-1][1][0][2], 15)
+
+    async def test_a_replaced_owner_gives_up(self):
+        cases = {
+            "another VM": make_owner_row("vm-2", "x", 15),
+            "another life of this VM": make_owner_row("vm-1", "x", 15),
+        }
+        for name, row in cases.items():
+            with self.subTest(name):
+                shard = fakes.make_shard(self.node)
+                ledger = ledgers.Ledger(shard, 10, lambda: None)
+                self.store.outcomes.append(platform_store.Conflict([row]))
+                await ledger._write()
+                self.assertFalse(shard.is_open)
+
+    async def test_the_lease_counts_from_the_sending(self):
+        """The answer may have been on its way for long."""
+        self.ledger.extend(50.0)
+        self.assertTrue(self.shard.may_start(50.0 + ledgers.LEASE_S - 0.1))
+        self.assertFalse(self.shard.may_start(50.0 + ledgers.LEASE_S + 0.1))
+        self.assertTrue(self.shard.may_hold(50.0 + ledgers.LEASE_S + 0.1))
+        self.assertFalse(self.shard.may_hold(50.0 + ledgers.HOLD_S + 0.1))
+
+    async def test_a_worker_is_used_only_once_the_store_names_it(self):
+        """A new owner has to know each worker that may run its tasks."""
+        await self.write(platform_store.Refused(503))
+        self.assertFalse(self.worker.is_recorded)
+        await self.write(platform_store.Committed(11))
+        self.assertTrue(self.worker.is_recorded)
+        record = msgspec.json.decode(
+            self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
+        )
+        self.assertIn(self.worker.id, record.workers)
+
+    async def test_a_released_service_has_no_owner(self):
+        self.store.outcomes += [platform_store.Committed(n) for n in (11, 12)]
+        self.ledger.release()
+        await asyncio.wait_for(self.ledger.run(), 5)
+        record = msgspec.json.decode(
+            self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
+        )
+        self.assertEqual(record.owner, "")
+        self.assertFalse(self.shard.is_open)
--- /dev/null
+++ b/tests/entry/test_orders.py
@@ -0,0 +1,104 @@
+"""How a start is settled, whatever becomes of its answer."""
+
+import asyncio
+import unittest
+
+from persimmonpath_entry.engine import orders as order_calls
+from persimmonpath_entry.platform import workers as worker_calls
+from persimmonpath_entry.state import work
+from tests.entry import fakes
+
+ID = "00000000000000aa"
+
+
+class ScriptedClient:
+    """Answers starts and stops as told and notes them."""
+
+    def __init__(self, start, stops=()):
+        self.start_result = start
+        self.stop_results = list(stops)
+        self.calls = []
+
+    async def start(self, task, run, *rest):
+        self.calls.append(("start", task, run))
+        return self.start_result
+
+    async def stop(self, task, run, *rest):
+        self.calls.append(("stop", task, run))
+        return self.stop_results.pop(0)
+
+    def close(self):
+        pass
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.shard.take_submission(ID, fakes.make_record())
+        self.task = self.shard.submissions[ID].find_task("0.0.0")
+        self.looks = []
+        self.orders = order_calls.Orders(self.shard, self.looks.append)
+        self.shard.on_stop = self.orders.stop
+
+    async def start(self, result, stops=()):
+        client = ScriptedClient(result, stops)
+        self.shard.clients[self.worker.id] = client
+        run = self.shard.create_run(self.task, self.worker)
+        self.orders.start(run, "")
+        for _ in range(20):
+            await asyncio.sleep(0)
+        return run, client
+
+    async def test_an_accepted_start_runs(self):
+        run, _ = await self.start(worker_calls.Accepted(2000.0))
+        self.assertIs(run.phase, work.Phase.RUNNING)
+        self.assertIsNotNone(run.settled_at)
+
+    async def test_a_refused_start_waits_again(self):
+        for reason in ("room", "ticket", "late", "503", "unreachable"):
+            with self.subTest(reason):
+                await self.start(worker_calls.Rejected(reason))
+                self.assertTrue(self.task.is_waiting)
+                self.assertEqual(self.worker.free_cpu, 16000)
+
+    async def test_an_unanswered_start_is_stopped_before_anything_else(self):
+        """It may be carried out seconds later, beside a second run."""
+        run, client = await self.start(
+            worker_calls.Uncertain("timeout"), [worker_calls.Accepted(2000.0)]
+        )
+        kinds = [call[0] for call in client.calls]
+        self.assertEqual(kinds, ["start", "stop"])
+        self.assertEqual(self.task.runs, [run])
+        self.assertEqual(self.looks, [self.worker])
+
+    async def test_a_stop_is_repeated_until_it_is_answered(self):
+        """A stop, too, may be left unanswered and carried out late."""
+        order_calls_retry = order_calls.STOP_RETRY_S
+        order_calls.STOP_RETRY_S = 0
+        self.addCleanup(setattr, order_calls, "STOP_RETRY_S", order_calls_retry)
+        lost = worker_calls.Uncertain("timeout")
+        _, client = await self.start(
+            lost, [lost, lost, worker_calls.Accepted(2000.0)]
+        )
+        kinds = [call[0] for call in client.calls]
+        self.assertEqual(kinds, ["start", "stop", "stop", "stop"])
+
+    async def test_a_higher_token_ends_the_shard(self):
+        await self.start(worker_calls.Rejected(worker_calls.FENCE))
+        self.assertFalse(self.shard.is_open)
+
+    async def test_nothing_is_sent_without_a_lease(self):
+        """Another VM may own the service already."""
+        self.shard.lease_until = 0.0
+        _, client = await self.start(worker_calls.Accepted(2000.0))
+        self.assertEqual(client.calls, [])
+        self.assertTrue(self.task.is_waiting)
+
+    async def test_another_lifetime_frees_every_task(self):
+        """The address may belong to another service by now."""
+        other = self.shard.submissions[ID].find_task("0.0.1")
+        fakes.start_run(self.shard, other, self.worker)
+        await self.start(worker_calls.Rejected(worker_calls.OTHER_LIFETIME))
+        self.assertTrue(other.is_waiting)
+        self.assertTrue(self.task.is_waiting)
--- /dev/null
+++ b/tests/entry/test_placement.py
@@ -0,0 +1,136 @@
+"""Which worker carries a task."""
+
+import unittest
+
+from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from tests.entry import fakes
+
+
+def make_worker(worker_id, **changes):
+    return fleet.Worker(fakes.make_registration(worker_id, **changes))
+
+
+def make_spec(**changes):
+    fields = {"count": 1, "cpu": 1000, "memory_mb": 100}
+    return submissions.StepSpec(**{**fields, **changes})
+
+
+class ChooseWorkerTest(unittest.TestCase):
+    def choose(self, workers, spec, counts=None, avoided=()):
+        return placement.choose_worker(
+            workers, spec, placement.Room(), counts or {}, avoided
+        )
+
+    def test_no_resource_is_taken_twice(self):
+        """A worker that starts whatever it is told must not be overloaded."""
+        cases = {
+            "cpu": make_spec(cpu=17000),
+            "memory": make_spec(memory_mb=33000),
+            "gpu": make_spec(gpu=1),
+        }
+        for name, spec in cases.items():
+            with self.subTest(name):
+                self.assertIsNone(self.choose([make_worker("w1")], spec))
+
+    def test_planned_tasks_take_room(self):
+        """A pass places many tasks before any worker has confirmed one."""
+        worker = make_worker("w1")
+        room = placement.Room()
+        spec = make_spec(cpu=9000)
+        self.assertTrue(placement.fits(worker, spec, room))
+        room.take(worker, spec)
+        self.assertFalse(placement.fits(worker, spec, room))
+        room.give_back(worker, spec)
+        self.assertTrue(placement.fits(worker, spec, room))
+
+    def test_narrow_tasks_are_packed(self):
+        """Spread over all workers they would leave no room for a wide one."""
+        empty = make_worker("empty")
+        partly = make_worker("partly")
+        partly.used_cpu = 8000
+        self.assertIs(self.choose([empty, partly], make_spec()), partly)
+
+    def test_data_rack_is_preferred(self):
+        """Away from its data a task takes twice as long."""
+        far = make_worker("far", rack="r1")
+        far.used_cpu = 14000
+        near = make_worker("near", rack="r2")
+        spec = make_spec(data_rack="r2")
+        self.assertIs(self.choose([far, near], spec), near)
+
+    def test_limit_of_tasks_per_worker(self):
+        """The step asked to be spread."""
+        one, two = make_worker("one"), make_worker("two")
+        spec = make_spec(max_per_worker=1)
+        self.assertIs(self.choose([one, two], spec, {"one": 1}), two)
+        counts = {"one": 1, "two": 1}
+        self.assertIsNone(self.choose([one, two], spec, counts))
+
+    def test_a_worker_on_which_the_task_failed_comes_last(self):
+        """The worker, not the task, may be at fault."""
+        one, two = make_worker("one"), make_worker("two")
+        one.used_cpu = 8000
+        chosen = self.choose([one, two], make_spec(), avoided={"one"})
+        self.assertIs(chosen, two)
+        chosen = self.choose([one], make_spec(), avoided={"one"})
+        self.assertIs(chosen, one)
+
+    def test_fillers_stay_off_workers_that_serve(self):
+        """They would spoil the response times of what serves there."""
+        serving, idle = make_worker("serving"), make_worker("idle")
+        serving.serving = 1
+        idle.used_cpu = 12000
+        spec = make_spec(is_filler=True)
+        self.assertIs(self.choose([serving, idle], spec), idle)
+
+    def test_a_label_is_required(self):
+        """A start on another worker breaks the queue's rules."""
+        worker = make_worker("w1", labels=("a", "r1"))
+        self.assertTrue(placement.can_ever_fit(worker, make_spec(label="a")))
+        self.assertFalse(placement.can_ever_fit(worker, make_spec(label="b")))
+
+
+class GangPlanTest(unittest.TestCase):
+    def test_all_members_or_none(self):
+        """A part of a gang would wait and hold room for nothing."""
+        workers = [make_worker("one"), make_worker("two")]
+        spec = make_spec(cpu=9000, gang=True)
+        room = placement.Room()
+        self.assertIsNone(placement.plan_gang(workers, spec, 3, room))
+        self.assertEqual(len(placement.plan_gang(workers, spec, 2, room)), 2)
+
+    def test_one_rack_is_tried_first(self):
+        """On several racks the members take longer."""
+        workers = [
+            make_worker("one", rack="r1"),
+            make_worker("two", rack="r2"),
+            make_worker("three", rack="r2"),
+        ]
+        workers[0].used_cpu = 5000
+        spec = make_spec(cpu=9000, gang=True, same_rack=True)
+        plan = placement.plan_gang(workers, spec, 2, placement.Room())
+        self.assertEqual({w.registration.rack for w in plan}, {"r2"})
+
+
+class ReservationTest(unittest.TestCase):
+    def test_the_worker_that_lacks_least_is_kept(self):
+        """Else narrow tasks fill every gap and a wide one never starts."""
+        near = make_worker("near")
+        near.used_cpu = 4000
+        far = make_worker("far")
+        far.used_cpu = 15000
+        spec = make_spec(cpu=14000)
+        room = placement.Room()
+        chosen = placement.choose_reserved([far, near], spec, room)
+        self.assertIs(chosen, near)
+
+    def test_a_worker_is_kept_for_one_task(self):
+        """The first waiting task would lose what the second one reserves."""
+        worker = make_worker("w1")
+        worker.used_cpu = 4000
+        spec = make_spec(cpu=14000)
+        room = placement.Room()
+        room.take(worker, spec)
+        self.assertIsNone(placement.choose_reserved([worker], spec, room))
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -58,3 +58,132 @@
             run = fakes.start_run(shard, task, worker)
             shard.remove_run(run, "failed", "")
         self.assertEqual(submission.state, submissions.FAILED)
+
+
+class RunTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.shard.take_submission(ID, fakes.make_record())
+        self.submission = self.shard.submissions[ID]
+        self.task = self.submission.find_task("0.0.0")
+
+    async def test_room_is_free_only_at_the_listed_end(self):
+        """A worker here starts whatever it is told, over its capacity."""
+        run = fakes.start_run(self.shard, self.task, self.worker)
+        self.assertEqual(self.worker.free_cpu, 15000)
+        self.shard.on_stop(run, "test")
+        self.assertEqual(self.worker.free_cpu, 15000)
+        self.shard.remove_run(run, "stopped", "")
+        self.assertEqual(self.worker.free_cpu, 16000)
+
+    async def test_run_numbers_rise_over_every_owner(self):
+        """A worker refuses a run that isn't higher than an ended one."""
+        run = fakes.start_run(self.shard, self.task, self.worker)
+        successor = fakes.make_shard(fence=self.shard.fence + 1)
+        successor.take_submission(ID, fakes.make_record())
+        task = successor.submissions[ID].find_task("0.0.0")
+        self.assertGreater(successor.next_number(task), run.number)
+
+    async def test_a_lost_run_is_placed_again_from_its_checkpoint(self):
+        run = fakes.start_run(self.shard, self.task, self.worker)
+        self.shard.remove_run(run, "lost", "save-1")
+        self.assertTrue(self.task.is_waiting)
+        self.assertEqual(self.task.saved, "save-1")
+        self.assertIn(self.task.step, self.shard.ready_steps)
+
+    async def test_a_done_task_is_never_started_again(self):
+        """The end may be listed twice, and other ends may follow it."""
+        run = fakes.start_run(self.shard, self.task, self.worker)
+        self.shard.remove_run(run, "done", "")
+        self.shard.take_end(self.task, run.number, "failed", "", self.worker)
+        self.assertTrue(self.task.is_done)
+        self.assertFalse(self.task.is_waiting)
+
+    async def test_a_step_waits_for_those_before_it(self):
+        steps = (
+            submissions.StepSpec(count=2, cpu=1, memory_mb=1),
+            submissions.StepSpec(count=1, cpu=1, memory_mb=1, after=[0]),
+        )
+        self.shard.take_submission("bb" * 8, fakes.make_record(*steps))
+        submission = self.shard.submissions["bb" * 8]
+        later = submission.steps["0.1"]
+        for key in ("0.0.0", "0.0.1"):
+            self.assertNotIn(later, self.shard.ready_steps)
+            task = submission.find_task(key)
+            run = fakes.start_run(self.shard, task, self.worker)
+            self.shard.remove_run(run, "done", "")
+        self.assertIn(later, self.shard.ready_steps)
+
+    async def test_completed_is_shown_only_once_stored(self):
+        """After a loss of all VMs the tasks would run again."""
+        for task in self.task.step.tasks:
+            run = fakes.start_run(self.shard, task, self.worker)
+            self.shard.remove_run(run, "done", "")
+        self.assertEqual(self.submission.state, submissions.COMPLETED)
+        self.assertEqual(self.submission.stored_state, submissions.ACTIVE)
+        self.shard.note_stored(self.submission, submissions.COMPLETED, 1.0)
+        self.assertEqual(self.submission.stored_state, submissions.COMPLETED)
+
+    async def test_a_cancel_stops_every_run(self):
+        fakes.start_run(self.shard, self.task, self.worker)
+        record = fakes.make_record(cancelled=True)
+        self.shard.take_submission(ID, record)
+        self.assertEqual(len(self.shard.stopped), 1)
+        self.assertNotIn(self.task.step, self.shard.ready_steps)
+
+    async def test_a_broken_gang_is_stopped_whole(self):
+        """The members left would wait for one that can't come."""
+        self.shard.take_submission("cc" * 8, fakes.make_record(GANG))
+        step = self.shard.submissions["cc" * 8].steps["0.0"]
+        runs = []
+        for task in step.tasks:
+            task.last_number = 9
+            runs.append(fakes.start_run(self.shard, task, self.worker))
+        self.shard.remove_run(runs[0], "lost", "")
+        self.assertEqual([run for run, _ in self.shard.stopped], [runs[1]])
+
+
+class WorkerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.shard.take_submission(ID, fakes.make_record())
+        self.task = self.shard.submissions[ID].find_task("0.0.0")
+
+    async def test_a_new_life_runs_nothing_of_the_former_one(self):
+        """Without this its tasks would wait for the end of a lease."""
+        fakes.start_run(self.shard, self.task, self.worker)
+        self.worker.processed = 12
+        again = fakes.make_registration(born=2)
+        self.shard.take_registration(again)
+        self.assertTrue(self.task.is_waiting)
+        self.assertEqual(self.worker.processed, 0)
+        self.assertEqual(self.worker.free_cpu, 16000)
+
+    async def test_a_vanished_registration_proves_nothing(self):
+        """The worker may be cut off from the store and run on."""
+        fakes.start_run(self.shard, self.task, self.worker)
+        self.shard.drop_registration(self.worker.id)
+        self.assertFalse(self.task.is_waiting)
+
+    async def test_failures_on_end_keep_work_away(self):
+        """A worker that fails all it starts would use up every attempt."""
+        for index in range(3):
+            name = f"{index:016x}"
+            self.shard.take_submission(name, fakes.make_record())
+            task = self.shard.submissions[name].find_task("0.0.0")
+            run = fakes.start_run(self.shard, task, self.worker)
+            self.shard.remove_run(run, "failed", "")
+        self.assertGreater(self.worker.penalty_until, 0)
+
+    async def test_a_lease_is_bounded_by_a_slow_clock(self):
+        """The worker's clock may be 2% slow, so its lease ends later."""
+        self.worker.clock = (10_000.0, 100.0)
+        self.worker.max_until_ms = 16_000.0
+        self.assertGreater(self.worker.bound_lease_end(), 106.0 + 0.12)
+
+    async def test_an_estimate_never_runs_ahead_of_the_clock(self):
+        """A lease that begins too far ahead is shortened by the worker."""
+        self.worker.clock = (10_000.0, 100.0)
+        self.assertLess(self.worker.estimate_clock_ms(101.0), 11_000.0)
