--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -7,6 +7,7 @@
 
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 
@@ -99,7 +100,7 @@
         shard = self._shard
         workers = {
             worker.id: worker.registration.address
-            for worker in shard.workers.values()
+            for worker in self._list_recorded(is_leaving=not owner)
         }
         for worker_id in shard.unsettled:
             workers.setdefault(worker_id, "")
@@ -113,6 +114,27 @@
             )
         )
 
+    def _list_recorded(self, is_leaving: bool) -> list[fleet.Worker]:
+        """Returns the workers that a new owner has to ask.
+
+        Args:
+          is_leaving: whether this owner starts nothing any more, so that only
+            workers with runs matter.
+        """
+        now = clock.read_clock()
+        rows = []
+        for worker in self._shard.workers.values():
+            is_empty = not worker.runs and not worker.strangers
+            is_dead = (
+                worker.silent_since is not None
+                and now > worker.bound_lease_end()
+            )
+            if is_empty and (is_leaving or is_dead):
+                worker.is_recorded = False
+            else:
+                rows.append(worker)
+        return rows
+
     async def _write(self) -> bool:
         shard = self._shard
         batch = [
@@ -137,7 +159,7 @@
             worker.id: worker.processed for worker in shard.workers.values()
         }
         lifetimes = {w.id: w.born for w in shard.workers.values()}
-        recorded = list(shard.workers.values())
+        recorded = self._list_recorded(is_leaving=False)
         rows.append(
             (OWNER_TABLE, OWNER_KEY, self._encode_owner(self._node.name))
         )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from persimmonpath_entry.decisions import succession
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
@@ -25,11 +26,13 @@
       address: where its peers reach it.
       zone: its availability zone.
       boot: the life of its process.
+      weight: how fit it is to own a service, in cores.
     """
 
     address: str
     zone: str
     boot: str
+    weight: float = 1.0
 
 
 class Members:
@@ -41,6 +44,10 @@
         self._clients: dict[str, httpclient.HttpClient] = {}
         self._avoided: dict[str, float] = {}
         self._version: int | None = None
+        limits = node.settings.limits
+        self.own_weight = succession.weigh_vm(
+            limits.cpu_share, limits.cores, limits.link_mbps
+        )
 
     async def run(self):
         """Registers this VM and follows the others."""
@@ -56,7 +63,10 @@
 
     async def _register(self) -> bool:
         record = MemberRecord(
-            self._node.peer_address, self._node.settings.zone, self._node.boot
+            self._node.peer_address,
+            self._node.settings.zone,
+            self._node.boot,
+            self.own_weight,
         )
         result = await self._node.store.commit(
             "", [], [(TABLE, self._node.name, msgspec.json.encode(record))]
@@ -107,6 +117,17 @@
         ]
         return [address for _, _, address in sorted(rows)]
 
+    def list_weights(self) -> dict[str, float]:
+        """Returns the fitness of the VMs that are there, by address."""
+        present = set(self.list_addresses())
+        weights = {
+            record.address: record.weight
+            for record in self._records.values()
+            if record.address in present
+        }
+        weights[self._node.peer_address] = self.own_weight
+        return weights
+
     def list_distant(self, count: int) -> list[str]:
         """Returns peers to probe, of as many other zones as possible."""
         zones: dict[str, list[str]] = {}
@@ -120,10 +141,6 @@
         ]
         return [address for _, address in sorted(rows)][:count]
 
-    def list_names(self) -> list[str]:
-        """Returns the names of all VMs that are registered."""
-        return sorted({*self._records, self._node.name})
-
     async def call(
         self,
         address: str,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -1,10 +1,10 @@
 """Takes over services that nobody owns and serves them."""
 
 import asyncio
-import zlib
 
 import msgspec
 
+from persimmonpath_entry.decisions import succession
 from persimmonpath_entry.engine import advising
 from persimmonpath_entry.engine import care
 from persimmonpath_entry.engine import context
@@ -26,9 +26,9 @@
 RETRY_S = 0.25
 # Candidates try one after another, in an order that differs by service.
 RANK_STEP_S = 0.1
-MAX_RANK_S = 0.6
-# A VM that owns another service lets the others try first.
-BUSY_RANK = 2
+MAX_RANK_S = 3.0
+# An owner keeps its service for this time at least before it gives way.
+SETTLE_S = 3.0
 PROBE_TIMEOUT_S = 0.35
 # An owner that hasn't renewed for this time is asked whether it is there; if
 # it doesn't answer, its service is taken over at once. Its fencing token and
@@ -101,6 +101,7 @@
             if is_current:
                 self.is_known = True
                 self._consider_all()
+                self._give_way()
             for service, shard in list(self.shards.items()):
                 if not shard.is_open:
                     del self.shards[service]
@@ -203,15 +204,32 @@
     def _rank(self, service: str) -> int:
         """Returns how many VMs try to take a service over before this one."""
         own = self._node.peer_address
+        weights = self._peers.list_weights()
         owner = self.find_owner(service)
-        addresses = [
-            address
-            for address in (own, *self._peers.list_addresses())
-            if address != owner or address == own
-        ]
-        addresses.sort(key=lambda a: zlib.crc32(f"{service}/{a}".encode()))
-        rank = addresses.index(own)
-        return rank + BUSY_RANK if self.shards else rank
+        if owner != own:
+            weights.pop(owner, None)
+        return succession.rank_candidate(
+            service, own, weights, bool(self.shards)
+        )
+
+    def _give_way(self):
+        """Hands services to a stronger VM that owns none."""
+        owners = self.list_owners()
+        weights = self._peers.list_weights()
+        weights.pop(self._node.peer_address)
+        free = [w for address, w in weights.items() if address not in owners]
+        if not succession.is_outdone(self._peers.own_weight, free):
+            return
+        now = clock.read_clock()
+        for service, shard in self.shards.items():
+            if shard.is_open and now - shard.opened_at > SETTLE_S:
+                self._node.log.warn(
+                    "giving_way", service=service, weight=self._peers.own_weight
+                )
+                shard.opened_at = now
+                asyncio.get_running_loop().create_task(
+                    self._release(service, shard)
+                )
 
     def _choose_delay(self, service: str) -> float:
         sighting = self._sightings.get(service)
@@ -349,12 +367,19 @@
 
     async def release_all(self):
         """Gives every service up, after what is known has been stored."""
-        for service, shard in list(self.shards.items()):
-            if shard.is_open:
-                self._ledgers[service].release()
-        for service, shard in list(self.shards.items()):
-            ledger = self._ledgers[service]
-            while shard.is_open and not ledger.release_done.is_set():
-                await asyncio.sleep(0.02)
+        await asyncio.gather(
+            *(
+                self._release(service, shard)
+                for service, shard in list(self.shards.items())
+            )
+        )
+
+    async def _release(self, service: str, shard: shards.Shard):
+        if not shard.is_open:
+            return
+        ledger = self._ledgers[service]
+        ledger.release()
+        while shard.is_open and not ledger.release_done.is_set():
+            await asyncio.sleep(0.02)
         for address in self._peers.list_addresses():
             await self._peers.call(address, "POST", "/peer/owners-changed")
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -50,6 +50,7 @@
         self.dirty: dict[str, work.Submission] = {}
         self.timed: dict[str, work.Submission] = {}
         self.is_open = True
+        self.opened_at = clock.read_clock()
         self.is_loaded = False
         self.lease_until = 0.0
         self.hold_until = 0.0
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -33,6 +33,13 @@
     status_s: float = msgspec.field(name="status_s", default=120)
 
 
+class _Limits(msgspec.Struct, rename="camel", frozen=True):
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+    memory_mb: float = 256.0
+
+
 class _Store(msgspec.Struct, rename="camel", frozen=True):
     address: str = ""
     writes_per_s: float = 600
@@ -55,6 +62,7 @@
       internal_ports: first and last port for the project's own protocol.
       listen: addresses for callers and for the readiness probe.
       bounds: the platform's time bounds.
+      limits: what the VM has of processor, network and memory.
       store: the platform's store.
       machines: the interface for moving and maintaining machines.
       advice: address of the placement advisor, or empty.
@@ -67,6 +75,7 @@
     internal_ports: list[int]
     listen: _Listen = msgspec.field(name="listenAddrs", default=_Listen())
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     store: _Store = msgspec.field(name="platform", default=_Store())
     machines: _Machines = msgspec.field(name="cloudApi", default=_Machines())
     advice: str = ""
--- a/tests/entry/test_decisions.py
+++ b/tests/entry/test_decisions.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import succession
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.state import work
@@ -120,6 +121,47 @@
         self.assertIsNone(self.book.find("w3", NOW + 1))
 
 
+class SuccessionTest(unittest.TestCase):
+    """Replays the grown site, where 32 of 38 VMs have a narrow link."""
+
+    def test_the_strongest_vm_owns(self):
+        """A VM with a 10 Mbit/s link can't talk to 126 workers."""
+        weights = {
+            "narrow": succession.weigh_vm(0.516, 1, 10),
+            "wide": succession.weigh_vm(0.717, 3, 200),
+        }
+        for own, rank in (("wide", 0), ("narrow", 1)):
+            with self.subTest(own):
+                self.assertEqual(
+                    succession.rank_candidate("s", own, weights, False), rank
+                )
+
+    def test_equal_vms_take_different_services(self):
+        weights = dict.fromkeys(["a", "b", "c"], 1.0)
+        first = {
+            service: min(
+                weights,
+                key=lambda own, s=service: succession.rank_candidate(
+                    s, own, weights, False
+                ),
+            )
+            for service in ("s1", "s2", "s3", "s4", "s5")
+        }
+        self.assertGreater(len(set(first.values())), 1)
+
+    def test_a_vm_that_owns_a_service_lets_others_try_first(self):
+        weights = dict.fromkeys(["a", "b", "c"], 1.0)
+        free = succession.rank_candidate("s", "a", weights, False)
+        busy = succession.rank_candidate("s", "a", weights, True)
+        self.assertGreater(busy, free)
+
+    def test_an_owner_gives_way_only_to_a_much_stronger_vm(self):
+        """Each change of owner costs a part of a second."""
+        self.assertTrue(succession.is_outdone(0.05, [0.5, 2.1]))
+        self.assertFalse(succession.is_outdone(1.0, [1.2]))
+        self.assertFalse(succession.is_outdone(1.0, []))
+
+
 class HealthTest(unittest.TestCase):
     def make_run(self, **changes):
         worker = fleet.Worker(fakes.make_registration())
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/test_ledger.py
@@ -124,6 +124,35 @@
         )
         self.assertIn(self.worker.id, record.workers)
 
+    def read_recorded(self):
+        record = msgspec.json.decode(
+            self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
+        )
+        return set(record.workers)
+
+    async def test_a_dead_worker_isn_t_left_to_the_next_owner(self):
+        """It would wait 10 s for the answer of a worker that left long ago."""
+        self.worker.silent_since = 1.0
+        self.worker.clock = (1000.0, 1.0)
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.read_recorded(), set())
+        self.assertFalse(self.worker.is_recorded)
+        fakes.start_run(
+            self.shard, self.submission.find_task("0.0.0"), self.worker
+        )
+        await self.write(platform_store.Committed(12))
+        self.assertEqual(self.read_recorded(), {self.worker.id})
+
+    async def test_a_release_names_only_workers_with_runs(self):
+        """The next owner starts at once where nothing can be running."""
+        busy = fakes.add_worker(self.shard, "w2")
+        task = self.submission.find_task("0.0.0")
+        fakes.start_run(self.shard, task, busy)
+        self.store.outcomes += [platform_store.Committed(n) for n in (11, 12)]
+        self.ledger.release()
+        await asyncio.wait_for(self.ledger.run(), 5)
+        self.assertEqual(self.read_recorded(), {"w2"})
+
     async def test_a_released_service_has_no_owner(self):
         self.store.outcomes += [platform_store.Committed(n) for n in (11, 12)]
         self.ledger.release()
