--- /dev/null
+++ b/tests/entry/standins.py
@@ -0,0 +1,378 @@
+"""Stand-ins of the platform: store, workers and advisor, with faults."""
+
+import asyncio
+import base64
+import collections
+import json
+import random
+import time
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from persimmonpath_entry.transport import httpserver
+
+NEVER = 3600.0
+
+
+def answer(status, body=None):
+    return httpserver.Answer(status, json.dumps(body or {}).encode())
+
+
+class StandIn:
+    """Serves requests on a loopback port."""
+
+    def __init__(self):
+        self.errors = []
+        self._server = httpserver.HttpServer(self.handle, self.errors.append)
+
+    async def listen(self, host="127.0.0.1", port=0):
+        await self._server.listen(host, port)
+        socket = self._server._listener.sockets[0]
+        self.address = "{}:{}".format(*socket.getsockname()[:2])
+        return self.address
+
+    def close(self):
+        self._server.stop_listening()
+        for connection in list(self._server.connections):
+            connection._transport.abort()
+
+    async def handle(self, request):
+        raise NotImplementedError
+
+
+class StoreStandIn(StandIn):
+    """Rows with versions, ranges and a feed.
+
+    Attributes:
+      mode: ok, down (503) or silent.
+      lost_share: share of the transactions that are applied unanswered.
+      late_s: seconds after which these are applied.
+    """
+
+    def __init__(self, seed=0):
+        super().__init__()
+        self.rows = {}
+        self.version = 0
+        self.changes = []
+        self.oldest = 0
+        self.mode = "ok"
+        self.lost_share = 0.0
+        self.late_s = 0.0
+        self.calls = collections.Counter()
+        self._random = random.Random(seed)
+        self._changed = asyncio.Condition()
+
+    async def handle(self, request):
+        url = urlsplit(request.target)
+        name = url.path.rsplit("/", 1)[-1]
+        self.calls[name] += 1
+        if self.mode == "down":
+            return answer(503)
+        if self.mode == "silent":
+            await asyncio.sleep(NEVER)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if name == "rows-tx":
+            return await self._handle_transaction(json.loads(request.body))
+        if name == "rows-get":
+            return self._read(query)
+        if name == "rows-feed":
+            return await self._follow(query)
+        return answer(404)
+
+    async def _handle_transaction(self, body):
+        if self._random.random() < self.lost_share:
+            await asyncio.sleep(self.late_s)
+            await self._apply(body)
+            await asyncio.sleep(NEVER)
+        return await self._apply(body)
+
+    async def _apply(self, body):
+        expected = [(row, self._key(row)) for row in body.get("expect", [])]
+        if any(self._find_version(k) != row["ver"] for row, k in expected):
+            rows = [self._render(key) for _, key in expected]
+            return answer(412, {"rows": rows, "ver": self.version})
+        self.version += 1
+        for row in body.get("put", []):
+            self._change(self._key(row), row["value"])
+        for row in body.get("remove", []):
+            self._change(self._key(row), None)
+        async with self._changed:
+            self._changed.notify_all()
+        return answer(200, {"ver": self.version, "nowMs": 1})
+
+    def _key(self, row):
+        return row["table"], row["part"], row["key"]
+
+    def _find_version(self, key):
+        return self.rows[key][1] if key in self.rows else 0
+
+    def _change(self, key, value):
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = (value, self.version)
+        self.changes.append((self.version, key, value))
+
+    def _render(self, key):
+        value, version = self.rows.get(key, ("", 0))
+        table, part, name = key
+        return {
+            "table": table,
+            "part": part,
+            "key": name,
+            "value": value,
+            "ver": version,
+        }
+
+    def _read(self, query):
+        keys = sorted(
+            key
+            for key in self.rows
+            if key[0] == query["table"]
+            and key[1] == query.get("part", "")
+            and key[2] >= query.get("from", "")
+            and ("to" not in query or key[2] < query["to"])
+        )
+        limit = int(query.get("limit", 500))
+        return answer(
+            200,
+            {
+                "rows": [self._render(key) for key in keys[:limit]],
+                "hasMore": len(keys) > limit,
+                "ver": self.version,
+            },
+        )
+
+    async def _follow(self, query):
+        after = int(query["after"])
+        deadline = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.oldest:
+                return answer(410)
+            newest = {}
+            for version, key, value in self.changes:
+                if version > after and key[0] == query["table"]:
+                    newest[key] = (version, value)
+            left = deadline - time.monotonic()
+            if newest or left <= 0:
+                break
+            async with self._changed:
+                try:
+                    await asyncio.wait_for(self._changed.wait(), left)
+                except TimeoutError:
+                    pass
+        rows = [
+            {
+                "table": key[0],
+                "part": key[1],
+                "key": key[2],
+                "value": value or "",
+                "ver": version,
+                "deleted": value is None,
+            }
+            for key, (version, value) in newest.items()
+        ]
+        return answer(200, {"rows": rows, "ver": self.version})
+
+    def forget_history(self):
+        """Drops the history, so that every follower has to read anew."""
+        self.oldest = self.version + 1
+        self.version += 1
+
+    async def write(self, table, key, value, part=""):
+        """Writes a row as the operator or a worker does."""
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        row = {"table": table, "part": part, "key": key, "value": text}
+        await self._apply({"put": [row]})
+
+
+class Violations(list):
+    """What broke a promise, as texts."""
+
+    def add(self, rule, text):
+        self.append(f"{rule}: {text}")
+
+
+class WorkerStandIn(StandIn):
+    """A worker with leases, fences, late orders and ends that are listed.
+
+    Attributes:
+      late_share: share of the orders left unanswered and carried out late.
+      failing: whether all tasks fail.
+      judge: is told of each start and each end.
+    """
+
+    def __init__(self, worker_id, service, capacity, judge, seed=0):
+        super().__init__()
+        self.id = worker_id
+        self.service = service
+        self.capacity = capacity
+        self.judge = judge
+        self.late_share = 0.0
+        self.late_s = 2.0
+        self.failing = False
+        self.state = "ready"
+        self._random = random.Random(seed)
+        self._start()
+
+    def _start(self):
+        self.born = int(time.time() * 1000)
+        self._began = time.monotonic()
+        self.fence = 0
+        self.lease_ms = 0.0
+        self.running = {}
+        self.ended = []
+        self.count = 0
+        self.last_seen = 0
+        self.stopped = {}
+        self._event = asyncio.Event()
+
+    def restart(self):
+        """Begins a new life in which nothing runs."""
+        for key in list(self.running):
+            self.running[key]["task"].cancel()
+            self.judge.note_end(self, *key, "crashed")
+        self._start()
+
+    def read_clock(self):
+        return int((time.monotonic() - self._began) * 1000)
+
+    def describe(self):
+        return {
+            "service": self.service,
+            "address": self.public_address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "capacity": self.capacity,
+            "labels": ["a", f"r-{self.id}"],
+            "born": self.born,
+            "sequence": int(time.monotonic() * 10),
+        }
+
+    async def handle(self, request):
+        if request.headers.get("x-target-instance") != self.id:
+            return answer(421)
+        order = json.loads(request.body)
+        name = request.target.rsplit("/", 1)[-1]
+        if self._random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(
+                self.late_s, self._carry_out, name, order
+            )
+            await asyncio.sleep(NEVER)
+        if name == "hold" and order.get("waitMs"):
+            result = self._carry_out(name, order)
+            if result.status == 200 and not self.ended:
+                self._event.clear()
+                try:
+                    wait_s = order["waitMs"] / 1000
+                    await asyncio.wait_for(self._event.wait(), wait_s)
+                except TimeoutError:
+                    pass
+            order.pop("untilMs", None)
+        return self._carry_out(name, order)
+
+    def _carry_out(self, name, order):
+        self._expire()
+        if order.get("fencingToken", 0) < self.fence:
+            return self._reject("fence")
+        self.fence = order["fencingToken"]
+        if name == "run-start":
+            return self._start_run(order)
+        if name == "run-stop":
+            return self._stop_run(order)
+        if name == "hold":
+            return self._hold(order)
+        return self._reply()
+
+    def _reply(self, **fields):
+        fields["clockMs"] = self.read_clock()
+        fields["born"] = self.born
+        return answer(200, fields)
+
+    def _reject(self, reason):
+        body = {"clockMs": self.read_clock(), "reason": reason}
+        return answer(409, body)
+
+    def _extend(self, order):
+        until = order.get("untilMs")
+        if until is not None:
+            longest = self.read_clock() + 6000
+            self.lease_ms = max(self.lease_ms, min(until, longest))
+
+    def _expire(self):
+        if self.running and self.read_clock() > self.lease_ms:
+            for key in list(self.running):
+                self._end(key, "lapsed")
+
+    def _start_run(self, order):
+        key = order["task"], order["run"]
+        if key in self.running:
+            return self._reply()
+        if order["untilMs"] < self.read_clock():
+            return self._reject("late")
+        self._extend(order)
+        if order["run"] <= self.stopped.get(order["task"], 0):
+            return self._reject("old")
+        length_s = self.judge.note_start(self, order)
+        task = asyncio.get_running_loop().create_task(self._work(key, length_s))
+        self.running[key] = {"task": task, "saved": ""}
+        return self._reply()
+
+    async def _work(self, key, length_s):
+        await asyncio.sleep(length_s)
+        failed = self.failing or self.judge.draw_failure()
+        self._end(key, "failed" if failed else "done")
+
+    def _stop_run(self, order):
+        key = order["task"], order["run"]
+        highest = self.stopped.get(order["task"], 0)
+        self.stopped[order["task"]] = max(highest, order["run"])
+        if key in self.running:
+            asyncio.get_running_loop().call_later(
+                0.05, self._end, key, "stopped"
+            )
+        return self._reply()
+
+    def _end(self, key, how):
+        row = self.running.pop(key, None)
+        if row is None:
+            return
+        if how != "done" and how != "failed":
+            row["task"].cancel()
+        self.count += 1
+        task, run = key
+        self.stopped[task] = max(self.stopped.get(task, 0), run)
+        self.ended.append([self.count, task, run, how, ""])
+        self.judge.note_end(self, task, run, how)
+        self._event.set()
+
+    def _hold(self, order):
+        self._extend(order)
+        seen = order["lastSeen"]
+        for number, task, run, how, _ in self.ended:
+            if number <= seen:
+                self.judge.note_acknowledged(task, run, how)
+        self.ended = [row for row in self.ended if row[0] > seen]
+        running = [
+            [task, run, row["saved"], 100, 500]
+            for (task, run), row in self.running.items()
+        ]
+        return self._reply(running=running, ended=self.ended[:500])
+
+
+class AdviceStandIn(StandIn):
+    """Says yes to all workers but those whose id ends with an odd digit."""
+
+    def __init__(self, length_s=0.02):
+        super().__init__()
+        self.length_s = length_s
+        self.calls = 0
+
+    async def handle(self, request):
+        self.calls += 1
+        await asyncio.sleep(self.length_s)
+        workers = json.loads(request.body)["workers"]
+        return answer(200, {"good": [[w, f"t-{w}"] for w in workers]})
