Pace fillers beside tasks that serve

A filler that keeps a serving task over its target for four seconds breaks a promise. Fillers of such a worker are paced to a quarter after 0.8 s and stopped 0.8 s later, and work more again once the tail is calm.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from persimmonpath_entry.decisions import health
+from persimmonpath_entry.decisions import pacing
 from persimmonpath_entry.engine import ledger as ledgers
 from persimmonpath_entry.engine import orders as order_calls
 from persimmonpath_entry.engine import shard as shards
@@ -12,6 +13,7 @@
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import work
 from persimmonpath_entry.transport import clock
 
 TICK_S = 0.2
@@ -180,6 +182,8 @@
             return
         if worker.registration.is_draining:
             self._empty(worker, now)
+        if worker.fillers and worker.serving:
+            self._pace(worker, now)
         for run in list(worker.runs.values()):
             usual_s = self._shard.durations.get(
                 run.task.step.submission.record.queue
@@ -198,6 +202,33 @@
                 run.task.avoided.add(worker.id)
                 self._orders.stop(run, "stands_still")
 
+    def _pace(self, worker: fleet.Worker, now: float):
+        """Has fillers give way to what serves beside them."""
+        serving = [
+            run
+            for run in worker.runs.values()
+            if run.spec.target_ms and run.load is not None
+        ]
+        if not serving:
+            return
+        over_s = max(
+            0.0
+            if run.over_target_since is None
+            else now - run.over_target_since
+            for run in serving
+        )
+        tail_share = max(run.load / run.spec.target_ms for run in serving)
+        percent = pacing.choose_percent(
+            worker.filler_percent, over_s, tail_share, now - worker.paced_at
+        )
+        if percent != worker.filler_percent:
+            worker.filler_percent = percent
+            worker.paced_at = now
+        for run in worker.runs.values():
+            is_filling = run.spec.is_filler and run.phase is work.Phase.RUNNING
+            if is_filling and run.percent != percent:
+                self._orders.pace(run, percent)
+
     def _empty(self, worker: fleet.Worker, now: float):
         for run in list(worker.runs.values()):
             if health.is_to_leave(run, worker, now):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
@@ -138,6 +138,34 @@
                     return
             await asyncio.sleep(STOP_RETRY_S)
 
+    def pace(self, run: work.Run, percent: int):
+        """Sets the share at which a run may work."""
+        if not run.is_being_paced:
+            run.is_being_paced = True
+            self._shard.spawn(self._pace(run, percent))
+
+    async def _pace(self, run: work.Run, percent: int):
+        try:
+            result = await self._shard.clients[run.worker.id].pace(
+                run.task.name,
+                run.number,
+                percent,
+                self._shard.fence,
+                ORDER_TIMEOUT_S,
+            )
+        finally:
+            run.is_being_paced = False
+        if isinstance(result, worker_calls.Accepted):
+            run.percent = percent
+        self._node.log.write(
+            "run_paced",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker.id,
+            percent=percent,
+            outcome=type(result).__name__,
+        )
+
     def stop_stranger(self, worker, task: str, number: int):
         """Stops a run that its owner doesn't know."""
         self._shard.spawn(self._stop_stranger(worker, task, number))
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -33,6 +33,8 @@
       silent_since: when it stopped answering, or None.
       listed_at: when it last answered with a listing.
       listing_failures: listings on end without an answer.
+      filler_percent: the share at which its fillers may work.
+      paced_at: when that was last changed.
       slowness: how much longer its runs take than those of their queue.
       slowness_at: when that was last changed.
       penalty_until: until when no task is placed there.
@@ -66,6 +68,8 @@
         self.serving = 0
         self.fillers = 0
         self.recent_failures = 0
+        self.filler_percent = 100
+        self.paced_at = 0.0
         self.slowness = 1.0
         self.slowness_at = 0.0
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -38,6 +38,7 @@
       idle_since: since when it has used no processor time, or None.
       over_target_since: since when its tail is over its target, or None.
       is_being_stopped: whether a call to stop it is under way.
+      is_being_paced: whether a call to pace it is under way.
     """
 
     task: "Task"
@@ -52,6 +53,7 @@
     idle_since: float | None = None
     over_target_since: float | None = None
     is_being_stopped: bool = False
+    is_being_paced: bool = False
 
     @property
     def spec(self) -> submissions.StepSpec:
--- a/tests/entry/test_decisions.py
+++ b/tests/entry/test_decisions.py
@@ -5,6 +5,7 @@
 from persimmonpath_entry.decisions import advising
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import pacing
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.decisions import succession
 from persimmonpath_entry.state import fleet
@@ -162,6 +163,74 @@
         self.assertFalse(succession.is_outdone(1.0, []))
 
 
+class PacingTest(unittest.TestCase):
+    """Replays a filler that drives a serving task over its target."""
+
+    def test_course_of_a_disturbance(self):
+        """Over its target for four seconds is a broken promise."""
+        cases = [
+            ("calm", 100, 0.0, 0.5, 99.0, 100),
+            ("just over", 100, 0.3, 1.2, 99.0, 100),
+            ("over for long", 100, 1.0, 1.2, 99.0, 25),
+            ("the step has to show first", 25, 1.4, 1.2, 0.4, 25),
+            ("still over", 25, 1.9, 1.1, 0.9, 0),
+            ("stopped, but still over", 0, 3.0, 1.1, 0.9, 0),
+            ("just under", 0, 0.0, 0.9, 5.0, 0),
+            ("calm for long", 0, 0.0, 0.5, 2.1, 25),
+            ("calm for longer", 25, 0.0, 0.5, 2.1, 50),
+            ("never above all", 100, 0.0, 0.1, 9.0, 100),
+        ]
+        for name, current, over_s, share, unchanged_s, expected in cases:
+            with self.subTest(name):
+                percent = pacing.choose_percent(
+                    current, over_s, share, unchanged_s
+                )
+                self.assertEqual(percent, expected)
+
+    def test_fillers_give_way_in_time(self):
+        """From full to none takes less than the four seconds allowed."""
+        needed = pacing.OVER_S + pacing.STEP_DOWN_S
+        self.assertLess(needed + 0.5, 4.0)
+
+
+class SlownessTest(unittest.TestCase):
+    """Replays workers that turn slow beside tasks that take longer."""
+
+    def setUp(self):
+        self.worker = fleet.Worker(fakes.make_registration())
+
+    def test_a_single_straggler_doesn_t_make_a_worker_slow(self):
+        health.note_duration(self.worker, 7.0, NOW)
+        slowness = health.read_slowness(self.worker, NOW)
+        self.assertLess(slowness, placement.SLOW_LIMIT)
+
+    def test_slow_runs_on_end_do(self):
+        for _ in range(4):
+            health.note_duration(self.worker, 6.5, NOW)
+        slowness = health.read_slowness(self.worker, NOW)
+        self.assertGreater(slowness, placement.SLOW_LIMIT)
+        later = NOW + 4 * health.SLOWNESS_MEMORY_S
+        slowness = health.read_slowness(self.worker, later)
+        self.assertLess(slowness, placement.SLOW_LIMIT)
+
+    def test_a_copy_only_where_the_step_allows_it(self):
+        """Elsewhere two runs of one task break the first promise."""
+        for allowed in (True, False):
+            with self.subTest(allowed):
+                step = make_step(allow_copies=allowed)
+                run = work.Run(
+                    step.tasks[0],
+                    1,
+                    self.worker,
+                    work.Phase.RUNNING,
+                    NOW - 10,
+                )
+                step.tasks[0].runs.append(run)
+                wanted = health.may_have_copy(run, 0.5, NOW)
+                self.assertEqual(wanted, allowed)
+                self.assertFalse(health.may_have_copy(run, 9.0, NOW))
+
+
 class HealthTest(unittest.TestCase):
     def make_run(self, **changes):
         worker = fleet.Worker(fakes.make_registration())
