--- a/packages/persimmonpath_ctl/persimmonpath_ctl/main.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/main.py
@@ -5,6 +5,7 @@
 import cyclopts
 
 from persimmonpath_ctl import cellcommands
+from persimmonpath_ctl import entrycommands
 from persimmonpath_ctl import exits
 from persimmonpath_ctl import inventorycommands
 from persimmonpath_ctl import jobcommands
@@ -17,6 +18,7 @@
 app.command(jobcommands.app)
 app.command(inventorycommands.app)
 app.command(rulescommands.app)
+app.command(entrycommands.app)
 cellcommands.register(app)
 app.register_install_completion_command()
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -9,6 +9,7 @@
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import front as fronts
 from persimmonpath_entry.engine import members
+from persimmonpath_entry.engine import overview
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import peerapi
 from persimmonpath_entry.engine import versions
@@ -42,20 +43,20 @@
         )
         self._advisor.list_owners = self.ownership.list_owners
         self._accepting = acceptance.Acceptance(self.context)
-        self._reach = connectivity.Connectivity(self.context, self.members)
+        self.reach = connectivity.Connectivity(self.context, self.members)
         self.front = fronts.Front(
             self.context,
             self._accepting,
             self.ownership,
             self.members,
-            self._reach,
+            self.reach,
         )
         self._peer_api = peerapi.PeerApi(
             self.context,
             self.front,
             self.ownership,
             self._advisor,
-            self._reach,
+            self.reach,
         )
         self._stop = asyncio.Event()
         self._servers: list[httpserver.HttpServer] = []
@@ -91,7 +92,7 @@
                 self.versions.run(),
                 self.ownership.run(),
                 self._accepting.run(),
-                self._reach.run(),
+                self.reach.run(),
             )
         ]
         await self._stop.wait()
@@ -120,11 +121,13 @@
             self.context.configuration is not None
             and self.ownership.is_known
             and not self.context.is_stopping
-            and self._reach.reach is not connectivity.Reach.ISOLATED
+            and self.reach.reach is not connectivity.Reach.ISOLATED
         )
         return httpserver.Answer(200 if is_ready else 503)
 
     async def _answer_metrics(self, request):
+        if request.target.startswith("/show"):
+            return httpserver.Answer(200, overview.render(self).encode())
         measures = self.context.metrics
         measures.set("log_lines_left_out", self.context.log.left_out_total)
         for service, shard in self.ownership.shards.items():
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
@@ -0,0 +1,49 @@
+"""What an entry VM knows, as lines for an operator."""
+
+from persimmonpath_entry.transport import clock
+
+
+def render(node) -> str:
+    """Returns version, reach, owners, workers and unfinished submissions."""
+    context = node.context
+    current = context.configuration
+    lines = [
+        f"vm={context.name} boot={context.boot} reach={node.reach.reach.value} "
+        f"version={current.version if current else 0} "
+        f"peers={len(node.members.list_addresses())}"
+    ]
+    for service in current.services if current else ():
+        owner = node.ownership.find_owner(service) or "nobody"
+        lines.append(f"service={service} owner={owner}")
+    for shard in node.ownership.shards.values():
+        lines += _render_shard(shard)
+    return "\n".join(lines) + "\n"
+
+
+def _render_shard(shard) -> list[str]:
+    now = clock.read_clock()
+    lines = [
+        f"shard={shard.service} fence={shard.fence} open={shard.is_open} "
+        f"lease_left_s={shard.lease_until - now:.2f} "
+        f"unsettled={len(shard.unsettled)} "
+        f"waiting_steps={len(shard.ready_steps)}"
+    ]
+    for worker in shard.workers.values():
+        registration = worker.registration
+        state = "draining" if registration.is_draining else "ready"
+        if worker.silent_since is not None:
+            state = "silent"
+        lines.append(
+            f"worker={worker.id} state={state} zone={registration.zone} "
+            f"rack={registration.rack} runs={len(worker.runs)} "
+            f"free_cpu={worker.free_cpu} free_mb={worker.free_memory_mb} "
+            f"free_gpu={worker.free_gpu}"
+        )
+    for submission in shard.submissions.values():
+        if submission.is_active:
+            runs = len(submission.list_runs())
+            lines.append(
+                f"submission={submission.id} queue={submission.record.queue} "
+                f"age_s={now - submission.known_since:.1f} runs={runs}"
+            )
+    return lines
--- /dev/null
+++ b/tests/entry/test_logs.py
@@ -0,0 +1,70 @@
+"""Logs and metrics that never hold a process up."""
+
+import os
+import unittest
+
+from persimmonpath_entry.transport import logs
+from persimmonpath_entry.transport import metrics
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.log = logs.Log("vm-1", self.writer)
+
+    def read(self):
+        return os.read(self.reader, 1 << 20).decode()
+
+    def test_a_line_names_event_and_fields(self):
+        self.log.write("run_placed", task="a.0.0.1", reason='two "words"\n')
+        self.log.flush()
+        self.assertIn(
+            "node=vm-1 event=run_placed task=a.0.0.1 reason=\"two 'words' \"",
+            self.read(),
+        )
+
+    def test_a_reader_that_stalls_costs_lines_and_no_time(self):
+        """A full pipe must never hold a decision up."""
+        for _ in range(40):
+            self.log._second = 0.0
+            for number in range(400):
+                self.log.write("crest", number=number, text="x" * 60)
+            self.log.flush()
+        self.assertLessEqual(len(self.log._lines), logs.BUFFER_LINES)
+        self.assertGreater(self.log.left_out_total, 0)
+        before = self.read()
+        self.log.flush()
+        whole = (before + self.read()).splitlines()
+        cut = [line for line in whole if not line.startswith("t=")]
+        self.assertEqual(cut, [])
+
+    def test_lines_left_out_are_counted_by_event(self):
+        for _ in range(logs.BUDGET_PER_S + 7):
+            self.log.write("crest")
+        self.log._second = 0.0
+        self.log.write("calm")
+        self.log.flush()
+        self.assertIn("event=lines_left_out crest=7", self.read())
+
+    def test_failures_have_a_reserve(self):
+        """They are asked for when something went wrong."""
+        for _ in range(logs.BUDGET_PER_S + 7):
+            self.log.write("crest")
+        self.log.warn("worker_lost")
+        self.log.flush()
+        self.assertIn("event=worker_lost", self.read())
+
+
+class MetricsTest(unittest.TestCase):
+    def test_text_that_prometheus_reads(self):
+        measures = metrics.Metrics()
+        measures.count('starts{outcome="accepted"}')
+        measures.observe('latency{call="tx"}', 7.0)
+        text = measures.render().decode()
+        self.assertIn('persimmon_starts{outcome="accepted"} 1', text)
+        self.assertIn(
+            'persimmon_latency_ms_bucket{call="tx",le="10"} 1.0', text
+        )
+        self.assertIn('persimmon_latency_ms_count{call="tx"} 1.0', text)
