--- a/packages/persimmonpath/persimmonpath/inventory.py
+++ b/packages/persimmonpath/persimmonpath/inventory.py
@@ -198,7 +198,7 @@
         return Inventory.model_validate(content)
     except pydantic.ValidationError as error:
         raise errors.InputError(
-            "inventory", describe_faults(error), "see docs/operators.md"
+            "inventory", describe_faults(error), "see docs/OPERATIONS.md"
         ) from error
 
 
--- a/packages/persimmonpath_ctl/persimmonpath_ctl/exits.py
+++ b/packages/persimmonpath_ctl/persimmonpath_ctl/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes of `persimmonctl`; docs/operators.md lists them."""
+"""Exit codes of `persimmonctl`; docs/OPERATIONS.md lists them."""
 
 from returns import result
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -43,6 +43,9 @@
       boot: the life of its process.
       address: where peers reach it.
       workers: addresses of the workers that may run its tasks, by id.
+      silent: tasks that may run on workers that don't answer, by id. Nothing
+        else can run there, as the owner starts nothing on them until it has
+        stored that they answer again.
       sequence: number of the write in the owner's life.
     """
 
@@ -50,6 +53,7 @@
     boot: str = ""
     address: str = ""
     workers: dict[str, str] = {}
+    silent: dict[str, list[str]] = {}
     sequence: int = 0
 
 
@@ -98,18 +102,22 @@
     def _encode_owner(self, owner: str) -> bytes:
         self._sequence += 1
         shard = self._shard
-        workers = {
-            worker.id: worker.registration.address
-            for worker in self._list_recorded(is_leaving=not owner)
-        }
+        recorded = self._list_recorded(is_leaving=not owner)
+        workers = {w.id: w.registration.address for w in recorded}
+        silent = {w.id: _list_tasks(w) for w in recorded if not _is_usable(w)}
         for worker_id in shard.unsettled:
-            workers.setdefault(worker_id, "")
+            if worker_id not in workers:
+                workers[worker_id] = ""
+                suspects = shard.suspects.get(worker_id)
+                if suspects is not None:
+                    silent[worker_id] = sorted(suspects)
         return msgspec.json.encode(
             OwnerRecord(
                 owner,
                 self._node.boot,
                 self._node.peer_address,
                 workers,
+                silent,
                 self._sequence,
             )
         )
@@ -129,6 +137,8 @@
                 worker.silent_since is not None
                 and now > worker.bound_lease_end()
             )
+            if not _is_usable(worker):
+                worker.is_recorded = False
             if is_empty and (is_leaving or is_dead):
                 worker.is_recorded = False
             else:
@@ -159,7 +169,9 @@
             worker.id: worker.processed for worker in shard.workers.values()
         }
         lifetimes = {w.id: w.born for w in shard.workers.values()}
-        recorded = self._list_recorded(is_leaving=False)
+        recorded = [
+            w for w in self._list_recorded(is_leaving=False) if _is_usable(w)
+        ]
         rows.append(
             (OWNER_TABLE, OWNER_KEY, self._encode_owner(self._node.name))
         )
@@ -177,10 +189,12 @@
         for submission, state in zip(batch, states, strict=True):
             shard.note_stored(submission, state, now)
         for worker in recorded:
-            if not worker.is_recorded:
+            if not worker.is_recorded and _is_usable(worker):
                 worker.is_recorded = True
                 shard.request_schedule()
-            if is_whole and worker.born == lifetimes[worker.id]:
+        for worker in shard.workers.values():
+            is_same = worker.born == lifetimes.get(worker.id)
+            if is_whole and is_same:
                 worker.last_seen = max(worker.last_seen, seen[worker.id])
         self._on_stored()
         return True
@@ -276,6 +290,17 @@
             self._shard.submissions.pop(submission_id, None)
 
 
+def _is_usable(worker: fleet.Worker) -> bool:
+    """Returns whether a worker answers, and so may get tasks."""
+    return worker.silent_since is None
+
+
+def _list_tasks(worker: fleet.Worker) -> list[str]:
+    """Returns the tasks that may run on a worker."""
+    names = [name for name, _ in (*worker.runs, *worker.strangers)]
+    return sorted(set(names))
+
+
 def find_part(submission_id: str) -> str:
     """Returns the partition of a submission."""
     return f"s{int(submission_id[-2:], 16) % SUBMISSION_PARTS}"
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -279,6 +279,7 @@
             self._node.boot,
             self._node.peer_address,
             former.workers,
+            former.silent,
         )
         sent_at = clock.read_clock()
         version = 0 if sighting is None else sighting.version
@@ -331,6 +332,9 @@
         self._node.metrics.count("takeovers")
         shard = shards.Shard(self._node, service, fence, unsettled)
         shard.shared_until = may_be_shared_until
+        shard.suspects = {
+            worker_id: set(names) for worker_id, names in former.silent.items()
+        }
         follower = listings.Listings(shard)
         orders = order_calls.Orders(shard, follower.look)
         follower.orders = orders
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -82,7 +82,13 @@
             if not waiting or not step.submission.is_active:
                 self._shard.ready_steps.pop(step, None)
                 continue
-            if self._may_run_elsewhere(step):
+            if self._shard.unsettled:
+                waiting = [
+                    task
+                    for task in waiting
+                    if not self._shard.may_run_elsewhere(task)
+                ]
+            if not waiting:
                 continue
             if step.spec.gang and len(waiting) < step.left:
                 continue
@@ -93,12 +99,6 @@
         self._ask_ahead(room, now)
         self._ask_for_next(usable, room, now)
 
-    def _may_run_elsewhere(self, step: work.Step) -> bool:
-        """Whether the former owner's workers may run tasks of a step."""
-        if not self._shard.unsettled or step.spec.allow_copies:
-            return False
-        return step.submission.may_be_started
-
     def _rank_steps(self, now: float) -> list[work.Step]:
         ranked = []
         for step in self._shard.ready_steps:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -45,6 +45,8 @@
         # Workers of the former owner that haven't answered yet, and when
         # every lease that it granted there has ended.
         self.unsettled = unsettled
+        # Tasks that may run on such a worker, where the former owner knew.
+        self.suspects: dict[str, set[str]] = {}
         # Until then the former owner may still start tasks.
         self.shared_until = 0.0
         self.ready_steps: dict[work.Step, None] = {}
@@ -135,6 +137,17 @@
 
     # Submissions.
 
+    def may_run_elsewhere(self, task: work.Task) -> bool:
+        """Whether a worker that hasn't answered yet may run a task."""
+        step = task.step
+        if step.spec.allow_copies or not step.submission.may_be_started:
+            return False
+        name = task.name
+        return any(
+            worker_id not in self.suspects or name in self.suspects[worker_id]
+            for worker_id in self.unsettled
+        )
+
     def take_submission(
         self,
         submission_id: str,
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/test_ledger.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.engine import ledger as ledgers
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
 from tests.entry import fakes
 
 ID = "00000000000000aa"
@@ -143,6 +144,48 @@
         await self.write(platform_store.Committed(12))
         self.assertEqual(self.read_recorded(), {self.worker.id})
 
+    def read_silent(self):
+        record = msgspec.json.decode(
+            self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
+        )
+        return record.silent
+
+    async def test_the_tasks_of_a_silent_worker_are_stored(self):
+        """Else a new owner holds back every task for ten seconds."""
+        task = self.submission.find_task("0.0.0")
+        fakes.start_run(self.shard, task, self.worker)
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.read_silent(), {})
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        await self.write(platform_store.Committed(12))
+        self.assertEqual(self.read_silent(), {self.worker.id: [task.name]})
+
+    async def test_a_silent_worker_is_used_again_only_once_stored(self):
+        """The stored list of its tasks would no longer be complete."""
+        fakes.start_run(
+            self.shard, self.submission.find_task("0.0.0"), self.worker
+        )
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        await self.write(platform_store.Committed(11))
+        self.worker.silent_since = None
+        self.assertFalse(self.worker.is_recorded)
+        await self.write(platform_store.Committed(12))
+        self.assertTrue(self.worker.is_recorded)
+
+    async def test_a_worker_silent_during_a_write_isn_t_used(self):
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        fakes.start_run(
+            self.shard, self.submission.find_task("0.0.0"), self.worker
+        )
+        write = asyncio.create_task(self.write(platform_store.Committed(11)))
+        await asyncio.sleep(0)
+        self.worker.silent_since = None
+        await write
+        self.assertFalse(self.worker.is_recorded)
+
     async def test_a_release_names_only_workers_with_runs(self):
         """The next owner starts at once where nothing can be running."""
         busy = fakes.add_worker(self.shard, "w2")
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -197,3 +197,34 @@
         """A lease that begins too far ahead is shortened by the worker."""
         self.worker.clock = (10_000.0, 100.0)
         self.assertLess(self.worker.estimate_clock_ms(101.0), 11_000.0)
+
+
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.shard = fakes.make_shard(unsettled={"w9": 100.0})
+        self.shard.take_submission(ID, fakes.make_record(), None, True)
+        self.task = self.shard.submissions[ID].find_task("0.0.0")
+        self.other = self.shard.submissions[ID].find_task("0.0.1")
+
+    async def test_tasks_from_before_wait_for_every_worker(self):
+        """One that doesn't answer may run any of them."""
+        self.assertTrue(self.shard.may_run_elsewhere(self.task))
+        self.shard.unsettled.clear()
+        self.assertFalse(self.shard.may_run_elsewhere(self.task))
+
+    async def test_only_the_tasks_that_the_former_owner_names_wait(self):
+        self.shard.suspects["w9"] = {self.task.name}
+        self.assertTrue(self.shard.may_run_elsewhere(self.task))
+        self.assertFalse(self.shard.may_run_elsewhere(self.other))
+
+    async def test_later_submissions_don_t_wait(self):
+        self.shard.take_submission("dd" * 8, fakes.make_record())
+        task = self.shard.submissions["dd" * 8].find_task("0.0.0")
+        self.assertFalse(self.shard.may_run_elsewhere(task))
+
+    async def test_submissions_from_the_former_lease_wait(self):
+        """A silent owner may still start what it hears of."""
+        self.shard.shared_until = float("inf")
+        self.shard.take_submission("dd" * 8, fakes.make_record())
+        task = self.shard.submissions["dd" * 8].find_task("0.0.0")
+        self.assertTrue(self.shard.may_run_elsewhere(task))
