--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -185,7 +185,7 @@
         if worker.fillers and worker.serving:
             self._pace(worker, now)
         for run in list(worker.runs.values()):
-            usual_s = self._shard.durations.get(
+            usual_s = self._shard.endings.find_usual_length(
                 run.task.step.submission.record.queue
             )
             if health.may_have_copy(run, usual_s, now):
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/endings.py
@@ -0,0 +1,150 @@
+"""What follows from the end of a run."""
+
+from persimmonpath_entry.decisions import health
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import work
+from persimmonpath_entry.transport import clock
+
+# A worker with this many failures on end gets no work for a while.
+QUARANTINE_FAILURES = 3
+QUARANTINE_S = 4.0
+# Weight of the newest run in the usual length of a queue's runs.
+DURATION_WEIGHT = 0.03
+
+
+class Endings:
+    """Takes the ends of a shard's runs in."""
+
+    def __init__(self, shard):
+        self._shard = shard
+        self._node = shard.node
+        # How long runs of each queue take, in seconds.
+        self._durations: dict[str, float] = {}
+
+    def find_usual_length(self, queue: str) -> float | None:
+        """Returns how long runs of a queue take in seconds, or None."""
+        return self._durations.get(queue)
+
+    def note_health(self, run: work.Run, how: str):
+        """Takes in what the end of a run says of its worker."""
+        worker = run.worker
+        if how == "done":
+            worker.recent_failures = 0
+            self._note_duration(run)
+        elif how == "failed":
+            worker.recent_failures += 1
+            if worker.recent_failures >= QUARANTINE_FAILURES:
+                worker.penalty_until = clock.read_clock() + QUARANTINE_S
+                self._node.log.warn(
+                    "worker_quarantined",
+                    worker=worker.id,
+                    failures=worker.recent_failures,
+                    for_s=QUARANTINE_S,
+                )
+
+    def _note_duration(self, run: work.Run):
+        if run.spec.is_filler or run.settled_at is None:
+            return
+        now = clock.read_clock()
+        queue = run.task.step.submission.record.queue
+        length_s = max(0.01, now - run.sent_at)
+        usual_s = self._durations.get(queue)
+        if usual_s is None:
+            self._durations[queue] = length_s
+            return
+        health.note_duration(
+            worker=run.worker, ratio=length_s / usual_s, now=now
+        )
+        self._durations[queue] += DURATION_WEIGHT * (length_s - usual_s)
+
+    def take_end(
+        self,
+        task: work.Task,
+        number: int,
+        how: str,
+        saved: str,
+        worker: fleet.Worker,
+    ):
+        """Takes in that a run has ended."""
+        submission = task.step.submission
+        if not submission.is_active:
+            if submission.stored_at is not None:
+                self._shard.forget_if_over(submission)
+            return
+        if task.is_done:
+            return
+        if saved:
+            self._keep_saved(task, saved)
+        if how == "done":
+            self._finish_task_of(task)
+        elif how == "failed":
+            self._count_failure(task, number, worker)
+        if submission.is_active and not task.is_done:
+            self._requeue(task, number)
+
+    def _keep_saved(self, task: work.Task, saved: str):
+        tasks = task.step.tasks if task.step.spec.gang else [task]
+        for member in tasks:
+            member.saved = saved
+            task.step.submission.progress.saved[member.key] = saved
+
+    def _finish_task_of(self, task: work.Task):
+        step = task.step
+        submission = step.submission
+        tasks = step.tasks if step.spec.gang else [task]
+        for member in tasks:
+            if not member.is_done:
+                submission.mark_done(member)
+        self._shard.mark_dirty(submission)
+        if not step.spec.gang:
+            for run in list(task.runs):
+                run.requeue = False
+                self._shard.on_stop(run, "copy_done")
+        if not step.is_done:
+            return
+        self._shard.ready_steps.pop(step, None)
+        for later in submission.list_occurrence(step.occurrence):
+            if step.number not in later.spec.after or later.is_done:
+                continue
+            if submission.is_ready(later):
+                self._shard.make_ready(later)
+        if submission.is_complete():
+            self._shard.end_submission(submission, submissions.COMPLETED)
+
+    def _count_failure(
+        self, task: work.Task, number: int, worker: fleet.Worker
+    ):
+        step = task.step
+        submission = step.submission
+        task.avoided.add(worker.id)
+        if step.spec.long_running:
+            return
+        numbers = submission.progress.failures.setdefault(task.failure_key, [])
+        if number in numbers:
+            return
+        numbers.append(number)
+        failures = len(numbers)
+        self._shard.mark_dirty(submission)
+        if failures >= self._shard.find_queue(submission).max_attempts:
+            self._node.log.warn(
+                "attempts_used_up",
+                id=submission.id,
+                task=task.name,
+                run=number,
+                failures=failures,
+                worker=worker.id,
+            )
+            self._shard.end_submission(submission, submissions.FAILED)
+
+    def _requeue(self, task: work.Task, number: int):
+        step = task.step
+        task.waiting_since = clock.read_clock()
+        if step.spec.gang:
+            for member in step.tasks:
+                for run in list(member.runs):
+                    if run.number <= number:
+                        self._shard.on_stop(run, "gang_broken")
+        if step.ready_since is not None:
+            self._shard.ready_steps[step] = None
+        self._shard.request_schedule()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -204,7 +204,9 @@
                 continue
             task = self._find_task(end.task)
             if task is not None:
-                self._shard.take_end(task, end.run, end.how, end.saved, worker)
+                self._shard.endings.take_end(
+                    task, end.run, end.how, end.saved, worker
+                )
 
     def _find_task(self, name: str) -> work.Task | None:
         submission_id, _, key = name.partition(".")
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -28,7 +28,7 @@
         progress = former.submissions[ID].progress
         successor.take_submission(ID, fakes.make_record(), progress, True)
         task = successor.submissions[ID].find_task("0.0.0")
-        successor.take_end(task, run.number, "failed", "", worker)
+        successor.endings.take_end(task, run.number, "failed", "", worker)
 
         self.assertEqual(task.failures, [run.number])
 
@@ -96,7 +96,9 @@
         """The end may be listed twice, and other ends may follow it."""
         run = fakes.start_run(self.shard, self.task, self.worker)
         self.shard.remove_run(run, "done", "")
-        self.shard.take_end(self.task, run.number, "failed", "", self.worker)
+        self.shard.endings.take_end(
+            self.task, run.number, "failed", "", self.worker
+        )
         self.assertTrue(self.task.is_done)
         self.assertFalse(self.task.is_waiting)
 
