Carry out waves of upkeep

The owner of the first service keeps at most as many machines of a wave down as asked, has their lasting work moved before, and reports a wave as completed once each machine that stays has had its upkeep.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
@@ -77,6 +77,14 @@
     return started and now - run.idle_since > STILL_S
 
 
+def is_to_move(run: work.Run) -> bool:
+    """Returns whether a lasting run is moved off a worker that is emptied."""
+    if not run.spec.long_running or run.phase is not work.Phase.RUNNING:
+        return False
+    limit = run.spec.may_miss
+    return not limit or run.task.step.count_away() < limit
+
+
 def is_to_leave(run: work.Run, worker: fleet.Worker, now: float) -> bool:
     """Returns whether a run on a draining worker is stopped now."""
     if run.phase is not work.Phase.RUNNING:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -182,6 +182,8 @@
             return
         if worker.registration.is_draining:
             self._empty(worker, now)
+        if worker.empty_until > now:
+            self._move_lasting(worker)
         if worker.fillers and worker.serving:
             self._pace(worker, now)
         for run in list(worker.runs.values()):
@@ -202,6 +204,12 @@
                 run.task.avoided.add(worker.id)
                 self._orders.stop(run, "stands_still")
 
+    def _move_lasting(self, worker: fleet.Worker):
+        """Moves lasting tasks off a worker, as many as may be missed."""
+        for run in list(worker.runs.values()):
+            if health.is_to_move(run):
+                self._orders.stop(run, "upkeep")
+
     def _pace(self, worker: fleet.Worker, now: float):
         """Has fillers give way to what serves beside them."""
         serving = [
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -12,7 +12,9 @@
 from persimmonpath_entry.engine import overview
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import peerapi
+from persimmonpath_entry.engine import upkeep
 from persimmonpath_entry.engine import versions
+from persimmonpath_entry.platform import machines as machine_calls
 from persimmonpath_entry.platform import settings as platform_settings
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
@@ -58,6 +60,15 @@
             self._advisor,
             self.reach,
         )
+        self._upkeep = None
+        if settings.machines.address:
+            self._upkeep = upkeep.Upkeep(
+                self.context,
+                self.versions,
+                self.ownership,
+                self.members,
+                machine_calls.MachineClient(settings.machines.address),
+            )
         self._stop = asyncio.Event()
         self._servers: list[httpserver.HttpServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -95,6 +106,8 @@
                 self.reach.run(),
             )
         ]
+        if self._upkeep is not None:
+            self._tasks.append(loop.create_task(self._upkeep.run()))
         await self._stop.wait()
         await self._shut_down(front, peer, ready)
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -42,6 +42,12 @@
                 if count is None:
                     return httpserver.Answer(421)
                 return httpserver.Answer(200, str(count).encode())
+            case ["empty", service, worker_id]:
+                shard = self._ownership.find_shard(service)
+                if shard is None:
+                    return httpserver.Answer(421)
+                load = shard.empty_worker(worker_id)
+                return httpserver.Answer(200, msgspec.json.encode(load))
             case ["advice"]:
                 return await self._ask_advice(request.body)
             case ["boot"]:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -68,6 +68,7 @@
             and not worker.registration.is_draining
             and worker.silent_since is None
             and worker.penalty_until <= now
+            and worker.empty_until <= now
             and not worker.strangers
             and worker.clock is not None
         ]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -17,6 +17,8 @@
 # Run numbers of an owner begin at its fencing token times this, so that they
 # rise over every owner without a write for each start.
 RUNS_PER_FENCE = 1000
+# A worker is kept empty for this time after each request.
+EMPTY_S = 3.0
 # An age beyond this comes from a jump of the time of day.
 MAX_AGE_S = 600.0
 
@@ -329,6 +331,19 @@
         for run in list(worker.runs.values()):
             self.remove_run(run, "lost", "")
 
+    def empty_worker(self, worker_id: str) -> work.WorkerLoad:
+        """Keeps new work off a worker for a while and tells what runs there."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return work.WorkerLoad(0, 0)
+        worker.empty_until = clock.read_clock() + EMPTY_S
+        protected = sum(
+            1
+            for run in worker.runs.values()
+            if run.spec.long_running and run.spec.may_miss
+        )
+        return work.WorkerLoad(len(worker.runs), protected)
+
     def forget_worker(self, worker: fleet.Worker):
         """Drops a worker that has left."""
         self.workers.pop(worker.id, None)
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
@@ -8,7 +8,7 @@
 from persimmonpath_entry.transport import httpclient
 
 UP = "up"
-UPKEEP = "upkeep"
+UNKNOWN = "unknown"
 TIMEOUT_S = 1.5
 
 
@@ -89,7 +89,7 @@
             timeout_s=TIMEOUT_S,
         )
         if isinstance(outcome, httpclient.NoReply):
-            return OrderResult(False, "unknown" if outcome.sent else "unsent")
+            return OrderResult(False, UNKNOWN if outcome.sent else "unsent")
         if outcome.status == 200:
             return OrderResult(True)
         if outcome.status == 409:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -38,6 +38,7 @@
       slowness: how much longer its runs take than those of their queue.
       slowness_at: when that was last changed.
       penalty_until: until when no task is placed there.
+      empty_until: until when it is being emptied for an upkeep.
       drain_deadline: when it leaves at the earliest, or None.
     """
 
@@ -61,6 +62,7 @@
         self.listed_at = 0.0
         self.penalty_until = 0.0
         self.drain_deadline: float | None = None
+        self.empty_until = 0.0
         self.used_cpu = 0
         self.used_memory_mb = 0
         self.used_gpu = 0
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -3,9 +3,26 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 
+# A lasting task is at work at its full share only.
+AT_WORK_PERCENT = 100
+
+
+class WorkerLoad(msgspec.Struct):
+    """What still runs on a worker that is being emptied.
+
+    Attributes:
+      runs: its tasks.
+      protected: those that may not be taken away yet.
+    """
+
+    runs: int
+    protected: int
+
 
 class Phase(enum.Enum):
     """How far a run has got.
@@ -153,13 +170,15 @@
         """Returns the tasks that wait for a run."""
         return [task for task in self.tasks if task.is_waiting]
 
-    def count_on(self, worker: fleet.Worker) -> int:
-        """Returns the number of its tasks with a run on a worker."""
+    def count_away(self) -> int:
+        """Returns the number of its tasks that aren't at work."""
         return sum(
             1
             for task in self.tasks
-            for run in task.runs
-            if run.worker is worker
+            if not any(
+                run.phase is Phase.RUNNING and run.percent >= AT_WORK_PERCENT
+                for run in task.runs
+            )
         )
 
     def count_runs_by_worker(self) -> dict[str, int]:
--- a/tests/entry/standins.py
+++ b/tests/entry/standins.py
@@ -34,6 +34,9 @@
 
     def close(self):
         self._server.stop_listening()
+        self.break_connections()
+
+    def break_connections(self):
         for connection in list(self._server.connections):
             connection._transport.abort()
 
@@ -227,7 +230,8 @@
         self._event = asyncio.Event()
 
     def restart(self):
-        """Begins a new life in which nothing runs."""
+        """Begins a new life in which nothing runs; connections break."""
+        self.break_connections()
         for key in list(self.running):
             self.running[key]["task"].cancel()
             self.judge.note_end(self, *key, "crashed")
@@ -268,6 +272,8 @@
                 wait_s = order["waitMs"] / 1000
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._event.wait(), wait_s)
+            # What the call asks for was carried out when it came.
+            order = {**order, "lastSeen": 0}
             order.pop("untilMs", None)
         return self._carry_out(name, order)
 
