Don't hold back after a takeover what the new owner saw itself

A task whose run the new owner has seen or started, and a step whose last predecessor it saw end, can't run for the former owner.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/endings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/endings.py
@@ -108,6 +108,7 @@
             if step.number not in later.spec.after or later.is_done:
                 continue
             if submission.is_ready(later):
+                later.is_fresh = task.is_accounted
                 self._shard.make_ready(later)
         if submission.is_complete():
             self._shard.end_submission(submission, submissions.COMPLETED)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -136,7 +136,9 @@
     def may_run_elsewhere(self, task: work.Task) -> bool:
         """Whether a worker that hasn't answered yet may run a task."""
         step = task.step
-        if step.spec.allow_copies or not step.submission.may_be_started:
+        if task.is_accounted or step.is_fresh or step.spec.allow_copies:
+            return False
+        if not step.submission.may_be_started:
             return False
         name = task.name
         return any(
@@ -364,6 +366,7 @@
         )
         task.last_number = number
         task.wants_copy = False
+        task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
         return run
@@ -394,6 +397,7 @@
             task, number, worker, work.Phase.RUNNING, now, settled_at=now
         )
         task.last_number = max(task.last_number, number)
+        task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
         task.step.submission.has_started = True
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -91,6 +91,7 @@
         "waiting_since",
         "avoided",
         "wants_copy",
+        "is_accounted",
     )
 
     def __init__(self, step: "Step", index: int, waiting_since: float):
@@ -103,6 +104,9 @@
         self.waiting_since = waiting_since
         # Workers on which the task failed; another one is tried first.
         self.avoided: set[str] = set()
+        # Whether this owner has seen or started its last run, so that no
+        # other worker can run it for a former owner.
+        self.is_accounted = False
         # Whether a copy may run beside the run that it has.
         self.wants_copy = False
 
@@ -154,6 +158,9 @@
         self.tasks = [Task(self, index, now) for index in range(spec.count)]
         self.left = spec.count
         self.ready_since: float | None = None
+        # Whether this owner saw the last task before it end, so that a former
+        # owner can't have started it.
+        self.is_fresh = False
         self.tickets = TicketBook()
 
     @property
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -219,6 +219,41 @@
         self.assertTrue(self.shard.may_run_elsewhere(self.task))
         self.assertFalse(self.shard.may_run_elsewhere(self.other))
 
+    async def test_a_task_that_was_seen_running_doesn_t_wait(self):
+        """Its run was the only one; when that fails the next may start."""
+        worker = fakes.add_worker(self.shard)
+        run = self.shard.adopt_run(self.task, 4001, worker, 1.0)
+        self.shard.remove_run(run, "failed", "")
+        self.assertFalse(self.shard.may_run_elsewhere(self.task))
+        self.assertTrue(self.shard.may_run_elsewhere(self.other))
+
+    async def test_a_step_after_one_that_was_seen_to_end_doesn_t_wait(self):
+        """The former owner can't have known that its turn had come.
+
+        An end that the worker listed before may have been known to it.
+        """
+        steps = (
+            submissions.StepSpec(count=1, cpu=1, memory_mb=1),
+            submissions.StepSpec(count=1, cpu=1, memory_mb=1, after=[0]),
+        )
+        worker = fakes.add_worker(self.shard)
+        for name, was_seen in (("ee" * 8, True), ("ef" * 8, False)):
+            with self.subTest(was_seen=was_seen):
+                self.shard.take_submission(
+                    name, fakes.make_record(*steps), None, True
+                )
+                submission = self.shard.submissions[name]
+                first = submission.find_task("0.0.0")
+                later = submission.find_task("0.1.0")
+                if was_seen:
+                    run = self.shard.adopt_run(first, 4001, worker, 1.0)
+                    self.shard.remove_run(run, "done", "")
+                else:
+                    self.shard.endings.take_end(first, 4001, "done", "", worker)
+                self.assertIn(later.step, self.shard.ready_steps)
+                waits = self.shard.may_run_elsewhere(later)
+                self.assertEqual(waits, not was_seen)
+
     async def test_later_submissions_don_t_wait(self):
         self.shard.take_submission("dd" * 8, fakes.make_record())
         task = self.shard.submissions["dd" * 8].find_task("0.0.0")
