Hold a step back after a takeover if a copy may have ended the one before

A step counts as fresh only in submissions without copies. Reading the same rule again showed that a write that doesn't hold all progress must not name the tasks of silent workers. Both tests fail on the code before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/endings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/endings.py
@@ -104,11 +104,16 @@
         if not step.is_done:
             return
         self._shard.ready_steps.pop(step, None)
+        may_have_copies = any(
+            submission.steps[other].spec.allow_copies
+            for other in submission.steps
+        )
         for later in submission.list_occurrence(step.occurrence):
             if step.number not in later.spec.after or later.is_done:
                 continue
             if submission.is_ready(later):
-                later.is_fresh = task.is_accounted
+                # A copy may have ended what ended long before elsewhere.
+                later.is_fresh = task.is_accounted and not may_have_copies
                 self._shard.make_ready(later)
         if submission.is_complete():
             self._shard.end_submission(submission, submissions.COMPLETED)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -98,12 +98,23 @@
                 shard.on_dirty.set()
                 await asyncio.sleep(RETRY_S)
 
-    def _encode_owner(self, owner: str) -> bytes:
+    def _encode_owner(self, owner: str, is_whole: bool = True) -> bytes:
+        """Returns the owner row.
+
+        Args:
+          owner: name of the VM, empty to release the service.
+          is_whole: whether the same write stores all progress. Else the tasks
+            of silent workers aren't told apart from those that ended there.
+        """
         self._sequence += 1
         shard = self._shard
         recorded = self._list_recorded(is_leaving=not owner)
         workers = {w.id: w.registration.address for w in recorded}
-        silent = {w.id: _list_tasks(w) for w in recorded if not _is_usable(w)}
+        silent = {}
+        if is_whole:
+            silent = {
+                w.id: _list_tasks(w) for w in recorded if not _is_usable(w)
+            }
         for worker_id in shard.unsettled:
             if worker_id not in workers:
                 workers[worker_id] = ""
@@ -171,9 +182,8 @@
         recorded = [
             w for w in self._list_recorded(is_leaving=False) if _is_usable(w)
         ]
-        rows.append(
-            (OWNER_TABLE, OWNER_KEY, self._encode_owner(self._node.name))
-        )
+        owner_row = self._encode_owner(self._node.name, is_whole)
+        rows.append((OWNER_TABLE, OWNER_KEY, owner_row))
         sent_at = clock.read_clock()
         result = await self._node.store.commit(
             shard.service,
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/test_ledger.py
@@ -161,6 +161,20 @@
         await self.write(platform_store.Committed(12))
         self.assertEqual(self.read_silent(), {self.worker.id: [task.name]})
 
+    async def test_a_partial_write_names_no_tasks_of_silent_workers(self):
+        """What ended there may be in the part that isn't stored yet."""
+        task = self.submission.find_task("0.0.0")
+        fakes.start_run(self.shard, task, self.worker)
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        for number in range(ledgers.ROWS_PER_COMMIT + 1):
+            name = f"{number:016x}"
+            self.shard.take_submission(name, fakes.make_record())
+            self.shard.mark_dirty(self.shard.submissions[name])
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.read_silent(), {})
+        self.assertEqual(self.read_recorded(), {self.worker.id})
+
     async def test_a_silent_worker_is_used_again_only_once_stored(self):
         """The stored list of its tasks would no longer be complete."""
         fakes.start_run(
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -254,6 +254,30 @@
                 waits = self.shard.may_run_elsewhere(later)
                 self.assertEqual(waits, not was_seen)
 
+    async def test_a_step_after_a_copy_waits(self):
+        """The copy ended what had ended on a cut-off worker long before.
+
+        Found on trouble-1 of tkh-passes: the former owner had seen that end
+        and had started the next step, which then ran a second time.
+        """
+        steps = (
+            submissions.StepSpec(
+                count=1, cpu=1, memory_mb=1, allow_copies=True
+            ),
+            submissions.StepSpec(count=1, cpu=1, memory_mb=1, after=[0]),
+        )
+        worker = fakes.add_worker(self.shard)
+        self.shard.take_submission(
+            "ee" * 8, fakes.make_record(*steps), None, True
+        )
+        submission = self.shard.submissions["ee" * 8]
+        first = submission.find_task("0.0.0")
+        self.assertFalse(self.shard.may_run_elsewhere(first))
+        run = fakes.start_run(self.shard, first, worker)
+        self.shard.remove_run(run, "done", "")
+        later = submission.find_task("0.1.0")
+        self.assertTrue(self.shard.may_run_elsewhere(later))
+
     async def test_later_submissions_don_t_wait(self):
         self.shard.take_submission("dd" * 8, fakes.make_record())
         task = self.shard.submissions["dd" * 8].find_task("0.0.0")
