--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: entry-soak install run up down format lint test measure proto soak mutants faults
+.PHONY: process-soak install run up down format lint test measure proto soak mutants faults
 
 BIN = .venv/bin
 PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl \
@@ -53,5 +53,5 @@
 	$(BIN)/python -m tests.faults
 
 # Real processes of the entry VM under random faults, against the stand-ins.
-entry-soak: install
+process-soak: install
 	$(BIN)/python -m tests.entry.soak --seed $(SEED) --seconds $(SECONDS)
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -358,8 +358,8 @@
         print("\n".join(soak.events))
         print(f"logs {folder}")
     print(
-        f"soak seed={options.seed} accepted={len(soak.accepted)} "
-        f"starts={soak.judge.starts} done={len(soak.judge.done)} "
+        f"process-soak: seed={options.seed} "
+        f"requests={len(soak.judge.submissions)} faults={len(soak.events)} "
         f"violations={len(soak.judge.violations)}"
     )
     return 1 if soak.judge.violations else 0
