--- a/tests/entry/test_standins.py
+++ b/tests/entry/test_standins.py
@@ -64,6 +64,22 @@
         rows = await asyncio.wait_for(poll, 5)
         self.assertEqual([row.key for row in rows.rows], ["k"])
 
+    async def test_a_poll_bears_a_store_that_is_slow(self):
+        """A VM that gave its polls up kept an old configuration.
+
+        Found by a hunt on the grown site of Tafelberg, hunt-56be-7. A store
+        sixty times slower answers after 0.6 s.
+        """
+        handle = self.standin.handle
+
+        async def handle_slowly(request):
+            await asyncio.sleep(0.6)
+            return await handle(request)
+
+        self.standin._server._handler = handle_slowly
+        result = await self.store.follow("t", 0, 0.1)
+        self.assertIsInstance(result, platform_store.Rows)
+
     async def test_history_that_is_gone_is_told(self):
         self.standin.forget_history()
         result = await self.store.follow("t", 0, 0)
