Have a restarted worker vouch for no epoch before its newest fence

Cause (soak, shrunk trace replayed with logs): a worker that had run a request in epoch 2 restarted without records; a stale owner without the table fenced it in epoch 1, and it reported its records as complete since epoch 2. The owner of epoch 4 believed that and answered not_run for a request that had run. Ruled out: a lost answer (the attempt was recorded in the former life) and the ledger (it followed the worker's word).

After a restart without records each new fence now raises the bound; the rule stands in the worker's interface (docs/design.md, docs/guarantees.md). The soak uses MemoryWorker for it instead of a class of its own; its checks are unchanged.

--- a/packages/persimmonpath/persimmonpath/memoryworkers.py
+++ b/packages/persimmonpath/persimmonpath/memoryworkers.py
@@ -54,6 +54,7 @@
         slots: int,
         timer_service: timers.TimerService,
         plan: Planner,
+        has_lost_records: bool = False,
     ):
         """Creates an idle worker without an owner.
 
@@ -63,6 +64,7 @@
             slots: Attempts it runs at once.
             timer_service: Source of time.
             plan: Decides what an attempt does.
+            has_lost_records: Whether it ran before and kept nothing of that.
         """
         self.name = name
         self.leaving = False
@@ -72,6 +74,7 @@
         self._slots = slots
         self._timers = timer_service
         self._plan = plan
+        self._has_lost_records = has_lost_records
         self._lock = threading.RLock()
         self._epoch = 0
         self._owner = ""
@@ -91,6 +94,10 @@
             is_same = epoch == self._epoch and owner == self._owner
             if not is_newer and not is_same:
                 return _reply(result.Failure(errors.StaleEpochError(self.name)))
+            if is_newer and self._has_lost_records:
+                # The first fence after a restart may come from a stale owner,
+                # so any epoch up to this one may have run in the former life.
+                self._complete_since = epoch + 1
             self._epoch = epoch
             self._owner = owner
             self._extend(lease_s)
--- a/tests/soakcells.py
+++ b/tests/soakcells.py
@@ -300,15 +300,6 @@
         self.entry.start()
 
 
-class RestartedWorker(memoryworkers.MemoryWorker):
-    """A worker that lost the records of every earlier epoch."""
-
-    def fence(self, epoch, owner, lease_s, timeout_s):
-        if self._epoch == 0:
-            self._complete_since = epoch + 1
-        return super().fence(epoch, owner, lease_s, timeout_s)
-
-
 class SoakCell:
     """Entry VMs, workers and the platform on one clock.
 
@@ -358,15 +349,13 @@
 
     def start_worker(self, name):
         """Starts a worker without records under a name."""
-        create = memoryworkers.MemoryWorker
-        if name in self.workers:
-            create = RestartedWorker
-        worker = create(
+        worker = memoryworkers.MemoryWorker(
             name,
             CAPACITY,
             SLOTS,
             self.clock,
             lambda start: self._plan(name, start),
+            has_lost_records=name in self.workers,
         )
         self.workers[name] = worker
         self.platform.mark(name, machines.MachineState.LIVE)
--- a/tests/test_memoryworkers.py
+++ b/tests/test_memoryworkers.py
@@ -128,6 +128,26 @@
         self.client = self.worker
 
 
+class LostRecordsTest(unittest.TestCase):
+    def test_restarted_worker_vouches_for_no_epoch_before_its_last_fence(self):
+        """Soak seed 333196426: a stale owner fenced a restarted worker first.
+
+        The worker then vouched for an epoch whose work it had forgotten, and
+        a request that had run was answered as not run.
+        """
+        worker = memoryworkers.MemoryWorker(
+            "w0",
+            resources.Resources(4000, 4096, 0),
+            2,
+            timers.create_manual_timers(),
+            lambda start: memoryworkers.Plan(None, True),
+            has_lost_records=True,
+        )
+        worker.fence(1, "stale", LEASE_S, CALL_S).result().unwrap()
+        listing = worker.fence(4, "next", LEASE_S, CALL_S).result().unwrap()
+        self.assertEqual(listing.complete_since_epoch, 5)
+
+
 class HttpWorkerTest(WorkerContract, unittest.TestCase):
     def setUp(self):
         self.timers = timers.create_manual_timers()
