Send no job to a shard whose workers are all drained

Ruled out: quarantine and loading (the owner had loaded the job and had no open worker). A drain after the acceptance still delays a job until it ends; that is left as it is.

--- a/packages/persimmonpath/persimmonpath/intake.py
+++ b/packages/persimmonpath/persimmonpath/intake.py
@@ -107,13 +107,13 @@
 ) -> list[identifiers.ShardId]:
     """Returns the shards that have a worker for a job, of one zone.
 
-    The zone is the entry VM's own if that has one, else the first that has.
+    Shards in which every such worker is drained count only if there are no
+    others: a job of theirs would wait until the operator ends the drain. The
+    zone is the entry VM's own if that has one, else the first that has.
     """
-    shards = {
-        worker.shard_id
-        for worker in cell.workers
-        if can_carry(worker, cell_rules, job)
-    }
+    carriers = [w for w in cell.workers if can_carry(w, cell_rules, job)]
+    undrained = [worker for worker in carriers if not worker.draining]
+    shards = {worker.shard_id for worker in undrained or carriers}
     zones = {shard.zone for shard in shards}
     if not zones:
         return []
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -37,14 +37,33 @@
 
 
 class ShardChoiceTest(unittest.TestCase):
-    def list_shards(self, cpu_millis, home, *placement_rules):
+    def list_shards(self, cpu_millis, home, *placement_rules, cell=CELL):
         job = work.BatchJob(
             "j", "k", "t", 1, resources.Resources(cpu_millis, 1024)
         )
         return intake.list_shards(
-            CELL, rules.Rules(placement=placement_rules), job, home
+            cell, rules.Rules(placement=placement_rules), job, home
         )
 
+    def drain(self, *names):
+        workers = tuple(
+            worker.model_copy(update={"draining": worker.name in names})
+            for worker in CELL.workers
+        )
+        return CELL.model_copy(update={"workers": workers})
+
+    def test_job_is_not_sent_to_a_shard_whose_workers_are_drained(self):
+        """Soak seed 31377: such a job waited for good."""
+        shards = self.list_shards(1000, "z1", cell=self.drain("a"))
+        self.assertEqual(shards, [identifiers.ShardId("z1", 1)])
+        shards = self.list_shards(1000, "z1", cell=self.drain("a", "b"))
+        self.assertEqual(shards, [identifiers.ShardId("z2", 0)])
+
+    def test_job_is_accepted_while_every_worker_is_drained(self):
+        """A drain of all workers delays jobs and refuses none."""
+        shards = self.list_shards(1000, "z1", cell=self.drain("a", "b", "c"))
+        self.assertEqual({shard.zone for shard in shards}, {"z1"})
+
     def test_job_is_not_sent_where_no_worker_can_carry_it(self):
         large = self.list_shards(40_000, "z1")
         self.assertEqual(large, [identifiers.ShardId("z2", 0)])
