Keep accepting while the store is slow, notice sooner when it is back

A VM now asks a peer only if the store refuses it or has said nothing for 0.8 s. - Calls to a silent store made later ones more patient (up to 2.5 s), so a takeover came 3 s after the store had. Silence no longer counts as slowness.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -17,6 +17,9 @@
 # A VM that neither the store nor a peer has answered for this time takes
 # itself out of rotation; shorter gaps come from single lost packets.
 SILENCE_S = 1.3
+# A store that answered a call within this time is slow, not away, when other
+# calls have no answer. Calls made through a peer instead would only be slower.
+SLOW_S = 0.8
 PROBE_TIMEOUT_S = 0.25
 PROBED_PEERS = 4
 # Time on top of that of a call that a peer makes.
@@ -53,7 +56,11 @@
     def reaches_store(self) -> bool:
         """Returns whether the store answers this VM directly."""
         store = self._node.store
-        return store.last_answer >= store.last_failure
+        if store.last_failure > store.last_answer:
+            return False
+        if store.last_doubt <= store.last_answer:
+            return True
+        return clock.read_clock() - store.last_answer < SLOW_S
 
     def can_store(self) -> bool:
         """Returns whether calls to the store are likely to succeed."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -14,9 +14,10 @@
 OWNER_KEY = "owner"
 PROGRESS_TABLE = "progress"
 SUBMISSION_TABLE = "submission"
-# A partition carries its transactions one after another; several of them keep
-# acceptance going while the store is slow.
-SUBMISSION_PARTS = 8
+# A partition carries its transactions one after another. Acceptance at a crest,
+# about 60 a second, goes on over this number while the store is fifty times
+# slower than usual and a partition carries four a second.
+SUBMISSION_PARTS = 32
 
 RENEW_S = 0.8
 # Orders to start stop this long after the last renewal; others may take the
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -144,7 +144,9 @@
     Attributes:
       relay: sends a call through a peer, or None to call directly.
       last_answer: when the store last answered directly.
-      last_failure: when a direct call last failed.
+      last_failure: when the store last turned a direct call away.
+      last_doubt: when a direct call last had no answer in time, or was one too
+        many; a slow store does that to some calls and answers others.
       on_failure: called when a direct call fails.
     """
 
@@ -155,6 +157,7 @@
         self.on_failure = None
         self.last_answer = -1e9
         self.last_failure = -1e9
+        self.last_doubt = -1e9
         self._usual_s = 0.02
 
     def choose_timeout(self) -> float:
@@ -170,13 +173,19 @@
             method, target, body, timeout_s=timeout_s
         )
         now = clock.read_clock()
-        has_failed = isinstance(outcome, httpclient.NoReply)
-        if has_failed or outcome.status in (429, 503):
-            self.last_failure = now
-            if self.on_failure is not None:
-                self.on_failure()
+        if isinstance(outcome, httpclient.NoReply):
+            is_doubt = outcome.reason == httpclient.TIMEOUT
+        elif outcome.status in (429, 503):
+            is_doubt = outcome.status == 429
         else:
             self.last_answer = now
+            return outcome
+        if is_doubt:
+            self.last_doubt = now
+        else:
+            self.last_failure = now
+        if self.on_failure is not None:
+            self.on_failure()
         return outcome
 
     async def _call(
@@ -201,7 +210,10 @@
         self._metrics.count(f'store_calls{{call="{kind}",result="{result}"}}')
         if kind != "feed":
             length_s = clock.read_clock() - start
-            self._usual_s += LENGTH_WEIGHT * (length_s - self._usual_s)
+            has_answer = isinstance(outcome, httpclient.Reply)
+            if has_answer or self.last_answer > start:
+                # A store that answers nothing at all is away, not slow.
+                self._usual_s += LENGTH_WEIGHT * (length_s - self._usual_s)
             self._metrics.observe(
                 f'store_latency{{call="{kind}"}}', length_s * 1000
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_S = 0.45
 # An idle connection is closed before the other end's usual limit of 15 s.
 IDLE_LIMIT_S = 12.0
+# Why a call had no answer: none came within its deadline.
+TIMEOUT = "timeout"
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,7 +187,7 @@
         if future.done():
             return future.result()
         connection.abandon()
-        return NoReply(sent=True, reason="timeout")
+        return NoReply(sent=True, reason=TIMEOUT)
 
     async def _take(self, deadline: float) -> _Connection | NoReply:
         while True:
