--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -71,7 +71,7 @@
                 self.assertEqual(verdicts, [expected])
 
     async def test_a_repeat_doesn_t_hold_up_the_others_of_its_group(self):
-        other = "00000000000000b2"
+        other = f"{int(ID, 16) + ledgers.SUBMISSION_PARTS:016x}"
         self.assertEqual(ledgers.find_part(ID), ledgers.find_part(other))
         conflict = platform_store.Conflict(
             [make_row(ID, 3), make_row(other, 0)]
@@ -87,7 +87,7 @@
 
     async def test_submissions_share_a_transaction(self):
         """Each call to the store costs, and a partition takes 200 a second."""
-        ids = [f"{n * 8:016x}" for n in range(20)]
+        ids = [f"{n * ledgers.SUBMISSION_PARTS:016x}" for n in range(20)]
         store, _ = await self.store_all([platform_store.Committed(5)], ids)
         self.assertEqual(len(store.commits), 1)
 
