--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
@@ -5,6 +5,7 @@
 a copy where its step allows that.
 """
 
+from collections.abc import Iterable
 import math
 
 from persimmonpath_entry.state import fleet
@@ -30,6 +31,34 @@
 STRAGGLER_S = 1.2
 
 
+# A zone is taken for cut off only if several of its workers don't answer.
+SILENT_WORKERS = 2
+
+
+def find_silent_zones(workers: Iterable[fleet.Worker]) -> set[str]:
+    """Returns the zones of which nothing has been heard lately.
+
+    Answers a zone that is cut off: several of its workers leave calls
+    unanswered, and none has answered since. A task started there would be held
+    up until its lease has ended.
+    """
+    waiting: dict[str, list[float]] = {}
+    for worker in workers:
+        if worker.unanswered_since is not None:
+            zone = worker.registration.zone
+            waiting.setdefault(zone, []).append(worker.unanswered_since)
+    silent = {
+        zone: min(moments)
+        for zone, moments in waiting.items()
+        if len(moments) >= SILENT_WORKERS
+    }
+    for worker in workers:
+        since = silent.get(worker.registration.zone)
+        if since is not None and worker.heard_at > since:
+            del silent[worker.registration.zone]
+    return set(silent)
+
+
 def read_slowness(worker: fleet.Worker, now: float) -> float:
     """Returns how slow a worker is by now, 1 for the usual."""
     age_s = max(0.0, now - worker.slowness_at)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -33,6 +34,18 @@
     UNKNOWN = "unknown"
 
 
+class Settled(NamedTuple):
+    """How the storing of a submission ended.
+
+    Attributes:
+      verdict: what became of it.
+      version: the version of its row if it was accepted, else 0.
+    """
+
+    verdict: Verdict
+    version: int = 0
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _Pending:
     submission_id: str
@@ -55,7 +68,7 @@
         submission_id: str,
         record: submissions.SubmissionRecord,
         deadline: float,
-    ) -> Verdict:
+    ) -> Settled:
         """Stores a submission.
 
         Args:
@@ -88,9 +101,9 @@
         submission_id: str,
         record: submissions.SubmissionRecord,
         deadline: float,
-    ) -> Verdict:
+    ) -> Settled:
         if len(self._pending) >= MAX_PENDING:
-            return Verdict.REFUSED
+            return Settled(Verdict.REFUSED)
         pending = _Pending(
             submission_id,
             msgspec.json.encode(record),
@@ -147,31 +160,31 @@
         )
         if isinstance(result, platform_store.Committed):
             for pending in batch:
-                self._resolve(pending, Verdict.ACCEPTED)
+                self._resolve(
+                    pending, Settled(Verdict.ACCEPTED, result.version)
+                )
             return True
         if isinstance(result, platform_store.Conflict):
             known = {row.key for row in result.rows if row.version}
             for pending in batch:
                 if pending.submission_id in known:
-                    self._resolve(pending, Verdict.REPEATED)
+                    self._resolve(pending, Settled(Verdict.REPEATED))
             return bool(known)
         if isinstance(result, platform_store.Unknown):
             for pending in batch:
                 pending.may_be_stored = True
         return False
 
-    def _resolve(self, pending: _Pending, verdict: Verdict):
+    def _resolve(self, pending: _Pending, settled: Settled):
         self._pending.remove(pending)
         if not pending.future.done():
-            pending.future.set_result(verdict)
+            pending.future.set_result(settled)
 
     def _expire(self):
         now = clock.read_clock()
         for pending in list(self._pending):
             if now >= pending.deadline:
-                self._resolve(
-                    pending,
-                    Verdict.UNKNOWN
-                    if pending.may_be_stored
-                    else Verdict.REFUSED,
-                )
+                verdict = Verdict.REFUSED
+                if pending.may_be_stored:
+                    verdict = Verdict.UNKNOWN
+                self._resolve(pending, Settled(verdict))
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/advising.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/advising.py
@@ -42,7 +42,10 @@
     def __init__(self, node: context.Context, peers: members.Members):
         self._node = node
         self._peers = peers
-        self._client = advice_calls.AdviceClient(node.settings.advice)
+        # Deployments without such policies have no advisor.
+        self._client = None
+        if node.settings.advice:
+            self._client = advice_calls.AdviceClient(node.settings.advice)
         self._busy: collections.Counter[str] = collections.Counter()
         # Addresses of VMs that own a service and need their own calls.
         self.list_owners = list
@@ -128,6 +131,8 @@
         self, step: str, workers: list[str], timeout_s: float
     ) -> dict[str, str] | None:
         """Asks from this VM."""
+        if self._client is None:
+            return None
         return await self._client.ask(step, workers, timeout_s)
 
     async def _call_through(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -56,7 +56,7 @@
             for row in progress.rows
         }
         for row in rows.rows:
-            self._take_row(row, known.get(row.key), was_loaded=True)
+            self._take_row(row, known.get(row.key))
         self._feed_version = rows.version
         return True
 
@@ -75,7 +75,7 @@
             rows += page.rows
         return platform_store.Rows(rows, min(page.version for page in pages))
 
-    def _take_row(self, row, progress=None, was_loaded=False):
+    def _take_row(self, row, progress=None):
         if row.is_deleted:
             return
         try:
@@ -86,7 +86,7 @@
             self._node.log.warn("row_unreadable", row=row.key, reason=error)
             return
         if record.service == self._shard.service:
-            self._shard.take_submission(row.key, record, progress, was_loaded)
+            self._shard.take_submission(row.key, record, progress, row.version)
 
     async def follow_submissions(self):
         """Takes in what peers didn't tell: new submissions and cancels."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -24,7 +24,6 @@
 PROBED_PEERS = 4
 # Time on top of that of a call that a peer makes.
 RELAY_SLACK_S = 0.15
-PROBE_TARGET = "/api/rows-get?table=vm&part=&limit=1"
 
 
 class Reach(enum.Enum):
@@ -80,9 +79,15 @@
                 continue
             await self._probe()
             await asyncio.sleep(RETRY_S if self._helper else CHECK_S)
-            await self._node.store.call_directly(
-                "GET", PROBE_TARGET, b"", RETRY_S
-            )
+            await self._probe_store()
+
+    async def _probe_store(self):
+        """Asks the store; once it is back, ends the calls that hang."""
+        store = self._node.store
+        sent_at = clock.read_clock()
+        has_answered = await store.probe(RETRY_S)
+        if has_answered and self.reach in (Reach.NO_STORE, Reach.ISOLATED):
+            store.fail_calls(sent_at)
 
     async def _probe(self):
         addresses = self._peers.list_distant(PROBED_PEERS)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/front.py
@@ -141,7 +141,9 @@
             return reject(400, record)
         if not self._reach.can_store():
             return reject(503, "store unreachable", RETRY_AFTER_S)
-        verdict = await self._accepting.store(submission_id, record, deadline)
+        verdict, version = await self._accepting.store(
+            submission_id, record, deadline
+        )
         self._node.log.write(
             "submission_stored",
             id=submission_id,
@@ -156,14 +158,14 @@
         if verdict is acceptance.Verdict.REFUSED:
             return reject(503, "store unavailable", RETRY_AFTER_S)
         if verdict is acceptance.Verdict.ACCEPTED:
-            self._tell_owner(submission_id, record)
+            self._tell_owner(submission_id, record, version)
         return httpserver.Answer(200)
 
-    def _tell_owner(self, submission_id, record):
+    def _tell_owner(self, submission_id, record, version: int):
         shard = self._ownership.find_shard(record.service)
         if shard is not None:
             if shard.is_loaded:
-                shard.take_submission(submission_id, record)
+                shard.take_submission(submission_id, record, version=version)
             return
         address = self._ownership.find_owner(record.service)
         if address is not None:
@@ -171,7 +173,7 @@
                 self._peers.call(
                     address,
                     "POST",
-                    f"/peer/submission/{submission_id}",
+                    f"/peer/submission/{submission_id}/{version}",
                     msgspec.json.encode(record),
                 )
             )
@@ -233,7 +235,7 @@
             )
             if isinstance(result, platform_store.Committed):
                 self._node.log.write("submission_cancelled", id=submission_id)
-                self._tell_owner(submission_id, record)
+                self._tell_owner(submission_id, record, result.version)
                 return httpserver.Answer(200)
             await asyncio.sleep(0.02)
         return reject(503, "store unavailable", RETRY_AFTER_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ledger.py
@@ -31,6 +31,8 @@
 GATHER_S = 0.03
 RETRY_S = 0.12
 ROWS_PER_COMMIT = 80
+# The store takes rows of 64 KB. A longer row would end the ownership.
+MAX_OWNER_BYTES = 48_000
 # Rows of ended submissions are removed some time after callers may ask.
 KEEP_SLACK_S = 60.0
 
@@ -47,6 +49,12 @@
         else can run there, as the owner starts nothing on them until it has
         stored that they answer again.
       sequence: number of the write in the owner's life.
+      horizon: newest version of a submission that an owner may have started
+        tasks of, None if that isn't known.
+      renewed_ms: the store's clock at this renewal at most, 0 if unknown.
+      lease_ends: the store's clock at which the last lease on a worker that
+        doesn't answer has ended, by id. The owner extends none there before it
+        has stored that the worker answers again.
     """
 
     owner: str = ""
@@ -55,6 +63,9 @@
     workers: dict[str, str] = {}
     silent: dict[str, list[str]] = {}
     sequence: int = 0
+    horizon: int | None = None
+    renewed_ms: int = 0
+    lease_ends: dict[str, int] = {}
 
 
 class Ledger:
@@ -113,39 +124,62 @@
             pass
         self._urgent.clear()
 
-    def _encode_owner(self, owner: str, is_whole: bool = True) -> bytes:
-        """Returns the owner row.
+    def _encode_owner(
+        self, owner: str, sent_at: float, is_whole: bool = True
+    ) -> tuple[bytes, OwnerRecord]:
+        """Returns the owner row, encoded and as it is.
 
         Args:
           owner: name of the VM, empty to release the service.
+          sent_at: the moment from which the renewal counts.
           is_whole: whether the same write stores all progress. Else the tasks
             of silent workers aren't told apart from those that ended there.
         """
         self._sequence += 1
         shard = self._shard
         recorded = self._list_recorded(is_leaving=not owner)
-        workers = {w.id: w.registration.address for w in recorded}
-        silent = {}
+        record = OwnerRecord(
+            owner,
+            self._node.boot,
+            self._node.peer_address,
+            {w.id: w.registration.address for w in recorded},
+            sequence=self._sequence,
+            horizon=shard.newest_version,
+            renewed_ms=read_store_ms(self._node.store.clock, sent_at),
+            lease_ends=self._list_lease_ends(recorded),
+        )
         if is_whole:
-            silent = {
-                w.id: _list_tasks(w) for w in recorded if not _is_usable(w)
+            # An owner that leaves starts nothing any more, so the tasks on
+            # every worker are known.
+            record.silent = {
+                w.id: _list_tasks(w)
+                for w in recorded
+                if not owner or not _is_usable(w)
             }
         for worker_id in shard.unsettled:
-            if worker_id not in workers:
-                workers[worker_id] = ""
-                suspects = shard.suspects.get(worker_id)
-                if suspects is not None:
-                    silent[worker_id] = sorted(suspects)
-        return msgspec.json.encode(
-            OwnerRecord(
-                owner,
-                self._node.boot,
-                self._node.peer_address,
-                workers,
-                silent,
-                self._sequence,
-            )
-        )
+            record.workers.setdefault(worker_id, "")
+            suspects = shard.suspects.get(worker_id)
+            if suspects is not None and worker_id not in record.silent:
+                record.silent[worker_id] = sorted(suspects)
+        value = msgspec.json.encode(record)
+        if len(value) > MAX_OWNER_BYTES:
+            record.silent = {}
+            value = msgspec.json.encode(record)
+        return value, record
+
+    def _list_lease_ends(self, recorded: list[fleet.Worker]) -> dict[str, int]:
+        """Returns when the leases on workers that don't answer have ended."""
+        store_clock = self._node.store.clock
+        if store_clock is None:
+            return {}
+        ends = {
+            w.id: store_clock.bound_ms(w.bound_lease_end())
+            for w in recorded
+            if not _is_usable(w) and w.is_fenced
+        }
+        for worker_id, deadline in self._shard.unsettled.items():
+            ends[worker_id] = store_clock.bound_ms(deadline)
+        return ends
 
     def _list_recorded(self, is_leaving: bool) -> list[fleet.Worker]:
         """Returns the workers that a new owner has to ask.
@@ -197,9 +231,13 @@
         recorded = [
             w for w in self._list_recorded(is_leaving=False) if _is_usable(w)
         ]
-        owner_row = self._encode_owner(self._node.name, is_whole)
-        rows.append((OWNER_TABLE, OWNER_KEY, owner_row))
         sent_at = clock.read_clock()
+        owner_row, owner = self._encode_owner(
+            self._node.name, sent_at, is_whole
+        )
+        rows.append((OWNER_TABLE, OWNER_KEY, owner_row))
+        # Without an answer the row may be in the store all the same.
+        shard.frozen_leases |= owner.lease_ends.keys()
         result = await self._node.store.commit(
             shard.service,
             [(OWNER_TABLE, OWNER_KEY, self._version)],
@@ -210,6 +248,8 @@
                 shard.dirty[submission.id] = submission
             return False
         now = clock.read_clock()
+        shard.frozen_leases = set(owner.lease_ends)
+        shard.extend_horizon(owner.horizon)
         for submission, state in zip(batch, states, strict=True):
             shard.note_stored(submission, state, now)
         for worker in recorded:
@@ -272,10 +312,13 @@
         self._shard.on_dirty.set()
 
     async def _release(self):
+        # Whatever is started from here on would be missing in the row.
+        self._shard.is_leaving = True
+        row, _ = self._encode_owner("", clock.read_clock())
         result = await self._node.store.commit(
             self._shard.service,
             [(OWNER_TABLE, OWNER_KEY, self._version)],
-            [(OWNER_TABLE, OWNER_KEY, self._encode_owner(""))],
+            [(OWNER_TABLE, OWNER_KEY, row)],
         )
         self._node.log.warn(
             "ownership_released",
@@ -314,6 +357,13 @@
             self._shard.submissions.pop(submission_id, None)
 
 
+def read_store_ms(
+    store_clock: platform_store.StoreClock | None, moment: float
+) -> int:
+    """Returns what the store's clock shows at most, 0 if unknown."""
+    return 0 if store_clock is None else store_clock.bound_ms(moment)
+
+
 def _is_usable(worker: fleet.Worker) -> bool:
     """Returns whether a worker answers, and so may get tasks."""
     return worker.silent_since is None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -137,7 +137,9 @@
     async def _list(self, worker: fleet.Worker, wait_ms: int) -> bool:
         sent_at = clock.read_clock()
         until_ms = None
-        if worker.silent_since is None and self._shard.may_hold(sent_at):
+        is_held = worker.id not in self._shard.frozen_leases
+        is_held = is_held and worker.silent_since is None
+        if is_held and self._shard.may_hold(sent_at):
             until_ms = worker.grant_lease(sent_at, self._node.lease_ms)
         client = self._shard.clients[worker.id]
         born = worker.born
@@ -150,6 +152,10 @@
             wait_ms / 1000 + LISTING_SLACK_S,
         )
         now = clock.read_clock()
+        if isinstance(result, worker_calls.Listing):
+            worker.note_answer(sent_at, now)
+        else:
+            worker.note_no_answer(sent_at)
         if isinstance(result, worker_calls.Listing):
             if result.born in (0, born):
                 worker.acknowledged = max(worker.acknowledged, last_seen)
@@ -199,20 +205,26 @@
                 silent_s=now - worker.silent_since,
             )
             worker.silent_since = None
+            self._shard.on_dirty.set()
         names = {(row.task, row.run) for row in listing.running}
+        is_new = not worker.is_fenced
         if listing.born:
             worker.lists_born = True
             if worker.born and listing.born != worker.born:
                 self._shard.begin_lifetime(worker, listing.born)
+            is_new = is_new or listing.born != worker.born
             worker.born = listing.born
         worker.note_clock(listing.clock_ms, now)
+        if is_new:
+            worker.assume_lease(self._node.lease_ms)
         if not worker.is_fenced:
             worker.is_fenced = True
             self._shard.request_schedule()
         self._take_ends(worker, listing)
         self._take_running(worker, listing, now)
         self._remove_absent(worker, listing, names, sent_at)
-        self._shard.unsettled.pop(worker.id, None)
+        if self._shard.unsettled.pop(worker.id, None) is not None:
+            self._shard.on_dirty.set()
 
     def _take_ends(self, worker: fleet.Worker, listing: worker_calls.Listing):
         for end in sorted(listing.ended, key=lambda end: end.number):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
@@ -4,6 +4,7 @@
 
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import workers as worker_calls
+from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import work
 from persimmonpath_entry.transport import clock
 
@@ -13,7 +14,9 @@
 # How long a worker gets no work after it turned a start down.
 PENALTY_S = 0.3
 UNHEALTHY_PENALTY_S = 1.5
-UNREACHED = frozenset({"busy", "unreachable", "refused"})
+# Why an order never left, through no fault of the worker's.
+BUSY = "busy"
+UNREACHED = frozenset({"unreachable", "refused"})
 
 
 class Orders:
@@ -38,6 +41,7 @@
             self._shard.remove_run(run, "void", "")
             return
         task.step.submission.has_started = True
+        sent_at = clock.read_clock()
         result = await self._shard.clients[worker.id].start(
             task.name,
             run.number,
@@ -48,7 +52,9 @@
             ticket,
             ORDER_TIMEOUT_S,
         )
-        self._take_start(run, result, clock.read_clock())
+        now = clock.read_clock()
+        _note_reach(worker, result, sent_at, now)
+        self._take_start(run, result, now)
 
     def _take_start(self, run: work.Run, result, now: float):
         worker = run.worker
@@ -120,10 +126,12 @@
             client = self._shard.clients.get(worker.id)
             if client is None:
                 return
+            sent_at = clock.read_clock()
             result = await client.stop(
                 name, run.number, self._shard.fence, ORDER_TIMEOUT_S
             )
             now = clock.read_clock()
+            _note_reach(worker, result, sent_at, now)
             if isinstance(result, worker_calls.Accepted):
                 worker.note_clock(result.clock_ms, now)
                 run.settled_at = now
@@ -183,3 +191,12 @@
                 worker=worker.id,
                 outcome=type(result).__name__,
             )
+
+
+def _note_reach(worker: fleet.Worker, result, sent_at: float, now: float):
+    """Takes note of whether a worker has answered an order."""
+    reason = getattr(result, "reason", "")
+    if isinstance(result, worker_calls.Uncertain) or reason in UNREACHED:
+        worker.note_no_answer(sent_at)
+    elif reason != BUSY:
+        worker.note_answer(sent_at, now)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -26,8 +26,8 @@
 FIRST_CANDIDATES = 2
 RETRY_S = 0.25
 # Candidates try one after another, in an order that differs by service.
-RANK_STEP_S = 0.1
-MAX_RANK_S = 3.0
+RANK_STEP_S = 0.05
+MAX_RANK_S = 1.5
 # An owner keeps its service for this time at least before it gives way.
 SETTLE_S = 3.0
 PROBE_TIMEOUT_S = 0.35
@@ -36,6 +36,11 @@
 # its row keep it from doing harm, and tasks that it may have started meanwhile
 # wait as after every takeover.
 SUSPICION_S = 1.2
+# An owner that lives gets this time after an outage of the store to renew, as a
+# takeover would only hold its work up.
+OWNER_FIRST_S = 0.6
+# A renewal of leases by an owner that has ended arrives within this time.
+RELEASED_GRACE_S = 0.5
 
 
 class _Sighting:
@@ -68,6 +73,9 @@
         self._wake = asyncio.Event()
         self._taking: set[str] = set()
         self.is_known = False
+        # When the owners could be read again after they could not.
+        self._current_since = 0.0
+        self._is_current = False
 
     def find_owner(self, service: str) -> str | None:
         """Returns the address of a service's owner, or None."""
@@ -99,6 +107,9 @@
         """Follows the owners and takes over until cancelled."""
         while True:
             is_current = await self._refresh()
+            if is_current and not self._is_current:
+                self._current_since = clock.read_clock()
+            self._is_current = is_current
             if is_current:
                 self.is_known = True
                 self._consider_all()
@@ -165,11 +176,22 @@
                 owner=record.owner or "nobody",
                 version=row.version,
             )
-        sighting = _Sighting(record, row.version, now)
+        sighting = _Sighting(record, row.version, self._date(record, now))
         if known is not None and known.record.boot == record.boot:
             sighting.has_probed = known.has_probed
         self._sightings[row.part] = sighting
 
+    def _date(self, record: ledgers.OwnerRecord, now: float) -> float:
+        """Returns when a row was written, by the store's clock if known.
+
+        A VM that reads a row for the first time, or after an outage, would
+        else wait for the owner as if it had renewed just now.
+        """
+        store_clock = self._node.store.clock
+        if not record.renewed_ms or store_clock is None:
+            return now
+        return min(now, store_clock.find_moment(record.renewed_ms))
+
     def _consider_all(self):
         configuration = self._node.configuration
         if configuration is None or self._node.is_stopping:
@@ -244,7 +266,8 @@
         now = clock.read_clock()
         expiry = ledgers.LEASE_S + ledgers.TAKEOVER_SLACK_S
         if now - sighting.changed_at > expiry:
-            return True
+            is_back = now - self._current_since < OWNER_FIRST_S
+            return not is_back or await self._probe(sighting, expiry)
         if sighting.record.owner == self._node.name:
             return sighting.record.boot != self._node.boot
         silence_s = now - sighting.changed_at
@@ -274,15 +297,20 @@
     async def _take(self, service: str, sighting: _Sighting | None):
         if not await self._is_vacant(service, sighting):
             return
+        if self._node.is_stopping:
+            return
         former = ledgers.OwnerRecord() if sighting is None else sighting.record
+        sent_at = clock.read_clock()
         record = ledgers.OwnerRecord(
             self._node.name,
             self._node.boot,
             self._node.peer_address,
             former.workers,
             former.silent,
+            horizon=former.horizon,
+            renewed_ms=ledgers.read_store_ms(self._node.store.clock, sent_at),
+            lease_ends=former.lease_ends,
         )
-        sent_at = clock.read_clock()
         version = 0 if sighting is None else sighting.version
         result = await self._node.store.commit(
             service,
@@ -305,24 +333,11 @@
             self.wake()
             return
         self._begin(service, result.version, former, sighting, sent_at)
+        if self._node.is_stopping:
+            await self._release(service, self.shards[service])
 
     def _begin(self, service, fence, former, sighting, sent_at: float):
-        now = clock.read_clock()
-        # The former owner may have extended leases until it had to stop.
-        grace_s = ledgers.HOLD_S
-        if former.owner in ("", self._node.name) or sighting.is_disowned:
-            grace_s = 0.5
-        since = now if sighting is None else sighting.changed_at
-        hold_s = self._node.settings.bounds.hold_max_ms / 1000
-        deadline = (
-            max(now, since + grace_s)
-            + hold_s * fleet.CLOCK_RATE_LIMIT
-            + 2 * fleet.LEASE_SLACK_S
-        )
-        unsettled = dict.fromkeys(former.workers, deadline)
-        may_be_shared_until = 0.0
-        if grace_s == ledgers.HOLD_S:
-            may_be_shared_until = since + ledgers.LEASE_S
+        unsettled = self._bound_leases(former, sighting)
         self._node.log.warn(
             "ownership_taken",
             service=service,
@@ -332,7 +347,9 @@
         )
         self._node.metrics.count("takeovers")
         shard = shards.Shard(self._node, service, fence, unsettled)
-        shard.shared_until = may_be_shared_until
+        shard.former_horizon = former.horizon
+        shard.newest_version = shard.stored_horizon = former.horizon or 0
+        shard.frozen_leases = set(former.lease_ends)
         shard.suspects = {
             worker_id: set(names) for worker_id, names in former.silent.items()
         }
@@ -358,6 +375,34 @@
         shard.spawn(ledger.run())
         shard.spawn(self._serve(shard, keeper, placer))
 
+    def _bound_leases(
+        self, former: ledgers.OwnerRecord, sighting: _Sighting | None
+    ) -> dict[str, float]:
+        """Returns when every former lease on each worker has surely ended."""
+        now = clock.read_clock()
+        hold_s = self._node.settings.bounds.hold_max_ms / 1000
+        store_clock = self._node.store.clock
+        # The former owner may have extended leases until it had to stop.
+        if former.owner in ("", self._node.name) or sighting.is_disowned:
+            extended_until = now + RELEASED_GRACE_S
+        elif former.renewed_ms and store_clock is not None:
+            extended_until = ledgers.HOLD_S + store_clock.find_moment(
+                former.renewed_ms
+            )
+        else:
+            extended_until = sighting.changed_at + ledgers.HOLD_S
+        usual = (
+            extended_until
+            + hold_s * fleet.CLOCK_RATE_LIMIT
+            + 2 * fleet.LEASE_SLACK_S
+        )
+        deadlines = dict.fromkeys(former.workers, usual)
+        if store_clock is not None:
+            for worker_id, end_ms in former.lease_ends.items():
+                end = store_clock.find_moment(end_ms) + fleet.LEASE_SLACK_S
+                deadlines[worker_id] = min(usual, end)
+        return deadlines
+
     async def _serve(self, shard, keeper, placer):
         while not await keeper.load():
             await asyncio.sleep(RETRY_S)
@@ -388,5 +433,9 @@
         ledger.release()
         while shard.is_open and not ledger.release_done.is_set():
             await asyncio.sleep(0.02)
-        for address in self._peers.list_addresses():
-            await self._peers.call(address, "POST", "/peer/owners-changed")
+        await asyncio.gather(
+            *(
+                self._peers.call(address, "POST", "/peer/owners-changed")
+                for address in self._peers.list_addresses()
+            )
+        )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -33,8 +33,10 @@
         """Answers a request of a peer."""
         words = request.target.strip("/").split("/")
         match words[1:]:
-            case ["submission", submission_id]:
-                return self._take_submission(submission_id, request.body)
+            case ["submission", submission_id, version]:
+                return self._take_submission(
+                    submission_id, request.body, int(version)
+                )
             case ["state", service, submission_id]:
                 return await self._answer_state(service, submission_id)
             case ["waiting", service, queue]:
@@ -62,13 +64,13 @@
                 return await self._relay(request.body)
         return httpserver.Answer(404)
 
-    def _take_submission(self, submission_id, body):
+    def _take_submission(self, submission_id, body, version):
         record = msgspec.json.decode(body, type=submissions.SubmissionRecord)
         shard = self._ownership.find_shard(record.service)
         if shard is None or not shard.is_loaded:
             self._ownership.wake()
             return httpserver.Answer(421)
-        shard.take_submission(submission_id, record)
+        shard.take_submission(submission_id, record, version=version)
         return httpserver.Answer(200)
 
     async def _answer_state(self, service, submission_id):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from persimmonpath_entry.decisions import advising as advice_decisions
+from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.engine import advising
@@ -59,11 +60,16 @@
             await asyncio.sleep(GATHER_S)
 
     def _list_usable(self, now: float) -> list[fleet.Worker]:
+        workers = self._shard.workers.values()
+        silent_zones = health.find_silent_zones(workers)
         return [
             worker
-            for worker in self._shard.workers.values()
+            for worker in workers
             if worker.is_fenced
+            and worker.unanswered_since is None
+            and worker.registration.zone not in silent_zones
             and worker.is_recorded
+            and worker.id not in self._shard.frozen_leases
             and worker.is_listed
             and not worker.registration.is_draining
             and worker.silent_since is None
@@ -117,10 +123,14 @@
         spec = step.spec
         fitting = [w for w in usable if placement.can_ever_fit(w, spec)]
         policy = self._shard.find_queue(step.submission).advice
+        may_start = self._shard.may_start_tasks(step.submission)
         if policy is None or not self._node.settings.advice:
-            self._start_planned(
-                step, self._plan(step, waiting, fitting, room), room
-            )
+            plan = self._plan(step, waiting, fitting, room)
+            if may_start:
+                self._start_planned(step, plan, room)
+            return
+        if not may_start:
+            self._prepare(step, waiting, fitting, room, policy, now)
             return
         book = step.tickets
         valid = [w for w in fitting if book.find(w.id, now)]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -44,8 +44,15 @@
         self.unsettled = unsettled
         # Tasks that may run on such a worker, where the former owner knew.
         self.suspects: dict[str, set[str]] = {}
-        # Until then the former owner may still start tasks.
-        self.shared_until = 0.0
+        # Newest version of a submission that former owners may have started
+        # tasks of, None if that isn't known.
+        self.former_horizon: int | None = 0
+        # Tasks of a submission start once the store holds that its version is
+        # within the horizon, so that the next owner knows which ones can't run.
+        self.newest_version = 0
+        self.stored_horizon = 0
+        # Workers whose leases the stored row says to end; none is extended.
+        self.frozen_leases: set[str] = set()
         self.ready_steps: dict[work.Step, None] = {}
         # Steps that may be ready soon, for which advice is asked early.
         self.next_steps: dict[work.Step, None] = {}
@@ -53,6 +60,7 @@
         self.timed: dict[str, work.Submission] = {}
         self.endings = endings.Endings(self)
         self.is_open = True
+        self.is_leaving = False
         self.opened_at = clock.read_clock()
         self.is_loaded = False
         self.lease_until = 0.0
@@ -103,7 +111,9 @@
 
     def may_start(self, now: float) -> bool:
         """Whether the lease allows orders to start."""
-        return self.is_open and self.is_loaded and now < self.lease_until
+        if self.is_leaving or not self.is_loaded:
+            return False
+        return self.is_open and now < self.lease_until
 
     def may_hold(self, now: float) -> bool:
         """Whether the leases of workers may be extended."""
@@ -123,6 +133,16 @@
             name, "", "", self.service, 9, 3, 4.0, 3000.0, 3000.0, None
         )
 
+    def extend_horizon(self, version: int):
+        """Takes note that the store holds a horizon of this owner."""
+        if version > self.stored_horizon:
+            self.stored_horizon = version
+            self.request_schedule()
+
+    def may_start_tasks(self, submission: work.Submission) -> bool:
+        """Whether the next owner would know that tasks may have started."""
+        return submission.version <= self.stored_horizon
+
     def request_schedule(self):
         """Has waiting tasks placed soon."""
         self.on_schedule.set()
@@ -152,9 +172,16 @@
         submission_id: str,
         record: submissions.SubmissionRecord,
         progress: submissions.ProgressRecord | None = None,
-        was_loaded: bool = False,
+        version: int = 0,
     ):
-        """Takes in a stored submission; a repeat only tells of a cancel."""
+        """Takes in a stored submission; a repeat only tells of a cancel.
+
+        Args:
+          submission_id: its id.
+          record: the submission.
+          progress: what the store holds of its progress, if anything.
+          version: the version of its row.
+        """
         known = self.submissions.get(submission_id)
         if known is not None:
             if record.cancelled:
@@ -162,13 +189,20 @@
             return
         now = clock.read_clock()
         age_s = time.time() - record.accepted_ms / 1000
-        if 0 < age_s < MAX_AGE_S and was_loaded:
+        if 0 < age_s < MAX_AGE_S and not self.is_loaded:
             now -= age_s
-        may_be_started = was_loaded or now < self.shared_until
         submission = work.Submission(
-            submission_id, record, progress, may_be_started, now
+            submission_id,
+            record,
+            progress,
+            self.former_horizon is None or version <= self.former_horizon,
+            now,
+            version,
         )
         self.submissions[submission_id] = submission
+        if version > self.newest_version:
+            self.newest_version = version
+            self.on_dirty.set()
         if not submission.is_active:
             submission.stored_at = clock.read_clock()
             submission.forget_details()
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -1,6 +1,7 @@
 """Calls to the platform's store."""
 
 import dataclasses
+import math
 from urllib.parse import urlencode
 
 import msgspec
@@ -25,6 +26,7 @@
 MAX_POLL_SLACK_S = 2.0
 POLL_SLACK_FACTOR = 3.0
 ROWS_PER_CALL = 500
+PROBE_TARGET = "/api/rows-get?table=vm&part=&limit=1"
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +97,30 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreClock:
+    """A reading of the store's steady clock, which every VM can compare with.
+
+    Attributes:
+      now_ms: the reading.
+      sent_at: when it was asked for, on the own steady clock.
+      received_at: when the answer had come.
+    """
+
+    now_ms: float
+    sent_at: float
+    received_at: float
+
+    def bound_ms(self, moment: float) -> int:
+        """Returns what the store's clock shows at most at an own moment."""
+        # The reading is in whole milliseconds.
+        return math.ceil(self.now_ms + (moment - self.sent_at) * 1000) + 1
+
+    def find_moment(self, clock_ms: float) -> float:
+        """Returns an own moment at which the store's clock shows a time."""
+        return self.received_at + (clock_ms - self.now_ms) / 1000
+
+
 class HistoryGone:
     """The feed no longer reaches back to the version asked for."""
 
@@ -112,6 +138,7 @@
     rows: list[_WireRow] = []
     ver: int = 0
     has_more: bool = False
+    now_ms: float = 0
 
 
 _decode_rows = msgspec.json.Decoder(_WireRows).decode
@@ -148,16 +175,20 @@
       last_doubt: when a direct call last had no answer in time, or was one too
         many; a slow store does that to some calls and answers others.
       on_failure: called when a direct call fails.
+      clock: the newest reading of the store's clock, or None.
     """
 
     def __init__(self, address: str, measures: metrics.Metrics):
         self._client = httpclient.HttpClient(address, limit=8)
+        # A probe never waits for calls that a silent store leaves open.
+        self._probe_client = httpclient.HttpClient(address, limit=1)
         self._metrics = measures
         self.relay = None
         self.on_failure = None
         self.last_answer = -1e9
         self.last_failure = -1e9
         self.last_doubt = -1e9
+        self.clock: StoreClock | None = None
         self._usual_s = 0.02
 
     def choose_timeout(self) -> float:
@@ -172,8 +203,26 @@
         outcome = await self._client.call(
             method, target, body, timeout_s=timeout_s
         )
+        return self._note_reach(outcome)
+
+    async def probe(self, timeout_s: float) -> bool:
+        """Returns whether the store answers a read of this VM."""
+        outcome = await self._probe_client.call(
+            "GET", PROBE_TARGET, timeout_s=timeout_s
+        )
+        outcome = self._note_reach(outcome)
+        return isinstance(outcome, httpclient.Reply) and outcome.status == 200
+
+    def fail_calls(self, sent_before: float):
+        """Ends the calls that an outage has left without an answer."""
+        self._client.fail_calls(sent_before)
+
+    def _note_reach(self, outcome: httpclient.Outcome) -> httpclient.Outcome:
+        """Takes note of whether the store has answered a direct call."""
         now = clock.read_clock()
         if isinstance(outcome, httpclient.NoReply):
+            if outcome.reason == httpclient.OVERTAKEN:
+                return outcome
             is_doubt = outcome.reason == httpclient.TIMEOUT
         elif outcome.status in (429, 503):
             is_doubt = outcome.status == 429
@@ -259,6 +308,7 @@
                 ],
             }
         )
+        sent_at = clock.read_clock()
         outcome = await self._call(
             "tx", "POST", "/api/rows-tx", body, timeout_s
         )
@@ -267,9 +317,9 @@
                 return Unknown(outcome.reason)
             return Refused(0)
         if outcome.status == 200:
-            return Committed(_decode_rows(outcome.body).ver)
+            return Committed(self._decode(outcome, sent_at).ver)
         if outcome.status == 412:
-            rows = _decode_rows(outcome.body).rows
+            rows = self._decode(outcome, sent_at).rows
             return Conflict([_translate(row) for row in rows])
         if outcome.status in (429, 503):
             return Refused(outcome.status)
@@ -324,7 +374,15 @@
             timeout_s = self.choose_timeout()
         return await self._read("feed", "/api/rows-feed", query, timeout_s)
 
+    def _decode(self, reply: httpclient.Reply, sent_at: float) -> _WireRows:
+        message = _decode_rows(reply.body)
+        if message.now_ms:
+            now = clock.read_clock()
+            self.clock = StoreClock(message.now_ms, sent_at, now)
+        return message
+
     async def _read(self, kind, path, query, timeout_s):
+        sent_at = clock.read_clock()
         outcome = await self._call(
             kind, "GET", f"{path}?{urlencode(query)}", b"", timeout_s
         )
@@ -334,6 +392,6 @@
             return HistoryGone()
         if outcome.status != 200:
             return Refused(outcome.status)
-        message = _decode_rows(outcome.body)
+        message = self._decode(outcome, sent_at)
         rows = [_translate(row) for row in message.rows]
         return Rows(rows, message.ver, message.has_more)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -11,6 +11,10 @@
 ACKNOWLEDGE_S = 0.15
 
 
+# Answers on different connections overtake each other by this time at most.
+OVERLAP_S = 0.5
+
+
 class Worker:
     """One lifetime of a worker.
 
@@ -32,6 +36,9 @@
       is_listed: whether it is registered.
       silent_since: when it stopped answering, or None.
       listed_at: when it last answered with a listing.
+      heard_at: when it last answered at all.
+      unanswered_since: when the first call was sent that it hasn't answered
+        and that nothing else from it has followed, or None.
       listing_failures: listings on end without an answer.
       filler_percent: the share at which its fillers may work.
       paced_at: when that was last changed.
@@ -60,6 +67,8 @@
         self.silent_since: float | None = None
         self.listing_failures = 0
         self.listed_at = 0.0
+        self.heard_at = 0.0
+        self.unanswered_since: float | None = None
         self.penalty_until = 0.0
         self.drain_deadline: float | None = None
         self.empty_until = 0.0
@@ -135,6 +144,21 @@
         self.used_memory_mb += sign * spec.memory_mb
         self.used_gpu += sign * spec.gpu
 
+    def note_answer(self, sent_at: float, now: float):
+        """Takes note that it has answered a call."""
+        self.heard_at = now
+        is_settled = self.unanswered_since is not None
+        if is_settled and sent_at > self.unanswered_since:
+            self.unanswered_since = None
+
+    def note_no_answer(self, sent_at: float):
+        """Takes note that it hasn't answered a call in time."""
+        if (
+            self.unanswered_since is None
+            and sent_at > self.heard_at - OVERLAP_S
+        ):
+            self.unanswered_since = sent_at
+
     def note_clock(self, clock_ms: float, now: float):
         """Takes note of the worker's clock."""
         if clock_ms:
@@ -146,6 +170,14 @@
             return None
         return self.clock[0] + (now - self.clock[1]) * 1000 / CLOCK_RATE_LIMIT
 
+    def assume_lease(self, length_ms: float):
+        """Takes note that anything there may hold a lease of full length.
+
+        A former owner may have granted it, or this one in a former life.
+        """
+        clock_ms = 0.0 if self.clock is None else self.clock[0]
+        self.max_until_ms = max(self.max_until_ms, clock_ms + length_ms)
+
     def grant_lease(self, now: float, length_ms: float) -> int | None:
         """Returns the end of a new lease on the worker's clock, or None."""
         clock_ms = self.estimate_clock_ms(now)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/work.py
@@ -234,11 +234,14 @@
         progress: submissions.ProgressRecord | None,
         may_be_started: bool,
         now: float,
+        version: int = 0,
     ):
         self.id = submission_id
+        # The version at which its row was first seen.
+        self.version = version
         self.record = record
         self.progress = progress or submissions.ProgressRecord()
-        # Whether the former owner may have started tasks of it.
+        # Whether a former owner may have started tasks of it.
         self.may_be_started = may_be_started
         self.known_since = now
         self.has_started = False
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -16,6 +16,8 @@
 IDLE_LIMIT_S = 12.0
 # Why a call had no answer: none came within its deadline.
 TIMEOUT = "timeout"
+# Why a call had no answer: the other end has been away since it was sent.
+OVERTAKEN = "overtaken"
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +128,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str):
+        """Ends the call without an answer and closes the connection."""
+        self._resolve(NoReply(sent=True, reason=reason))
+        self.abandon()
+
     def close(self):
         self.is_open = False
         if self._transport is not None:
@@ -144,6 +151,8 @@
         self._idle: list[_Connection] = []
         self._open = 0
         self._waiting: collections.deque[asyncio.Future] = collections.deque()
+        # Calls under way and when they were sent.
+        self._active: dict[_Connection, float] = {}
 
     async def call(
         self,
@@ -172,10 +181,20 @@
         if body:
             headers += "Content-Type: application/json\r\n"
         future = connection.send(method, target, headers, body)
-        outcome = await self._await_answer(connection, future, deadline)
+        self._active[connection] = clock.read_clock()
+        try:
+            outcome = await self._await_answer(connection, future, deadline)
+        finally:
+            self._active.pop(connection, None)
         self._give_back(connection)
         return outcome
 
+    def fail_calls(self, sent_before: float):
+        """Ends the calls that were sent before a moment without an answer."""
+        for connection, sent_at in list(self._active.items()):
+            if sent_at < sent_before:
+                connection.fail(OVERTAKEN)
+
     async def _await_answer(self, connection, future, deadline) -> Outcome:
         remaining = deadline - clock.read_clock()
         try:
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -39,6 +39,7 @@
         self.last_answer = 0.0
         self.last_failure = -1.0
         self.last_doubt = -1.0
+        self.clock = None
 
     async def commit(self, part, expect, put, remove=(), timeout_s=1.0):
         self.commits.append((part, expect, put, remove))
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -46,7 +46,8 @@
             *(accepting.store(i, fakes.make_record(), deadline) for i in ids)
         )
         task.cancel()
-        return store, verdicts
+        self.versions = [settled.version for settled in verdicts]
+        return store, [settled.verdict for settled in verdicts]
 
     async def test_verdict_for_each_course_of_events(self):
         """A rejection is a promise that the submission never runs."""
--- a/tests/entry/test_connectivity.py
+++ b/tests/entry/test_connectivity.py
@@ -36,6 +36,13 @@
     return store
 
 
+async def hold_open(reader, writer):
+    """Reads and never answers, until the other end closes."""
+    while await reader.read(1000):
+        pass
+    writer.close()
+
+
 class ReachTest(unittest.IsolatedAsyncioTestCase):
     async def reach_after(self, *outcomes):
         store = make_store(*outcomes)
@@ -61,6 +68,35 @@
         self.assertFalse(reach.reaches_store())
 
 
+class RecoveryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_calls_that_hang_end_once_the_store_is_back(self):
+        """They went on waiting for up to 2.5 s, and a takeover with them."""
+        server = await asyncio.start_server(hold_open, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = httpclient.HttpClient(f"127.0.0.1:{port}")
+        call = asyncio.create_task(client.call("GET", "/", timeout_s=5.0))
+        while not client._active:
+            await asyncio.sleep(0.01)
+        client.fail_calls(clock.read_clock() - 60)
+        await asyncio.sleep(0)
+        self.assertFalse(call.done())
+        client.fail_calls(clock.read_clock() + 1)
+        outcome = await call
+        server.close()
+        self.assertEqual(outcome, httpclient.NoReply(True, "overtaken"))
+
+    async def test_a_probe_that_is_answered_ends_the_hanging_calls(self):
+        store = make_store()
+        store._probe_client = ScriptedClient(OK)
+        ended = []
+        store.fail_calls = ended.append
+        reach = connectivity.Connectivity(fakes.make_context(store), None)
+        reach.reach = connectivity.Reach.NO_STORE
+        await reach._probe_store()
+        self.assertEqual(len(ended), 1)
+        self.assertTrue(reach.reaches_store())
+
+
 class PatienceTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_silent_store_doesnt_make_calls_wait_longer(self):
         """A takeover came 3 s after the store had: its call was still waiting.
--- a/tests/entry/test_decisions.py
+++ b/tests/entry/test_decisions.py
@@ -267,3 +267,39 @@
         plain = self.make_run()
         plain.worker.drain_deadline = NOW + 0.5
         self.assertFalse(health.is_to_leave(plain, plain.worker, NOW))
+
+
+class SilentZoneTest(unittest.TestCase):
+    def make_workers(self, **heard):
+        workers = []
+        for name, moment in heard.items():
+            registration = fakes.make_registration(name, zone=name[:2])
+            worker = fleet.Worker(registration)
+            worker.heard_at = moment
+            workers.append(worker)
+        return workers
+
+    def test_a_zone_that_says_nothing_gets_no_work(self):
+        """Half of what was started in the second of a cut waited for 6 s."""
+        workers = self.make_workers(z1a=9.0, z1b=9.1, z1c=9.2, z2a=9.0)
+        workers[0].note_no_answer(9.5)
+        self.assertEqual(health.find_silent_zones(workers), set())
+        workers[1].note_no_answer(9.6)
+        self.assertEqual(health.find_silent_zones(workers), {"z1"})
+
+    def test_a_zone_with_a_worker_that_answers_isn_t_cut_off(self):
+        """Two workers may be lost by themselves."""
+        workers = self.make_workers(z1a=9.0, z1b=9.1, z1c=9.2)
+        workers[0].note_no_answer(9.5)
+        workers[1].note_no_answer(9.6)
+        workers[2].note_answer(9.55, 9.7)
+        self.assertEqual(health.find_silent_zones(workers), set())
+
+    def test_only_a_later_call_s_answer_clears_a_worker(self):
+        """An answer that was on its way before tells nothing of now."""
+        (worker,) = self.make_workers(z1a=9.0)
+        worker.note_no_answer(9.5)
+        worker.note_answer(9.4, 9.6)
+        self.assertIsNotNone(worker.unanswered_since)
+        worker.note_answer(9.7, 9.8)
+        self.assertIsNone(worker.unanswered_since)
--- a/tests/entry/test_ledger.py
+++ b/tests/entry/test_ledger.py
@@ -125,11 +125,13 @@
         )
         self.assertIn(self.worker.id, record.workers)
 
-    def read_recorded(self):
-        record = msgspec.json.decode(
+    def read_record(self):
+        return msgspec.json.decode(
             self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
         )
-        return set(record.workers)
+
+    def read_recorded(self):
+        return set(self.read_record().workers)
 
     async def test_a_dead_worker_isn_t_left_to_the_next_owner(self):
         """It would wait 10 s for the answer of a worker that left long ago."""
@@ -145,10 +147,7 @@
         self.assertEqual(self.read_recorded(), {self.worker.id})
 
     def read_silent(self):
-        record = msgspec.json.decode(
-            self.store.commits[-1][2][-1][2], type=ledgers.OwnerRecord
-        )
-        return record.silent
+        return self.read_record().silent
 
     async def test_the_tasks_of_a_silent_worker_are_stored(self):
         """Else a new owner holds back every task for ten seconds."""
@@ -200,6 +199,64 @@
         await write
         self.assertFalse(self.worker.is_recorded)
 
+    async def test_the_horizon_holds_from_its_storing(self):
+        """A start before it would be unknown to the next owner."""
+        self.shard.take_submission("bb" * 8, fakes.make_record(), version=41)
+        submission = self.shard.submissions["bb" * 8]
+        await self.write(platform_store.Unknown("timeout"))
+        self.assertFalse(self.shard.may_start_tasks(submission))
+        await self.write(platform_store.Committed(42))
+        self.assertTrue(self.shard.may_start_tasks(submission))
+        self.assertEqual(self.read_record().horizon, 41)
+
+    async def test_the_end_of_a_silent_worker_s_leases_is_stored(self):
+        """Each takeover began the wait of 9 s for such a worker anew."""
+        self.store.clock = platform_store.StoreClock(
+            70_000.0, clock.read_clock(), clock.read_clock()
+        )
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        end = self.worker.bound_lease_end()
+        await self.write(platform_store.Committed(11))
+        ends = self.read_record().lease_ends
+        self.assertEqual(ends, {self.worker.id: self.store.clock.bound_ms(end)})
+
+    async def test_leases_that_are_stored_as_ending_are_not_extended(self):
+        """The next owner counts on the end that the row names."""
+        self.store.clock = platform_store.StoreClock(70_000.0, 0.0, 0.0)
+        fakes.start_run(
+            self.shard, self.submission.find_task("0.0.0"), self.worker
+        )
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        await self.write(platform_store.Unknown("timeout"))
+        self.assertEqual(self.shard.frozen_leases, {self.worker.id})
+        self.worker.silent_since = None
+        await self.write(platform_store.Unknown("timeout"))
+        self.assertEqual(self.shard.frozen_leases, {self.worker.id})
+        await self.write(platform_store.Committed(12))
+        self.assertEqual(self.shard.frozen_leases, set())
+
+    async def test_a_long_list_of_tasks_is_left_out(self):
+        """The store refuses longer rows, which would end the ownership."""
+        self.worker.silent_since = clock.read_clock()
+        self.worker.max_until_ms = 9000.0
+        for number in range(2000):
+            self.worker.strangers[f"{number:016x}.0.0.0", 1] = 1.0
+        await self.write(platform_store.Committed(11))
+        self.assertEqual(self.read_silent(), {})
+        self.assertEqual(self.read_recorded(), {self.worker.id})
+
+    async def test_a_release_names_the_tasks_of_every_worker(self):
+        """The next owner then starts at once what isn't among them."""
+        task = self.submission.find_task("0.0.0")
+        fakes.start_run(self.shard, task, self.worker)
+        self.store.outcomes += [platform_store.Committed(n) for n in (11, 12)]
+        self.ledger.release()
+        await asyncio.wait_for(self.ledger.run(), 5)
+        self.assertEqual(self.read_silent(), {self.worker.id: [task.name]})
+        self.assertTrue(self.shard.is_leaving)
+
     async def test_a_release_names_only_workers_with_runs(self):
         """The next owner starts at once where nothing can be running."""
         busy = fakes.add_worker(self.shard, "w2")
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -36,9 +36,11 @@
     def __init__(self, listing):
         self.listing = listing
         self.last_seen = []
+        self.until = []
 
-    async def list_tasks(self, fence, last_seen, *rest):
+    async def list_tasks(self, fence, last_seen, until_ms, *rest):
         self.last_seen.append(last_seen)
+        self.until.append(until_ms)
         return self.listing
 
     def close(self):
@@ -149,6 +151,30 @@
         self.take(listing)
         self.assertEqual(self.task.failures, [run.number])
 
+    async def test_a_former_owner_s_lease_counts_until_its_longest_end(self):
+        """A worker that answered once and was cut off runs on for 6 s.
+
+        Its tasks were taken for lost after a quarter of a second.
+        """
+        worker = fakes.add_worker(self.shard, "w7")
+        worker.is_fenced = False
+        worker.clock = None
+        self.worker = worker
+        self.take(make_listing([(NAME, 4001, "", 100, 500)]))
+        left_s = worker.bound_lease_end() - clock.read_clock()
+        self.assertGreater(left_s, 6.0)
+
+    async def test_no_lease_is_extended_that_is_stored_as_ending(self):
+        client = ListingClient(make_listing())
+        self.shard.clients[self.worker.id] = client
+        self.shard.frozen_leases = {self.worker.id}
+        await self.listings._list(self.worker, 0)
+        self.shard.frozen_leases = set()
+        await self.listings._list(self.worker, 0)
+        self.assertEqual(
+            [until is None for until in client.until], [True, False]
+        )
+
     async def test_an_acknowledgement_is_sent_once(self):
         """A worker that started anew would forget ends that nobody saw.
 
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -72,6 +72,24 @@
         self.assertEqual(self.task.runs, [run])
         self.assertEqual(self.looks, [self.worker])
 
+    async def test_a_worker_gets_nothing_until_it_answers_again(self):
+        """Tasks started on a cut-off worker wait for 6 s."""
+        stops = [
+            worker_calls.Uncertain("timeout"),
+            worker_calls.Accepted(2000.0),
+        ]
+        await self.start(worker_calls.Uncertain("timeout"), stops)
+        self.assertIsNotNone(self.worker.unanswered_since)
+        await asyncio.sleep(order_calls.STOP_RETRY_S + 0.05)
+        self.assertIsNone(self.worker.unanswered_since)
+
+    async def test_an_order_that_found_no_connection_tells_nothing(self):
+        """All connections of the worker carried other orders."""
+        await self.start(worker_calls.Rejected(order_calls.BUSY))
+        self.assertIsNone(self.worker.unanswered_since)
+        await self.start(worker_calls.Rejected("unreachable"))
+        self.assertIsNotNone(self.worker.unanswered_since)
+
     async def test_a_stop_is_repeated_until_it_is_answered(self):
         """A stop, too, may be left unanswered and carried out late."""
         order_calls_retry = order_calls.STOP_RETRY_S
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
 from tests.entry import fakes
 
 ID = "00000000000000aa"
@@ -26,7 +27,7 @@
         successor = fakes.make_shard(fence=6)
         worker = fakes.add_worker(successor)
         progress = former.submissions[ID].progress
-        successor.take_submission(ID, fakes.make_record(), progress, True)
+        successor.take_submission(ID, fakes.make_record(), progress)
         task = successor.submissions[ID].find_task("0.0.0")
         successor.endings.take_end(task, run.number, "failed", "", worker)
 
@@ -204,7 +205,8 @@
 class TakeoverTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.shard = fakes.make_shard(unsettled={"w9": 100.0})
-        self.shard.take_submission(ID, fakes.make_record(), None, True)
+        self.shard.former_horizon = 20
+        self.shard.take_submission(ID, fakes.make_record(), version=20)
         self.task = self.shard.submissions[ID].find_task("0.0.0")
         self.other = self.shard.submissions[ID].find_task("0.0.1")
 
@@ -240,7 +242,7 @@
         for name, was_seen in (("ee" * 8, True), ("ef" * 8, False)):
             with self.subTest(was_seen=was_seen):
                 self.shard.take_submission(
-                    name, fakes.make_record(*steps), None, True
+                    name, fakes.make_record(*steps), version=20
                 )
                 submission = self.shard.submissions[name]
                 first = submission.find_task("0.0.0")
@@ -268,7 +270,7 @@
         )
         worker = fakes.add_worker(self.shard)
         self.shard.take_submission(
-            "ee" * 8, fakes.make_record(*steps), None, True
+            "ee" * 8, fakes.make_record(*steps), version=20
         )
         submission = self.shard.submissions["ee" * 8]
         first = submission.find_task("0.0.0")
@@ -279,13 +281,39 @@
         self.assertTrue(self.shard.may_run_elsewhere(later))
 
     async def test_later_submissions_don_t_wait(self):
-        self.shard.take_submission("dd" * 8, fakes.make_record())
+        """The store held no horizon that covers them when the owner changed.
+
+        They were held back for 9 s if they came in the last 2.5 s of a lease.
+        """
+        self.shard.take_submission("dd" * 8, fakes.make_record(), version=21)
         task = self.shard.submissions["dd" * 8].find_task("0.0.0")
         self.assertFalse(self.shard.may_run_elsewhere(task))
 
-    async def test_submissions_from_the_former_lease_wait(self):
-        """A silent owner may still start what it hears of."""
-        self.shard.shared_until = float("inf")
-        self.shard.take_submission("dd" * 8, fakes.make_record())
+    async def test_every_submission_waits_if_no_horizon_is_known(self):
+        """The former owner may have started any that was accepted."""
+        self.shard.former_horizon = None
+        self.shard.take_submission("dd" * 8, fakes.make_record(), version=99)
         task = self.shard.submissions["dd" * 8].find_task("0.0.0")
         self.assertTrue(self.shard.may_run_elsewhere(task))
+
+
+class HorizonTest(unittest.IsolatedAsyncioTestCase):
+    async def test_tasks_start_once_the_store_holds_the_horizon(self):
+        """Else the next owner takes them for tasks that nobody has started."""
+        shard = fakes.make_shard()
+        shard.take_submission(ID, fakes.make_record(), version=31)
+        submission = shard.submissions[ID]
+        self.assertFalse(shard.may_start_tasks(submission))
+        self.assertTrue(shard.on_dirty.is_set())
+        shard.extend_horizon(30)
+        self.assertFalse(shard.may_start_tasks(submission))
+        shard.extend_horizon(31)
+        self.assertTrue(shard.may_start_tasks(submission))
+
+    async def test_an_owner_that_leaves_starts_nothing(self):
+        """The row that releases the service names what runs then."""
+        shard = fakes.make_shard()
+        now = clock.read_clock()
+        self.assertTrue(shard.may_start(now))
+        shard.is_leaving = True
+        self.assertFalse(shard.may_start(now))
