Keep room for steps that few workers may run, have others give way

Room was kept only while no call to the advisor was under way, which is half of the time; for one member of a gang; and not against more urgent tasks, which filled that worker though they could run elsewhere. A lasting task was stopped as standing still for having no work.

Room is now kept in every pass and for whole gangs, others avoid a kept worker if they can, and after 1 s less urgent runs that save their progress give way. A lasting task stands still only if its worker's other tasks do as well.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
@@ -102,10 +102,22 @@
         return False
     if run.spec.target_ms:
         return False
+    if run.spec.long_running and _has_working_run(run.worker):
+        # A lasting task may have nothing to do for a while.
+        return False
     started = now - run.sent_at > STARTUP_S + STILL_S
     return started and now - run.idle_since > STILL_S
 
 
+def _has_working_run(worker: fleet.Worker) -> bool:
+    """Returns whether any task on a worker uses its processor."""
+    return any(
+        other.load and other.idle_since is None
+        for other in worker.runs.values()
+        if not other.spec.target_ms
+    )
+
+
 def is_to_move(run: work.Run) -> bool:
     """Returns whether a lasting run is moved off a worker that is emptied."""
     if not run.spec.long_running or run.phase is not work.Phase.RUNNING:
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -4,6 +4,7 @@
 the narrow ones before it were packed tightly instead of spread.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from persimmonpath_entry.decisions import health
@@ -23,6 +24,8 @@
 SLOW_WEIGHT = 2.0
 # A worker that lacks a larger share of itself isn't kept free for a task.
 RESERVE_LIMIT = 1.0
+# Weight of a worker that is kept free for a step which few others may run.
+WANTED_WEIGHT = 2.0
 
 
 class Room:
@@ -108,6 +111,7 @@
     room: Room,
     avoided: Iterable[str] = (),
     now: float = 0.0,
+    wanted: Collection[str] = (),
 ) -> float:
     """Returns how badly a task fits on a worker; the least is chosen."""
     registration = worker.registration
@@ -131,6 +135,8 @@
         weight += MIXED_WEIGHT
     if worker.id in avoided:
         weight += AVOIDED_WEIGHT
+    if worker.id in wanted:
+        weight += WANTED_WEIGHT
     slowness = health.read_slowness(worker, now)
     weight += SLOW_WEIGHT * max(0.0, slowness - SLOW_LIMIT)
     return weight + 0.5 * worker.recent_failures
@@ -143,6 +149,7 @@
     counts: dict[str, int],
     avoided: Iterable[str] = (),
     now: float = 0.0,
+    wanted: Collection[str] = (),
 ) -> fleet.Worker | None:
     """Returns the worker on which a task fits best.
 
@@ -153,6 +160,7 @@
       counts: tasks of the step by worker id.
       avoided: ids of workers that are the last choice.
       now: the steady clock.
+      wanted: ids of workers that are kept free for other steps.
 
     Returns:
       The worker, or None if none has room.
@@ -165,7 +173,7 @@
             continue
         if not fits(worker, spec, room):
             continue
-        weight = weigh(worker, spec, room, avoided, now)
+        weight = weigh(worker, spec, room, avoided, now, wanted)
         if best is None or weight < best_weight:
             best = worker
             best_weight = weight
@@ -173,29 +181,60 @@
 
 
 def choose_reserved(
-    workers: Iterable[fleet.Worker], spec: submissions.StepSpec, room: Room
-) -> fleet.Worker | None:
-    """Returns the worker that lacks least for a task without room.
+    workers: Iterable[fleet.Worker],
+    spec: submissions.StepSpec,
+    room: Room,
+    count: int = 1,
+) -> list[fleet.Worker]:
+    """Returns the workers that lack least for tasks without room.
 
     A wide task would wait for good if narrow ones kept filling every gap.
-    Workers that are reserved for another task already are left out.
+    Workers that are reserved for another step already are left out.
+
+    Args:
+      workers: workers that may run the step.
+      spec: the step.
+      room: what the plan has taken so far.
+      count: number of tasks; a worker may stand for several.
+
+    Returns:
+      A worker for each task, fewer if there are none left.
     """
-    best = None
-    best_lack = RESERVE_LIMIT
+    free = {}
     for worker in workers:
         cpu, memory_mb, gpu, _, _ = room.read(worker)
-        if min(cpu, memory_mb, gpu) < 0:
-            continue
-        registration = worker.registration
-        lack = max(
-            0.0 if spec.is_filler else (spec.cpu - cpu) / registration.cpu,
-            (spec.memory_mb - memory_mb) / registration.memory_mb,
-            (spec.gpu - gpu) / max(1, registration.gpu),
+        if min(cpu, memory_mb, gpu) >= 0:
+            free[worker.id] = (worker, cpu, memory_mb, gpu)
+    reserved = []
+    for _ in range(count):
+        best = None
+        best_lack = RESERVE_LIMIT
+        for worker, cpu, memory_mb, gpu in free.values():
+            lack = _measure_lack(worker, spec, cpu, memory_mb, gpu)
+            if lack <= best_lack:
+                best = worker
+                best_lack = lack
+        if best is None:
+            break
+        reserved.append(best)
+        _, cpu, memory_mb, gpu = free[best.id]
+        free[best.id] = (
+            best,
+            cpu - (0 if spec.is_filler else spec.cpu),
+            memory_mb - spec.memory_mb,
+            gpu - spec.gpu,
         )
-        if lack <= best_lack:
-            best = worker
-            best_lack = lack
-    return best
+    return reserved
+
+
+def _measure_lack(worker, spec, cpu, memory_mb, gpu) -> float:
+    """Returns the largest share of itself that a worker lacks for a task."""
+    registration = worker.registration
+    return max(
+        0.0 if spec.is_filler else (spec.cpu - cpu) / registration.cpu,
+        (spec.memory_mb - memory_mb) / registration.memory_mb,
+        (spec.gpu - gpu) / max(1, registration.gpu),
+    )
 
 
 def plan_gang(
@@ -204,6 +243,7 @@
     count: int,
     room: Room,
     now: float = 0.0,
+    wanted: Collection[str] = (),
 ) -> list[fleet.Worker] | None:
     """Returns a worker for each member of a gang, or None.
 
@@ -216,18 +256,20 @@
             racks.setdefault(worker.registration.rack, []).append(worker)
         groups = [*racks.values(), workers]
     for group in groups:
-        plan = _fill_group(group, spec, count, room, now)
+        plan = _fill_group(group, spec, count, room, now, wanted)
         if plan is not None:
             return plan
     return None
 
 
-def _fill_group(group, spec, count, room, now) -> list[fleet.Worker] | None:
+def _fill_group(
+    group, spec, count, room, now, wanted
+) -> list[fleet.Worker] | None:
     trial = room.copy()
     counts: dict[str, int] = {}
     plan = []
     for _ in range(count):
-        worker = choose_worker(group, spec, trial, counts, (), now)
+        worker = choose_worker(group, spec, trial, counts, (), now, wanted)
         if worker is None:
             return None
         trial.take(worker, spec)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
@@ -0,0 +1,69 @@
+"""Which runs give way to more urgent work that has nowhere else to go.
+
+Answers a task that only one or two workers may run and that finds them full of
+less urgent work: those tasks keep their progress and go on elsewhere, while the
+urgent one would wait until enough of them have ended at the same time.
+"""
+
+from collections.abc import Callable
+
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import work
+
+# Time for which a step waits before others give way.
+WAIT_S = 1.0
+# Least time between two preemptions on a worker, so that the first one's room
+# has come free and been used.
+PAUSE_S = 1.5
+
+
+def may_give_way(run: work.Run) -> bool:
+    """Returns whether a run can be stopped without losing what it has done."""
+    spec = run.spec
+    if not spec.checkpointing or spec.gang or spec.long_running:
+        return False
+    return run.phase is work.Phase.RUNNING and not spec.is_filler
+
+
+def choose_victims(
+    worker: fleet.Worker,
+    spec: submissions.StepSpec,
+    count: int,
+    priority: int,
+    find_priority: Callable[[work.Run], int],
+) -> list[work.Run]:
+    """Returns the runs that make room for tasks, empty if that isn't possible.
+
+    Args:
+      worker: the worker.
+      spec: the step of the tasks.
+      count: number of tasks that are to fit there.
+      priority: that of their queue, 0 for the most urgent.
+      find_priority: returns the priority of a run's queue.
+    """
+    lack = [
+        count * spec.cpu - worker.free_cpu,
+        count * spec.memory_mb - worker.free_memory_mb,
+        count * spec.gpu - worker.free_gpu,
+    ]
+    candidates = []
+    for run in worker.runs.values():
+        if run.phase is work.Phase.STOPPING:
+            _subtract(lack, run.spec)
+        elif may_give_way(run) and find_priority(run) > priority:
+            candidates.append(run)
+    candidates.sort(key=lambda run: (-find_priority(run), -run.sent_at))
+    victims = []
+    for run in candidates:
+        if max(lack) <= 0:
+            break
+        _subtract(lack, run.spec)
+        victims.append(run)
+    return victims if max(lack) <= 0 else []
+
+
+def _subtract(lack: list[int], spec: submissions.StepSpec):
+    lack[0] -= 0 if spec.is_filler else spec.cpu
+    lack[1] -= spec.memory_mb
+    lack[2] -= spec.gpu
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import preemption
 from persimmonpath_entry.engine import advising
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import orders as order_calls
@@ -43,6 +44,10 @@
         self._advisor = advisor
         self._started = 0
         self._ahead: list[tuple] = []
+        # The steps for which workers are kept free, by worker id, as of the
+        # last pass and of the present one.
+        self._wanted: dict[str, work.Step] = {}
+        self._reserved: dict[str, work.Step] = {}
 
     async def run(self):
         """Places until the shard is closed."""
@@ -84,6 +89,8 @@
         room = placement.Room()
         self._started = 0
         self._ahead = []
+        self._wanted = self._reserved
+        self._reserved = {}
         for step in self._rank_steps(now):
             waiting = step.list_waiting()
             if not waiting or not step.submission.is_active:
@@ -126,6 +133,8 @@
         may_start = self._shard.may_start_tasks(step.submission)
         if policy is None or not self._node.settings.advice:
             plan = self._plan(step, waiting, fitting, room)
+            if len(plan) < len(waiting):
+                self._reserve(step, fitting, room, len(waiting) - len(plan))
             if may_start:
                 self._start_planned(step, plan, room)
             return
@@ -163,7 +172,12 @@
             return []
         if spec.gang:
             plan = placement.plan_gang(
-                workers, spec, len(waiting), room, clock.read_clock()
+                workers,
+                spec,
+                len(waiting),
+                room,
+                clock.read_clock(),
+                self._list_wanted(step),
             )
             if plan is None:
                 return []
@@ -172,6 +186,7 @@
             return list(zip(waiting, plan, strict=True))
         counts = step.count_runs_by_worker()
         now = clock.read_clock()
+        wanted = self._list_wanted(step)
         pairs = []
         for task in waiting:
             held = {run.worker.id for run in task.runs}
@@ -182,6 +197,7 @@
                 counts,
                 task.avoided,
                 now,
+                wanted,
             )
             if worker is None:
                 break
@@ -244,10 +260,11 @@
             if worker.id in book.good or worker.id not in book.asked
         ]
         plan = self._plan(step, left, maybe, room)
+        if len(plan) < len(left):
+            self._reserve(step, maybe, room, len(left) - len(plan))
         if book.is_asking or now < book.retry_at or not maybe:
             return
         if not plan:
-            self._reserve(step, maybe, room)
             self._ahead.append((step, maybe, policy))
             return
         planned = [worker for _, worker in plan]
@@ -281,11 +298,68 @@
                 return
             self._shard.next_steps.pop(step, None)
 
-    def _reserve(self, step: work.Step, maybe: list[fleet.Worker], room):
-        """Keeps what comes less urgently off the worker that is free first."""
-        worker = placement.choose_reserved(maybe, step.spec, room)
-        if worker is not None:
+    def _reserve(
+        self,
+        step: work.Step,
+        maybe: list[fleet.Worker],
+        room: placement.Room,
+        count: int,
+    ):
+        """Keeps what comes less urgently off the workers that are free first.
+
+        A gang needs room for all its members at once; other tasks start one
+        by one, and one worker kept free for them is enough.
+        """
+        wanted = placement.choose_reserved(
+            maybe, step.spec, room, count if step.spec.gang else 1
+        )
+        for worker in wanted:
             room.take(worker, step.spec)
+            self._reserved[worker.id] = step
+        self._preempt(step, wanted)
+
+    def _preempt(self, step: work.Step, wanted: list[fleet.Worker]):
+        """Has less urgent runs give way where a step has waited for long."""
+        now = clock.read_clock()
+        is_early = now - (step.ready_since or now) < preemption.WAIT_S
+        if is_early or not self._shard.may_start(now):
+            return
+        priority = self._shard.find_queue(step.submission).priority
+        for worker in dict.fromkeys(wanted):
+            if now - worker.preempted_at < preemption.PAUSE_S:
+                continue
+            victims = preemption.choose_victims(
+                worker,
+                step.spec,
+                wanted.count(worker),
+                priority,
+                self._find_priority,
+            )
+            if not victims:
+                continue
+            worker.preempted_at = now
+            self._node.metrics.count("preemptions", len(victims))
+            self._node.log.write(
+                "runs_preempted",
+                step=step.name,
+                worker=worker.id,
+                runs=len(victims),
+                waited_s=now - step.ready_since,
+                priority=priority,
+            )
+            for run in victims:
+                self._shard.on_stop(run, "preempted")
+
+    def _find_priority(self, run: work.Run) -> int:
+        return self._shard.find_queue(run.task.step.submission).priority
+
+    def _list_wanted(self, step: work.Step) -> list[str]:
+        """Returns the workers that are kept free for other steps."""
+        return [
+            worker_id
+            for worker_id, other in self._wanted.items()
+            if other is not step
+        ]
 
     def _ask_ahead(self, room: placement.Room, now: float):
         """Keeps tickets of steps without room, as far as VMs are free.
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -44,6 +44,7 @@
       paced_at: when that was last changed.
       slowness: how much longer its runs take than those of their queue.
       slowness_at: when that was last changed.
+      preempted_at: when runs there last had to give way.
       penalty_until: until when no task is placed there.
       empty_until: until when it is being emptied for an upkeep.
       drain_deadline: when it leaves at the earliest, or None.
@@ -81,6 +82,7 @@
         self.recent_failures = 0
         self.filler_percent = 100
         self.paced_at = 0.0
+        self.preempted_at = 0.0
         self.slowness = 1.0
         self.slowness_at = 0.0
 
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -124,7 +124,7 @@
         spec = make_spec(cpu=14000)
         room = placement.Room()
         chosen = placement.choose_reserved([far, near], spec, room)
-        self.assertIs(chosen, near)
+        self.assertEqual(chosen, [near])
 
     def test_a_worker_is_kept_for_one_task(self):
         """The first waiting task would lose what the second one reserves."""
@@ -133,4 +133,36 @@
         spec = make_spec(cpu=14000)
         room = placement.Room()
         room.take(worker, spec)
-        self.assertIsNone(placement.choose_reserved([worker], spec, room))
+        self.assertEqual(placement.choose_reserved([worker], spec, room), [])
+
+    def test_a_gang_has_room_kept_for_all_its_members(self):
+        """One by one they are never there at the same time."""
+        one, two = make_worker("one"), make_worker("two")
+        one.used_cpu = two.used_cpu = 16000
+        spec = make_spec(cpu=8000, gang=True)
+        room = placement.Room()
+        chosen = placement.choose_reserved([one, two], spec, room, 4)
+        self.assertEqual(
+            sorted(w.id for w in chosen), ["one", "one", "two", "two"]
+        )
+        chosen = placement.choose_reserved([one, two], spec, room, 5)
+        self.assertEqual(len(chosen), 4)
+
+    def test_others_keep_off_a_kept_worker_if_they_can(self):
+        """The only worker of a lasting task was busy with others for 7 s.
+
+        Those could have run anywhere (quiet-1 of tkh-passes).
+        """
+        kept, other = make_worker("kept"), make_worker("other")
+        other.used_cpu = 1000
+        spec = make_spec(cpu=1000)
+        choose = placement.choose_worker
+        room = placement.Room()
+        self.assertIs(choose([kept, other], spec, room, {}), other)
+        other.used_cpu = 0
+        kept.used_cpu = 1000
+        self.assertIs(choose([kept, other], spec, room, {}), kept)
+        wanted = ["kept"]
+        chosen = choose([kept, other], spec, room, {}, (), 0.0, wanted)
+        self.assertIs(chosen, other)
+        self.assertIs(choose([kept], spec, room, {}, (), 0.0, wanted), kept)
