--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/care.py
@@ -133,23 +133,23 @@
     def _drop_missing(self, listed: set[str]):
         for worker_id in list(self._shard.workers):
             if worker_id not in listed:
-                self._shard.drop_registration(worker_id)
+                self._shard.roster.drop_registration(worker_id)
 
     def _take_server(self, row: platform_store.Row):
         if row.is_deleted:
-            self._shard.drop_registration(row.key)
+            self._shard.roster.drop_registration(row.key)
             return
         registration = messages.decode_registration(row.key, row.value)
         if isinstance(registration, str):
             self._node.log.warn(
                 "registration_unreadable", worker=row.key, reason=registration
             )
-            self._shard.drop_registration(row.key)
+            self._shard.roster.drop_registration(row.key)
             return
         if registration.service == self._shard.service:
-            self._shard.take_registration(registration)
+            self._shard.roster.take_registration(registration)
         else:
-            self._shard.drop_registration(row.key)
+            self._shard.roster.drop_registration(row.key)
 
     async def run(self):
         """Ticks until the shard is closed."""
@@ -176,9 +176,9 @@
     def _look_after(self, worker: fleet.Worker, now: float):
         is_silent = worker.silent_since is not None
         if is_silent and worker.runs and now > worker.bound_lease_end():
-            self._shard.lose_worker(worker, "lease ended")
+            self._shard.roster.lose_worker(worker, "lease ended")
         if is_silent and not worker.is_listed and not worker.runs:
-            self._shard.forget_worker(worker)
+            self._shard.roster.forget_worker(worker)
             return
         if worker.registration.is_draining:
             self._empty(worker, now)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -170,8 +170,8 @@
                 self._shard.close("fenced by a worker")
                 return
             if result.reason == worker_calls.OTHER_LIFETIME:
-                self._shard.lose_worker(worker, "other lifetime")
-                self._shard.forget_worker(worker)
+                self._shard.roster.lose_worker(worker, "other lifetime")
+                self._shard.roster.forget_worker(worker)
                 return
         worker.listing_failures += 1
         if worker.listing_failures < SILENT_FAILURES:
@@ -211,7 +211,7 @@
         if listing.born:
             worker.lists_born = True
             if worker.born and listing.born != worker.born:
-                self._shard.begin_lifetime(worker, listing.born)
+                self._shard.roster.begin_lifetime(worker, listing.born)
             is_new = is_new or listing.born != worker.born
             worker.born = listing.born
         worker.note_clock(listing.clock_ms, now)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -128,6 +128,14 @@
         weights[self._node.peer_address] = self.own_weight
         return weights
 
+    def list_all_weights(self) -> list[float]:
+        """Returns the fitness of every other VM, there or not."""
+        return [
+            record.weight
+            for name, record in self._records.items()
+            if name != self._node.name
+        ]
+
     def list_distant(self, count: int) -> list[str]:
         """Returns peers to probe, of as many other zones as possible."""
         zones: dict[str, list[str]] = {}
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/orders.py
@@ -92,7 +92,7 @@
             self._shard.close("fenced by a worker")
             return
         if reason == worker_calls.OTHER_LIFETIME:
-            self._shard.lose_worker(worker, "other lifetime")
+            self._shard.roster.lose_worker(worker, "other lifetime")
             worker.is_listed = False
             return
         if reason == worker_calls.TICKET:
@@ -142,7 +142,7 @@
                     self._shard.close("fenced by a worker")
                     return
                 if result.reason == worker_calls.OTHER_LIFETIME:
-                    self._shard.lose_worker(worker, "other lifetime")
+                    self._shard.roster.lose_worker(worker, "other lifetime")
                     return
             await asyncio.sleep(STOP_RETRY_S)
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -7,6 +7,7 @@
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import views
+from persimmonpath_entry.engine import watching
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import httpserver
@@ -48,12 +49,15 @@
                 shard = self._ownership.find_shard(service)
                 if shard is None:
                     return httpserver.Answer(421)
-                load = shard.empty_worker(worker_id)
+                load = shard.roster.empty_worker(worker_id)
                 return httpserver.Answer(200, msgspec.json.encode(load))
             case ["advice"]:
                 return await self._ask_advice(request.body)
             case ["boot"]:
                 return httpserver.Answer(200, self._node.boot.encode())
+            case ["watch"]:
+                await watching.hold_watch(lambda: self._node.is_stopping)
+                return httpserver.Answer(200)
             case ["owners-changed"]:
                 self._ownership.wake()
                 return httpserver.Answer(200)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -11,6 +11,7 @@
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import orders as order_calls
 from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.engine import ticketing
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import work
@@ -23,8 +24,6 @@
 # Starts sent in one pass; the rest follow at once in the next one, so that
 # answers are read in between.
 STARTS_PER_PASS = 60
-# Tickets are asked for before a step is ready if a call isn't longer.
-NEXT_DECIDE_MS = 60.0
 
 
 class Placing:
@@ -41,9 +40,8 @@
         self._node = shard.node
         self._orders = orders
         self._listings = follower
-        self._advisor = advisor
+        self._tickets = ticketing.Ticketing(shard, advisor)
         self._started = 0
-        self._ahead: list[tuple] = []
         # The steps for which workers are kept free, by worker id, as of the
         # last pass and of the present one.
         self._wanted: dict[str, work.Step] = {}
@@ -88,7 +86,7 @@
         usable = self._list_usable(now)
         room = placement.Room()
         self._started = 0
-        self._ahead = []
+        self._tickets.begin_pass()
         self._wanted = self._reserved
         self._reserved = {}
         for step in self._rank_steps(now):
@@ -110,8 +108,8 @@
             if self._started >= STARTS_PER_PASS:
                 self._shard.request_schedule()
                 return
-        self._ask_ahead(room, now)
-        self._ask_for_next(usable, room, now)
+        self._tickets.ask_ahead(room, now)
+        self._tickets.ask_for_next(usable, room, now)
 
     def _rank_steps(self, now: float) -> list[work.Step]:
         ranked = []
@@ -146,25 +144,12 @@
         plan = self._plan(step, waiting, valid, room)
         self._start_planned(step, plan, room, now)
         if len(plan) == len(waiting):
-            self._note_next(step)
+            self._tickets.note_next(step)
         placed = {task for task, _ in plan}
         left = [task for task in waiting if task not in placed]
         if left:
             self._prepare(step, left, fitting, room, policy, now)
 
-    def _note_next(self, step: work.Step):
-        """Notes the steps that may be ready once a step is done."""
-        submission = step.submission
-        for later in submission.list_occurrence(step.occurrence):
-            if step.number not in later.spec.after:
-                continue
-            earlier = [
-                submission.steps[f"{step.occurrence}.{number}"]
-                for number in later.spec.after
-            ]
-            if not any(before.list_waiting() for before in earlier):
-                self._shard.next_steps[later] = None
-
     def _plan(self, step, waiting, workers, room):
         """Returns a worker for each task that has room, and takes the room."""
         spec = step.spec
@@ -265,39 +250,13 @@
         if book.is_asking or now < book.retry_at or not maybe:
             return
         if not plan:
-            self._ahead.append((step, maybe, policy))
+            self._tickets.add_ahead(step, maybe, policy)
             return
         planned = [worker for _, worker in plan]
-        self._ask_if_possible(
+        self._tickets.ask_if_possible(
             step, maybe, planned, room, policy, now, advice_decisions.Need.START
         )
 
-    def _ask_for_next(self, usable, room, now: float):
-        """Asks for steps that follow on running ones, where calls are short."""
-        for step in list(self._shard.next_steps):
-            book = step.tickets
-            if book.is_asking or book.asked or step.ready_since is not None:
-                self._shard.next_steps.pop(step, None)
-                continue
-            policy = self._shard.find_queue(step.submission).advice
-            if policy is None or policy.decide_ms > NEXT_DECIDE_MS:
-                self._shard.next_steps.pop(step, None)
-                continue
-            fitting = [
-                w for w in usable if placement.can_ever_fit(w, step.spec)
-            ]
-            if not self._ask_if_possible(
-                step,
-                fitting,
-                [],
-                room,
-                policy,
-                now,
-                advice_decisions.Need.AHEAD,
-            ):
-                return
-            self._shard.next_steps.pop(step, None)
-
     def _reserve(
         self,
         step: work.Step,
@@ -360,52 +319,3 @@
             for worker_id, other in self._wanted.items()
             if other is not step
         ]
-
-    def _ask_ahead(self, room: placement.Room, now: float):
-        """Keeps tickets of steps without room, as far as VMs are free.
-
-        The room that a worker gets next goes to the first waiting step that
-        may run there, so only that one needs a ticket there.
-        """
-        covered: set[str] = set()
-        for step, maybe, policy in self._ahead:
-            book = step.tickets
-            open_workers = [w for w in maybe if w.id not in covered]
-            if not open_workers:
-                continue
-            covered.update(worker.id for worker in open_workers)
-            length_s = (policy.decide_ms + policy.each_ms * len(maybe)) / 1000
-            if any(book.find(w.id, now + length_s) for w in open_workers):
-                continue
-            if not self._ask_if_possible(
-                step,
-                maybe,
-                [],
-                room,
-                policy,
-                now,
-                advice_decisions.Need.AHEAD,
-            ):
-                return
-
-    def _ask_if_possible(
-        self, step, maybe, planned, room, policy, now, need
-    ) -> bool:
-        targets = advice_decisions.choose_targets(
-            step.tickets, step.spec, maybe, planned, room, now
-        )
-        if not targets:
-            return True
-        caller = self._advisor.take_caller(policy, len(targets), need)
-        if caller is None:
-            return False
-        step.tickets.is_asking = True
-        self._shard.spawn(self._ask(step, targets, policy, caller))
-        return True
-
-    async def _ask(self, step, targets, policy, caller):
-        try:
-            await self._advisor.ask(step, targets, policy, caller)
-        finally:
-            step.tickets.is_asking = False
-        self._shard.request_schedule()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -6,7 +6,7 @@
 
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import endings
-from persimmonpath_entry.platform import messages
+from persimmonpath_entry.engine import roster
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import fleet
@@ -17,8 +17,6 @@
 # Run numbers of an owner begin at its fencing token times this, so that they
 # rise over every owner without a write for each start.
 RUNS_PER_FENCE = 1000
-# A worker is kept empty for this time after each request.
-EMPTY_S = 3.0
 # An age beyond this comes from a jump of the time of day.
 MAX_AGE_S = 600.0
 
@@ -59,6 +57,7 @@
         self.dirty: dict[str, work.Submission] = {}
         self.timed: dict[str, work.Submission] = {}
         self.endings = endings.Endings(self)
+        self.roster = roster.Roster(self)
         self.is_open = True
         self.is_leaving = False
         self.opened_at = clock.read_clock()
@@ -279,115 +278,6 @@
             and not submission.record.occurrences
         )
 
-    # Workers.
-
-    def take_registration(self, registration: messages.Registration):
-        """Takes in what a worker says of itself."""
-        worker = self.workers.get(registration.worker_id)
-        if worker is None:
-            worker = fleet.Worker(registration)
-            self.workers[worker.id] = worker
-            self.clients[worker.id] = worker_calls.WorkerClient(
-                registration.address, worker.id
-            )
-            self.on_dirty.set()
-            self.on_worker(worker)
-            self.node.log.write(
-                "worker_up",
-                worker=worker.id,
-                service=self.service,
-                zone=registration.zone,
-                rack=registration.rack,
-            )
-        self._update_registration(worker, registration)
-
-    def _update_registration(self, worker, registration):
-        changed = worker.registration.address != registration.address
-        was_draining = worker.registration.is_draining
-        is_reborn = 0 < worker.born < registration.born
-        worker.registration = registration
-        worker.is_listed = True
-        if changed:
-            self.clients[worker.id].close()
-            self.clients[worker.id] = worker_calls.WorkerClient(
-                registration.address, worker.id
-            )
-        if is_reborn:
-            # Which runs are gone only a listing tells: some may have been
-            # started in the new life already.
-            if not worker.lists_born:
-                self.begin_lifetime(worker, registration.born)
-            self.on_reborn(worker)
-        if registration.is_draining and not was_draining:
-            worker.drain_deadline = (
-                clock.read_clock() + registration.remaining_ms / 1000
-            )
-            self.node.log.write(
-                "worker_draining",
-                worker=worker.id,
-                remaining_ms=registration.remaining_ms,
-                runs=len(worker.runs),
-            )
-        if not registration.is_draining:
-            worker.drain_deadline = None
-        if not worker.born:
-            worker.born = registration.born
-
-    def drop_registration(self, worker_id: str):
-        """Takes note that a worker is no longer registered."""
-        worker = self.workers.get(worker_id)
-        if worker is not None and worker.is_listed:
-            worker.is_listed = False
-            self.node.log.write(
-                "worker_unregistered", worker=worker_id, runs=len(worker.runs)
-            )
-
-    def begin_lifetime(self, worker: fleet.Worker, born: int):
-        """Takes note that a worker has started anew under its id."""
-        self.node.log.warn(
-            "worker_restarted",
-            worker=worker.id,
-            born=born,
-            former=worker.born,
-            runs=len(worker.runs),
-        )
-        worker.begin_lifetime(born)
-
-    def lose_worker(self, worker: fleet.Worker, reason: str):
-        """Takes note that nothing runs any more in a worker's lifetime."""
-        self.node.log.warn(
-            "worker_lost",
-            worker=worker.id,
-            reason=reason,
-            runs=len(worker.runs),
-            silent_s=0.0
-            if worker.silent_since is None
-            else clock.read_clock() - worker.silent_since,
-        )
-        self.unsettled.pop(worker.id, None)
-        for run in list(worker.runs.values()):
-            self.remove_run(run, "lost", "")
-
-    def empty_worker(self, worker_id: str) -> work.WorkerLoad:
-        """Keeps new work off a worker for a while and tells what runs there."""
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            return work.WorkerLoad(0, 0)
-        worker.empty_until = clock.read_clock() + EMPTY_S
-        protected = sum(
-            1
-            for run in worker.runs.values()
-            if run.spec.long_running and run.spec.may_miss
-        )
-        return work.WorkerLoad(len(worker.runs), protected)
-
-    def forget_worker(self, worker: fleet.Worker):
-        """Drops a worker that has left."""
-        self.workers.pop(worker.id, None)
-        client = self.clients.pop(worker.id, None)
-        if client is not None:
-            client.close()
-
     # Runs.
 
     def create_run(self, task: work.Task, worker: fleet.Worker) -> work.Run:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/upkeep.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/upkeep.py
@@ -109,7 +109,7 @@
         """Has the owner of a machine's worker move its work."""
         shard = self._ownership.find_shard(row.pool)
         if shard is not None:
-            load = shard.empty_worker(row.worker_id or "")
+            load = shard.roster.empty_worker(row.worker_id or "")
         else:
             load = await self._ask_owner(row)
         machine.runs = None if load is None else load.runs
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -121,7 +121,7 @@
 
 
 def add_worker(shard, worker_id="w1", **changes):
-    shard.take_registration(make_registration(worker_id, **changes))
+    shard.roster.take_registration(make_registration(worker_id, **changes))
     worker = shard.workers[worker_id]
     worker.is_fenced = True
     worker.is_recorded = True
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.engine import ledger as ledgers
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.engine import sightings
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
@@ -35,6 +36,7 @@
         peers = members.Members(self.node)
         advisor = advising.Advisor(self.node, peers)
         self.ownership = owners.Ownership(self.node, peers, advisor)
+        self.sightings = self.ownership._sightings
         self.now = clock.read_clock()
         self.store.clock = platform_store.StoreClock(
             90_000.0, self.now, self.now
@@ -44,8 +46,8 @@
         record = ledgers.OwnerRecord(
             owner="vm-2", boot="x", workers=WORKERS, **fields
         )
-        sighting = owners._Sighting(record, 11, changed_at)
-        return self.ownership._bound_leases(record, sighting)
+        sighting = sightings.Sighting(record, 11, changed_at)
+        return self.sightings.bound_leases(record, sighting)
 
     async def test_a_lease_ends_counted_from_the_last_renewal(self):
         """A VM that reads the row late doesn't count from its reading."""
@@ -84,23 +86,54 @@
             msgspec.json.encode(record),
             11,
         )
-        self.ownership._see(row, self.now)
-        sighting = self.ownership._sightings[fakes.SERVICE]
+        self.sightings._see(row, self.now)
+        sighting = self.sightings.rows[fakes.SERVICE]
         self.assertAlmostEqual(sighting.changed_at, self.now - 10, places=1)
 
     async def test_an_owner_that_lives_comes_first_after_an_outage(self):
         """Nothing was gained by taking over from it, and work was held up."""
         record = ledgers.OwnerRecord(owner="vm-2", boot="x", address="a:1")
-        sighting = owners._Sighting(record, 11, self.now - 60)
+        sighting = sightings.Sighting(record, 11, self.now - 60)
         self.ownership._peers.call = self.answer_boot
-        self.ownership._current_since = clock.read_clock()
-        self.assertFalse(
-            await self.ownership._is_vacant(fakes.SERVICE, sighting)
-        )
-        self.ownership._current_since -= owners.OWNER_FIRST_S
-        self.assertTrue(
-            await self.ownership._is_vacant(fakes.SERVICE, sighting)
-        )
+        self.sightings._current_since = clock.read_clock()
+        self.assertFalse(await self.sightings.is_vacant(sighting))
+        self.sightings._current_since -= sightings.OWNER_FIRST_S
+        self.assertTrue(await self.sightings.is_vacant(sighting))
 
     async def answer_boot(self, *arguments, **options):
         return httpclient.Reply(200, b"x")
+
+    async def refuse(self, *arguments, **options):
+        return httpclient.NoReply(False, "refused")
+
+    async def test_an_owner_that_has_ended_is_replaced_at_once(self):
+        """Its work stood still for a second until its silence told."""
+        record = ledgers.OwnerRecord(owner="vm-2", boot="x", address="a:1")
+        sighting = sightings.Sighting(record, 11, clock.read_clock())
+        self.sightings.rows[fakes.SERVICE] = sighting
+        self.ownership._peers.call = self.refuse
+        is_vacant = self.sightings.is_vacant
+        self.assertFalse(await is_vacant(sighting))
+        self.ownership._note_end(fakes.SERVICE)
+        self.assertTrue(await is_vacant(sighting))
+
+    async def test_a_connection_that_broke_is_no_end(self):
+        record = ledgers.OwnerRecord(owner="vm-2", boot="x", address="a:1")
+        sighting = sightings.Sighting(record, 11, clock.read_clock())
+        self.sightings.rows[fakes.SERVICE] = sighting
+        self.ownership._peers.call = self.answer_boot
+        self.ownership._note_end(fakes.SERVICE)
+        is_vacant = self.sightings.is_vacant
+        self.assertFalse(await is_vacant(sighting))
+        self.assertFalse(sighting.has_ended)
+
+    async def test_a_weak_vm_lets_stronger_ones_come_first(self):
+        """Its link took 3 s to read what the owner has to know."""
+        self.ownership._peers.own_weight = 0.05
+        peer = members.MemberRecord("b:1", "z1", "y", 2.0)
+        self.ownership._peers._records["vm-3"] = peer
+        delay_s = self.ownership._choose_delay(fakes.SERVICE)
+        self.assertGreaterEqual(delay_s, owners.OUTDONE_DELAY_S)
+        self.ownership._peers.own_weight = 2.0
+        delay_s = self.ownership._choose_delay(fakes.SERVICE)
+        self.assertLess(delay_s, owners.OUTDONE_DELAY_S)
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -163,7 +163,7 @@
         run = fakes.start_run(self.shard, self.task, self.worker)
         self.worker.lists_born = True
         self.worker.processed = 12
-        self.shard.take_registration(fakes.make_registration(born=2))
+        self.shard.roster.take_registration(fakes.make_registration(born=2))
         self.assertEqual(self.task.runs, [run])
         self.assertEqual(self.shard.looks, [self.worker])
         self.assertEqual(self.worker.processed, 12)
@@ -171,13 +171,13 @@
     async def test_a_worker_that_lists_no_start_is_believed(self):
         """Its ends are counted anew, or those of the new life are missed."""
         self.worker.processed = 12
-        self.shard.take_registration(fakes.make_registration(born=2))
+        self.shard.roster.take_registration(fakes.make_registration(born=2))
         self.assertEqual(self.worker.processed, 0)
 
     async def test_a_vanished_registration_proves_nothing(self):
         """The worker may be cut off from the store and run on."""
         fakes.start_run(self.shard, self.task, self.worker)
-        self.shard.drop_registration(self.worker.id)
+        self.shard.roster.drop_registration(self.worker.id)
         self.assertFalse(self.task.is_waiting)
 
     async def test_failures_on_end_keep_work_away(self):
--- /dev/null
+++ b/tests/entry/test_watching.py
@@ -0,0 +1,33 @@
+"""How the end of an owner's process is noticed."""
+
+import asyncio
+import unittest
+
+from persimmonpath_entry.engine import watching
+
+
+class WatcherTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_end_of_a_process_is_noticed_at_once(self):
+        """A killed owner was replaced only when it had started again."""
+        connected = asyncio.Event()
+        writers = []
+
+        async def accept(reader, writer):
+            writers.append(writer)
+            connected.set()
+            await reader.read()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        gone = asyncio.Event()
+        watcher = watching.Watcher(f"127.0.0.1:{port}", gone.set)
+        await asyncio.wait_for(connected.wait(), 5)
+        self.assertFalse(gone.is_set())
+        writers[0].transport.abort()
+        await asyncio.wait_for(gone.wait(), 5)
+        watcher.stop()
+        server.close()
+
+    async def test_a_watch_ends_when_the_process_is_to_stop(self):
+        """It must not hold the end of a process up."""
+        await asyncio.wait_for(watching.hold_watch(lambda: True), 5)
