Leave log lines out by id at a crest, switch mechanisms off under the soak

The lines of a sample of ids are written now; failures keep their reserve. What it costs in processor time has not been measured.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
@@ -14,6 +14,12 @@
 # Lines about failures come from a reserve of their own, so that the ordinary
 # decisions of a busy second never displace them.
 RESERVE_PER_S = 200
+# Share of the budget that the lines of a sample of ids are to fill. The rest is
+# for what grows within the second.
+SAMPLE_FILL = 0.8
+# Fields that name a submission; its id begins each of them.
+ID_FIELDS = ("id", "task", "step")
+ID_DIGITS = 4
 FLUSH_S = 0.2
 STDOUT = 1
 
@@ -39,6 +45,9 @@
         self._second = 0.0
         self._used = 0
         self._used_reserve = 0
+        self._asked = 0
+        # Share of the ids whose lines are written.
+        self._share = 1.0
         os.set_blocking(fd, False)
 
     def write(self, event: str, **fields: object):
@@ -49,12 +58,32 @@
           **fields: what decided it and the outcome.
         """
         self._roll()
-        if self._used >= BUDGET_PER_S:
+        self._asked += 1
+        is_wanted = self._share >= 1.0 or self._is_sampled(fields)
+        if not is_wanted or self._used >= BUDGET_PER_S:
             self._leave_out(event)
             return
         self._used += 1
         self._append(event, fields)
 
+    def _is_sampled(self, fields: dict[str, object]) -> bool:
+        """Returns whether a line belongs to an id of the sample.
+
+        Lines beyond the budget are left out by id, so that the story of an id
+        is whole or missing, and never has gaps.
+        """
+        for name in ID_FIELDS:
+            text = fields.get(name)
+            if text:
+                break
+        else:
+            return True
+        try:
+            place = int(text[:ID_DIGITS], 16)
+        except ValueError:
+            return True
+        return place < self._share * 16**ID_DIGITS
+
     def warn(self, event: str, **fields: object):
         """Logs a failure or a change of what the process believes."""
         self._roll()
@@ -76,6 +105,10 @@
         if now - self._second < 1.0:
             return
         self._second = now
+        self._share = 1.0
+        if self._asked > BUDGET_PER_S:
+            self._share = SAMPLE_FILL * BUDGET_PER_S / self._asked
+        self._asked = 0
         self._used = 0
         self._used_reserve = 0
         if self._left_out:
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -28,7 +28,8 @@
 ATTEMPTS = 4
 ARRIVALS_PER_S = 5.0
 SETTLE_S = 40.0
-ENTRY = pathlib.Path(__file__).resolve().parents[2] / "deploy" / "entry.py"
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ENTRY = ROOT / "deploy" / "entry.py"
 
 
 def find_ports(count):
@@ -44,8 +45,9 @@
 class Vm:
     """An entry VM as a process of its own."""
 
-    def __init__(self, name, folder, link, advice):
+    def __init__(self, name, folder, link, advice, mutant):
         self.name = name
+        self.mutant = mutant
         self.link = link
         front, ready, peer, measures = find_ports(4)
         self.front = f"127.0.0.1:{front}"
@@ -64,8 +66,12 @@
         self.is_paused = False
 
     def start(self):
+        command = [sys.executable, str(ENTRY)]
+        if self.mutant:
+            command = [sys.executable, "-m", "tests.entry.mutants", self.mutant]
         self.process = subprocess.Popen(
-            [sys.executable, str(ENTRY)],
+            command,
+            cwd=ROOT,
             env={"PERSIMMONPATH_BOOT": str(self.settings), "PATH": "/usr/bin"},
             stdout=self.log,
             stderr=self.log,
@@ -87,7 +93,8 @@
 class Soak:
     """One run of the soak."""
 
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, seed, seconds, folder, mutant=""):
+        self.mutant = mutant
         self.random = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
@@ -121,7 +128,13 @@
         for number in range(VMS):
             link = links.Link(self.store.address)
             await link.listen()
-            vm = Vm(f"vm{number}", self.folder, link, self.advice.address)
+            vm = Vm(
+                f"vm{number}",
+                self.folder,
+                link,
+                self.advice.address,
+                self.mutant,
+            )
             self.vms.append(vm)
             vm.start()
 
@@ -338,9 +351,16 @@
                 await vm.end(signal.SIGKILL)
 
 
-def run_soak(seed, seconds, folder):
-    """Runs the soak; returns it for its counts and violations."""
-    soak = Soak(seed, seconds, pathlib.Path(folder))
+def run_soak(seed, seconds, folder, mutant=""):
+    """Runs the soak; returns it for its counts and violations.
+
+    Args:
+      seed: decides the load and the faults.
+      seconds: how long callers submit.
+      folder: where the processes' logs and settings go.
+      mutant: the mechanism that is switched off, empty for none.
+    """
+    soak = Soak(seed, seconds, pathlib.Path(folder), mutant)
     asyncio.run(soak.run())
     return soak
 
--- a/tests/entry/standins.py
+++ b/tests/entry/standins.py
@@ -94,7 +94,9 @@
         expected = [(row, self._key(row)) for row in body.get("expect", [])]
         if any(self._find_version(k) != row["ver"] for row, k in expected):
             rows = [self._render(key) for _, key in expected]
-            return answer(412, {"rows": rows, "ver": self.version})
+            return answer(
+                412, {"rows": rows, "ver": self.version, "nowMs": read_ms()}
+            )
         self.version += 1
         for row in body.get("put", []):
             self._change(self._key(row), row["value"])
@@ -102,7 +104,7 @@
             self._change(self._key(row), None)
         async with self._changed:
             self._changed.notify_all()
-        return answer(200, {"ver": self.version, "nowMs": 1})
+        return answer(200, {"ver": self.version, "nowMs": read_ms()})
 
     def _key(self, row):
         return row["table"], row["part"], row["key"]
@@ -144,6 +146,7 @@
                 "rows": [self._render(key) for key in keys[:limit]],
                 "hasMore": len(keys) > limit,
                 "ver": self.version,
+                "nowMs": read_ms(),
             },
         )
 
@@ -174,7 +177,9 @@
             }
             for key, (version, value) in newest.items()
         ]
-        return answer(200, {"rows": rows, "ver": self.version})
+        return answer(
+            200, {"rows": rows, "ver": self.version, "nowMs": read_ms()}
+        )
 
     def forget_history(self):
         """Drops the history, so that every follower has to read anew."""
@@ -188,6 +193,11 @@
         await self._apply({"put": [row]})
 
 
+def read_ms():
+    """Returns the store's steady clock."""
+    return int(time.monotonic() * 1000)
+
+
 class Violations(list):
     """What broke a promise, as texts."""
 
--- a/tests/entry/test_logs.py
+++ b/tests/entry/test_logs.py
@@ -48,6 +48,28 @@
         self.log.flush()
         self.assertIn("event=lines_left_out crest=7", self.read())
 
+    def test_the_story_of_an_id_is_whole_or_missing(self):
+        """At a crest each story had gaps, and none could be followed."""
+        ids = [f"{number * 655:04x}000000000000" for number in range(100)]
+        for second in range(2):
+            self.log._second = 0.0
+            for _ in range(20):
+                for submission_id in ids:
+                    self.log.write("run_placed", task=f"{submission_id}.0.0.1")
+            if second == 0:
+                self.log._lines.clear()
+        counts = [
+            sum(submission_id.encode() in line for line in self.log._lines)
+            for submission_id in ids
+        ]
+        self.assertEqual(set(counts), {0, 20})
+        self.log._second = 0.0
+        self.log.write("run_placed", task=f"{ids[-1]}.0.0.1")
+        self.log._second = 0.0
+        self.log.write("run_ended", task=f"{ids[-1]}.0.0.1")
+        self.log.flush()
+        self.assertIn(f"event=run_ended task={ids[-1]}", self.read())
+
     def test_failures_have_a_reserve(self):
         """They are asked for when something went wrong."""
         for _ in range(logs.BUDGET_PER_S + 7):
