--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: process-soak install run up down format lint test measure proto soak mutants faults
+.PHONY: process-soak process-mutants install run up down format lint test measure proto soak mutants faults
 
 BIN = .venv/bin
 PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl \
@@ -52,6 +52,10 @@
 faults: install
 	$(BIN)/python -m tests.faults
 
+# The soak has to notice each mechanism of the entry VM that is switched off.
+process-mutants: install
+	$(BIN)/python -m tests.entry.mutants
+
 # Real processes of the entry VM under random faults, against the stand-ins.
 process-soak: install
 	$(BIN)/python -m tests.entry.soak --seed $(SEED) --seconds $(SECONDS)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -20,6 +20,9 @@
 # A store that answered a call within this time is slow, not away, when other
 # calls have no answer. Calls made through a peer instead would only be slower.
 SLOW_S = 0.8
+# A VM that follows the store has an answer to a long poll at least this often,
+# so one without is about to notice an outage and can't help others.
+FRESH_S = 0.9
 PROBE_TIMEOUT_S = 0.25
 PROBED_PEERS = 4
 # Time on top of that of a call that a peer makes.
@@ -61,6 +64,11 @@
             return True
         return clock.read_clock() - store.last_answer < SLOW_S
 
+    def can_help(self) -> bool:
+        """Returns whether peers may send their calls through this VM."""
+        age_s = clock.read_clock() - self._node.store.last_answer
+        return self.reaches_store() and age_s < FRESH_S
+
     def can_store(self) -> bool:
         """Returns whether calls to the store are likely to succeed."""
         return self.reaches_store() or self.reach is Reach.PEER
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -62,8 +62,8 @@
                 self._ownership.wake()
                 return httpserver.Answer(200)
             case ["store"]:
-                reaches = self._reach.reaches_store()
-                return httpserver.Answer(200 if reaches else 503)
+                can_help = self._reach.can_help()
+                return httpserver.Answer(200 if can_help else 503)
             case ["relay"]:
                 return await self._relay(request.body)
         return httpserver.Answer(404)
--- a/tests/entry/test_connectivity.py
+++ b/tests/entry/test_connectivity.py
@@ -68,6 +68,20 @@
         self.assertFalse(reach.reaches_store())
 
 
+class HelperTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_vm_that_has_heard_nothing_lately_offers_no_help(self):
+        """Half of the VMs sent calls through one that knew no better.
+
+        Found on inc-5a0b of tbw-leafscale, in the first second of an outage.
+        """
+        store = make_store(OK)
+        await store.read("vm", "")
+        reach = connectivity.Connectivity(fakes.make_context(store), None)
+        self.assertTrue(reach.can_help())
+        store.last_answer -= connectivity.FRESH_S
+        self.assertFalse(reach.can_help())
+
+
 class RecoveryTest(unittest.IsolatedAsyncioTestCase):
     async def test_calls_that_hang_end_once_the_store_is_back(self):
         """They went on waiting for up to 2.5 s, and a takeover with them."""
