--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -28,6 +28,9 @@
 ATTEMPTS = 4
 ARRIVALS_PER_S = 5.0
 SETTLE_S = 40.0
+# Share of the submissions that are chains of steps, and are cancelled.
+CHAIN_SHARE = 0.08
+CHAIN_STEPS = 10
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ENTRY = ROOT / "deploy" / "entry.py"
 
@@ -96,6 +99,8 @@
     def __init__(self, seed, seconds, folder, mutant=""):
         self.mutant = mutant
         self.random = random.Random(seed)
+        # Draws of its own, so that older seeds keep their course.
+        self.chains = random.Random(seed + 1)
         self.seconds = seconds
         self.folder = folder
         self.judge = judges.Judge(seed)
@@ -192,7 +197,13 @@
         ]
         if self.random.random() < 0.4:
             steps.append({**steps[0], "after": [0]})
-        return {"spec": f"run {self.random.random()}", "steps": steps}
+        spec = f"run {self.random.random()}"
+        if self.chains.random() < CHAIN_SHARE:
+            # Long enough for a cancel to come while most of it is left.
+            steps = [{**steps[0], "count": 1}]
+            for number in range(1, CHAIN_STEPS):
+                steps.append({**steps[0], "after": [number - 1]})
+        return {"spec": spec, "steps": steps}
 
     async def submit(self):
         submission_id = f"{self.random.getrandbits(64):016x}"
@@ -214,7 +225,8 @@
             if is_rejected:
                 self.judge.rejected_only.add(submission_id)
             return
-        if self.random.random() < 0.05:
+        is_chain = len(body["steps"]) == CHAIN_STEPS
+        if self.random.random() < 0.05 or is_chain:
             await self.cancel(submission_id)
 
     async def cancel(self, submission_id):
