--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/placing.py
@@ -269,6 +269,9 @@
         A gang needs room for all its members at once; other tasks start one
         by one, and one worker kept free for them is enough.
         """
+        now = clock.read_clock()
+        if not placement.is_kept(now - (step.ready_since or now)):
+            return
         wanted = placement.choose_reserved(
             maybe, step.spec, room, count if step.spec.gang else 1
         )
