Place tasks from an index of free capacity and a kept order of steps

Once a pass was longer than its share the queue grew, and so did the pass. Members of a gang that is done aren't stopped one by one.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -4,7 +4,8 @@
 import sys
 
 PACKAGES = pathlib.Path(__file__).resolve().parent.parent / "packages"
-sys.path.insert(0, str(PACKAGES / "persimmonpath_entry"))
+for name in ("persimmonpath", "persimmonpath_entry"):
+    sys.path.insert(0, str(PACKAGES / name))
 
 from persimmonpath_entry import main  # noqa: E402
 
--- a/packages/persimmonpath/persimmonpath/fitindex.py
+++ b/packages/persimmonpath/persimmonpath/fitindex.py
@@ -5,13 +5,13 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import math
 
 import sortedcontainers
 
-from persimmonpath import inventory
 from persimmonpath import resources
 
 # Number of steps of the free share of CPU and of memory that key the buckets.
@@ -24,41 +24,29 @@
 _Key = tuple[int, int, int, int]
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class WorkerAllocation:
-    """A worker and the reservations on it.
+@dataclasses.dataclass(slots=True, eq=False, kw_only=True)
+class IndexEntry:
+    """A worker as the index knows it.
 
     Attributes:
-        worker: Its inventory entry.
         capacity: Its total resources.
         free: Resources that are not reserved.
         free_slots: Slots that are not reserved.
-        reserved: Reserved resources by attempt id.
-        is_open: Whether it takes new work.
         key: Its bucket in the index; None while it is in none.
     """
 
-    worker: inventory.Worker
     capacity: resources.Resources
     free: resources.Resources
-    free_slots: int
-    reserved: dict[str, resources.Resources]
-    is_open: bool = False
+    free_slots: int = 1
     key: _Key | None = None
 
 
-def create_allocation(worker: inventory.Worker) -> WorkerAllocation:
-    """Returns the allocation of an idle worker, closed to new work."""
-    capacity = worker.capacity
-    return WorkerAllocation(worker, capacity, capacity, worker.slots, {})
-
-
 def compute_leftover_share(
-    allocation: WorkerAllocation, size: resources.Resources
+    entry: IndexEntry, size: resources.Resources
 ) -> float:
     """Returns the dominant free share of a worker after placing a task."""
-    free = allocation.free
-    capacity = allocation.capacity
+    free = entry.free
+    capacity = entry.capacity
     leftover_share = max(
         (free.cpu_millis - size.cpu_millis) / capacity.cpu_millis,
         (free.memory_mib - size.memory_mib) / capacity.memory_mib,
@@ -75,35 +63,40 @@
     def __init__(self, capacity: resources.Resources):
         self.capacity = capacity
         self._keys: sortedcontainers.SortedList = sortedcontainers.SortedList()
-        self._buckets: dict[_Key, dict[str, WorkerAllocation]] = {}
+        self._buckets: dict[_Key, dict[IndexEntry, None]] = {}
 
-    def add(self, allocation: WorkerAllocation) -> None:
-        free = allocation.free
-        if allocation.free_slots < 1 or free.is_negative():
-            return
+    def compute_key(self, entry: IndexEntry) -> _Key | None:
+        free = entry.free
+        if entry.free_slots < 1 or free.is_negative():
+            return None
         cpu = free.cpu_millis * BUCKET_LEVELS // self.capacity.cpu_millis
         memory = free.memory_mib * BUCKET_LEVELS // self.capacity.memory_mib
-        key = (max(cpu, memory), cpu, memory, free.accelerators)
+        return (max(cpu, memory), cpu, memory, free.accelerators)
+
+    def add(self, entry: IndexEntry) -> None:
+        key = self.compute_key(entry)
+        if key is None:
+            return
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = self._buckets[key] = {}
             self._keys.add(key)
-        bucket[allocation.worker.name] = allocation
-        allocation.key = key
+        bucket[entry] = None
+        entry.key = key
 
-    def remove(self, allocation: WorkerAllocation) -> None:
-        if allocation.key is None:
+    def remove(self, entry: IndexEntry) -> None:
+        if entry.key is None:
             return
-        bucket = self._buckets[allocation.key]
-        del bucket[allocation.worker.name]
+        bucket = self._buckets[entry.key]
+        del bucket[entry]
         if not bucket:
-            del self._buckets[allocation.key]
-            self._keys.remove(allocation.key)
-        allocation.key = None
+            del self._buckets[entry.key]
+            self._keys.remove(entry.key)
+        entry.key = None
 
     def list_fitting(
         self, size: resources.Resources, scan_limit: int | None
-    ) -> Iterator[WorkerAllocation]:
+    ) -> Iterator[IndexEntry]:
         """Yields workers that fit a task, those with the least free first.
 
         Args:
@@ -127,11 +120,11 @@
                 continue
             all_fit = bucket_cpu >= cpu and bucket_memory >= memory
             limit = None if all_fit else scan_limit
-            for number, allocation in enumerate(self._buckets[key].values()):
+            for number, entry in enumerate(self._buckets[key]):
                 if limit is not None and number >= limit:
                     break
-                if all_fit or size.fits_in(allocation.free):
-                    yield allocation
+                if all_fit or size.fits_in(entry.free):
+                    yield entry
 
 
 class FitIndex:
@@ -141,26 +134,34 @@
         """Creates an empty index."""
         self._classes: dict[resources.Resources, _CapacityClass] = {}
 
-    def add(self, allocation: WorkerAllocation) -> None:
+    def add(self, entry: IndexEntry) -> None:
         """Adds a worker; one without a free slot is not indexed."""
-        found = self._classes.get(allocation.capacity)
+        found = self._classes.get(entry.capacity)
         if found is None:
-            found = self._classes[allocation.capacity] = _CapacityClass(
-                allocation.capacity
+            found = self._classes[entry.capacity] = _CapacityClass(
+                entry.capacity
             )
-        found.add(allocation)
+        found.add(entry)
 
-    def remove(self, allocation: WorkerAllocation) -> None:
+    def remove(self, entry: IndexEntry) -> None:
         """Removes a worker; must be called before its free capacity changes."""
-        self._classes[allocation.capacity].remove(allocation)
+        self._classes[entry.capacity].remove(entry)
+
+    def update(self, entry: IndexEntry, free: resources.Resources) -> None:
+        """Sets the free resources of a worker that has been added."""
+        capacity_class = self._classes[entry.capacity]
+        entry.free = free
+        if capacity_class.compute_key(entry) != entry.key:
+            capacity_class.remove(entry)
+            capacity_class.add(entry)
 
     def list_best(
         self,
         size: resources.Resources,
         is_accelerated: bool,
         limit: int,
-        allows: Callable[[WorkerAllocation], bool],
-    ) -> list[WorkerAllocation]:
+        allows: Callable[[IndexEntry], bool],
+    ) -> list[IndexEntry]:
         """Returns workers that fit a task, the best fit first.
 
         Args:
@@ -170,30 +171,56 @@
             limit: Most workers returned for each distinct capacity.
             allows: Returns whether a worker may be used.
         """
-        for scan_limit in (MAX_BUCKET_SCANS, None):
-            found: list[WorkerAllocation] = []
-            for capacity_class in self._classes.values():
-                if bool(capacity_class.capacity.accelerators) != is_accelerated:
-                    continue
-                found += _collect_allowed(
-                    capacity_class.list_fitting(size, scan_limit), limit, allows
-                )
-            if found:
-                return sorted(
-                    found, key=lambda f: compute_leftover_share(f, size)
-                )
-        return []
+        classes = [
+            capacity_class
+            for capacity_class in self._classes.values()
+            if bool(capacity_class.capacity.accelerators) == is_accelerated
+        ]
+        found = _find_allowed(classes, size, limit, allows)
+        return sorted(found, key=lambda f: compute_leftover_share(f, size))
+
+    def list_candidates(
+        self,
+        size: resources.Resources,
+        limit: int,
+        allows: Callable[[IndexEntry], bool],
+    ) -> list[IndexEntry]:
+        """Returns workers that fit a task, roughly the best fit first.
+
+        Args:
+            size: Size of the task.
+            limit: Most workers returned for each distinct capacity.
+            allows: Returns whether a worker may be used.
+        """
+        return _find_allowed(self._classes.values(), size, limit, allows)
+
+
+def _find_allowed(
+    classes: Iterable[_CapacityClass],
+    size: resources.Resources,
+    limit: int,
+    allows: Callable[[IndexEntry], bool],
+) -> list[IndexEntry]:
+    for scan_limit in (MAX_BUCKET_SCANS, None):
+        found: list[IndexEntry] = []
+        for capacity_class in classes:
+            found += _collect_allowed(
+                capacity_class.list_fitting(size, scan_limit), limit, allows
+            )
+        if found:
+            return found
+    return []
 
 
 def _collect_allowed(
-    allocations: Iterator[WorkerAllocation],
+    entries: Iterator[IndexEntry],
     limit: int,
-    allows: Callable[[WorkerAllocation], bool],
-) -> list[WorkerAllocation]:
-    allowed: list[WorkerAllocation] = []
-    for allocation in allocations:
-        if allows(allocation):
-            allowed.append(allocation)
+    allows: Callable[[IndexEntry], bool],
+) -> list[IndexEntry]:
+    allowed: list[IndexEntry] = []
+    for entry in entries:
+        if allows(entry):
+            allowed.append(entry)
             if len(allowed) >= limit:
                 break
     return allowed
--- a/packages/persimmonpath/persimmonpath/placement.py
+++ b/packages/persimmonpath/persimmonpath/placement.py
@@ -62,6 +62,33 @@
     return rule.kind in ("*", kind) and rule.team in ("*", team)
 
 
+@dataclasses.dataclass(slots=True, eq=False, kw_only=True)
+class WorkerAllocation(fitindex.IndexEntry):
+    """A worker and the reservations on it.
+
+    Attributes:
+        worker: Its inventory entry.
+        reserved: Reserved resources by attempt id.
+        is_open: Whether it takes new work.
+    """
+
+    worker: inventory.Worker
+    reserved: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    is_open: bool = False
+
+
+def create_allocation(worker: inventory.Worker) -> WorkerAllocation:
+    """Returns the allocation of an idle worker, closed to new work."""
+    return WorkerAllocation(
+        worker=worker,
+        capacity=worker.capacity,
+        free=worker.capacity,
+        free_slots=worker.slots,
+    )
+
+
 class Placement:
     """Tracks reservations on the workers of one shard and chooses workers.
 
@@ -71,7 +98,7 @@
 
     def __init__(self):
         """Creates a placement without workers."""
-        self._allocations: dict[str, fitindex.WorkerAllocation] = {}
+        self._allocations: dict[str, WorkerAllocation] = {}
         self._index = fitindex.FitIndex()
         self._rules: tuple[rules.PlacementRule, ...] = ()
         self._open_slots = 0
@@ -89,7 +116,7 @@
     def add_worker(self, worker: inventory.Worker) -> None:
         """Adds a worker without reservations, closed to new work."""
         self.set_open(worker.name, False)
-        self._allocations[worker.name] = fitindex.create_allocation(worker)
+        self._allocations[worker.name] = create_allocation(worker)
 
     def remove_worker(self, name: str) -> None:
         """Removes a worker; does nothing when it is not known."""
@@ -199,7 +226,7 @@
 
     def _update_free(
         self,
-        allocation: fitindex.WorkerAllocation,
+        allocation: WorkerAllocation,
         free: resources.Resources,
         slots: int,
     ) -> None:
@@ -215,10 +242,10 @@
 
     def _choose_allocation(
         self, size: resources.Resources, constraints: Constraints
-    ) -> fitindex.WorkerAllocation | None:
+    ) -> WorkerAllocation | None:
         racks = find_racks(self._rules, constraints.kind, constraints.team)
 
-        def allows(allocation: fitindex.WorkerAllocation) -> bool:
+        def allows(allocation: WorkerAllocation) -> bool:
             spare_slots = int(
                 allocation.worker.slots * constraints.spare_slots_share
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -5,7 +5,8 @@
 latency objective, and last of all those that are too late to be of use.
 """
 
-import dataclasses
+import math
+from typing import NamedTuple
 
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import execution
@@ -15,8 +16,7 @@
 EXPIRY_FACTOR = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Rank:
+class Rank(NamedTuple):
     """Sort key of a waiting step; the smallest is placed first.
 
     A more urgent queue goes before a less urgent one even when it is late: its
@@ -63,9 +63,7 @@
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
     """
-    objective_s = (
-        queue.stretch * critical_path_ms + queue.target_latency_ms
-    ) / 1000
+    objective_s = compute_objective_s(queue, critical_path_ms)
     due_s = now - age_s + objective_s
     if step.spec.long_running:
         return Rank(False, queue.priority, False, due_s)
@@ -76,3 +74,39 @@
         finish_s > objective_s,
         due_s,
     )
+
+
+def compute_objective_s(
+    queue: configuration.Queue, critical_path_ms: float
+) -> float:
+    """Returns the latency objective of a submission, in seconds."""
+    return (queue.stretch * critical_path_ms + queue.target_latency_ms) / 1000
+
+
+def find_rank_change(
+    step: execution.Step,
+    queue: configuration.Queue,
+    age_s: float,
+    critical_path_ms: float,
+    now: float,
+) -> float:
+    """Returns when the rank of a waiting step changes next.
+
+    Args:
+      step: the step.
+      queue: its queue.
+      age_s: seconds since its submission was accepted.
+      critical_path_ms: estimated duration of the submission's critical path.
+      now: the monotonic clock, in seconds.
+
+    Returns:
+      A time in seconds of the monotonic clock, infinity if it doesn't change.
+    """
+    if step.spec.long_running:
+        return math.inf
+    objective_s = compute_objective_s(queue, critical_path_ms)
+    finish_s = age_s + step.spec.estimated_ms / 1000
+    for limit_s in (objective_s, EXPIRY_FACTOR * objective_s):
+        if finish_s <= limit_s:
+            return now + limit_s - finish_s
+    return math.inf
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -5,6 +5,7 @@
 large task finds enough free capacity on one worker.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 
@@ -38,41 +39,43 @@
 RESERVED_WORKER_COST = 2.0
 
 
+_NOTHING_RESERVED = (0, 0, 0, 0, 0)
+
+
 class FreeCapacity:
     """The free capacity of workers less what the current plan reserves."""
 
-    def __init__(self):
+    def __init__(self, on_change: Callable[[fleet.Worker], None] | None = None):
+        """Creates a plan that reserves nothing yet.
+
+        Args:
+          on_change: called with a worker after a change of its reservations.
+        """
         self._reserved: dict[str, list[int]] = {}
+        self._on_change = on_change
 
     def reserve(self, worker: fleet.Worker, spec: submissions.StepSpec):
         """Reserves the capacity that a task needs."""
-        row = self._reserved.setdefault(worker.id, [0, 0, 0, 0, 0])
-        if spec.is_filler:
-            row[3] += spec.cpu
-        else:
-            row[0] += spec.cpu
-        row[1] += spec.memory_mb
-        row[2] += spec.gpu
-        row[4] += 1
+        self._adjust(worker, spec, 1)
 
     def release(self, worker: fleet.Worker, spec: submissions.StepSpec):
         """Releases the reserved capacity of a task."""
-        row = self._reserved[worker.id]
-        if spec.is_filler:
-            row[3] -= spec.cpu
-        else:
-            row[0] -= spec.cpu
-        row[1] -= spec.memory_mb
-        row[2] -= spec.gpu
-        row[4] -= 1
-
-    def copy(self) -> "FreeCapacity":
-        """Returns an independent copy, for a plan that may be discarded."""
-        trial = FreeCapacity()
-        trial._reserved = {
-            key: list(row) for key, row in self._reserved.items()
-        }
-        return trial
+        self._adjust(worker, spec, -1)
+
+    def _adjust(self, worker, spec, sign: int):
+        row = self._reserved.setdefault(worker.id, [0, 0, 0, 0, 0])
+        row[3 if spec.is_filler else 0] += sign * spec.cpu
+        row[1] += sign * spec.memory_mb
+        row[2] += sign * spec.gpu
+        row[4] += sign
+        if self._on_change is not None:
+            self._on_change(worker)
+
+    def list_reserved(self) -> list[str]:
+        """Returns the ids of the workers with reservations."""
+        return [
+            worker_id for worker_id, row in self._reserved.items() if row[4]
+        ]
 
     def get_free(self, worker: fleet.Worker) -> tuple[int, int, int, int, int]:
         """Returns the capacity of a worker that isn't used or reserved.
@@ -82,19 +85,12 @@
           accelerators, CPU claimed by fillers in thousandths of a core, and
           the number of reservations.
         """
-        row = self._reserved.get(worker.id)
-        if row is None:
-            return (
-                worker.free_cpu,
-                worker.free_memory_mb,
-                worker.free_gpu,
-                worker.filler_cpu,
-                0,
-            )
+        row = self._reserved.get(worker.id, _NOTHING_RESERVED)
+        capacity = worker.registration
         return (
-            worker.free_cpu - row[0],
-            worker.free_memory_mb - row[1],
-            worker.free_gpu - row[2],
+            capacity.cpu - worker.used_cpu - row[0],
+            capacity.memory_mb - worker.used_memory_mb - row[1],
+            capacity.gpu - worker.used_gpu - row[2],
             worker.filler_cpu + row[3],
             row[4],
         )
@@ -170,8 +166,9 @@
         cost += AVOIDED_WORKER_COST
     if worker.id in reserved_for_others:
         cost += RESERVED_WORKER_COST
-    slowness = health.estimate_slowness(worker, now)
-    cost += SLOWNESS_COST * max(0.0, slowness - SLOWNESS_LIMIT)
+    if worker.slowness > SLOWNESS_LIMIT:
+        slowness = health.estimate_slowness(worker, now)
+        cost += SLOWNESS_COST * max(0.0, slowness - SLOWNESS_LIMIT)
     return cost + 0.5 * worker.recent_failures
 
 
@@ -300,6 +297,11 @@
     )
 
 
+# Returns a worker for a member of a gang, given the capacity that is left and
+# the number of members by worker id; None if no worker fits.
+ChooseMember = Callable[[FreeCapacity, dict[str, int]], fleet.Worker | None]
+
+
 def plan_gang(
     workers: list[fleet.Worker],
     spec: submissions.StepSpec,
@@ -307,6 +309,7 @@
     free_capacity: FreeCapacity,
     now: float = 0.0,
     reserved_for_others: Collection[str] = (),
+    choose_member: ChooseMember | None = None,
 ) -> list[fleet.Worker] | None:
     """Returns a worker for each member of a gang, or None if it doesn't fit.
 
@@ -316,38 +319,71 @@
       workers: workers that may run the step.
       spec: the step.
       count: number of members.
-      free_capacity: the capacity that is left in the current plan, unchanged.
+      free_capacity: the capacity that is left in the current plan; unchanged
+        afterwards.
       now: the monotonic clock, in seconds.
       reserved_for_others: ids of workers that are reserved for other steps.
+      choose_member: chooses among all these workers; by default each of them
+        is examined.
     """
-    groups = [workers]
+
+    def choose_among(group: list[fleet.Worker]) -> ChooseMember:
+        return lambda free, counts: choose_worker(
+            group, spec, free, counts, (), now, reserved_for_others
+        )
+
     if spec.same_rack:
         racks: dict[str, list[fleet.Worker]] = {}
         for worker in workers:
             racks.setdefault(worker.registration.rack, []).append(worker)
-        groups = [*racks.values(), workers]
-    for group in groups:
-        plan = _plan_gang_in_group(
-            group, spec, count, free_capacity, now, reserved_for_others
-        )
-        if plan is not None:
-            return plan
-    return None
+        for rack_workers in racks.values():
+            if not _may_carry(rack_workers, spec, count, free_capacity):
+                continue
+            plan = _plan_members(
+                choose_among(rack_workers), spec, count, free_capacity
+            )
+            if plan is not None:
+                return plan
+    return _plan_members(
+        choose_member or choose_among(workers), spec, count, free_capacity
+    )
 
 
-def _plan_gang_in_group(
-    group, spec, count, free_capacity, now, reserved_for_others
+def _may_carry(
+    workers: list[fleet.Worker],
+    spec: submissions.StepSpec,
+    count: int,
+    free_capacity: FreeCapacity,
+) -> bool:
+    """Returns whether workers have enough capacity for tasks in total."""
+    total = [0, 0, 0]
+    for worker in workers:
+        cpu, memory_mb, gpu, _, _ = free_capacity.get_free(worker)
+        total[0] += max(0, cpu)
+        total[1] += max(0, memory_mb)
+        total[2] += max(0, gpu)
+    return (
+        (spec.is_filler or count * spec.cpu <= total[0])
+        and count * spec.memory_mb <= total[1]
+        and count * spec.gpu <= total[2]
+    )
+
+
+def _plan_members(
+    choose_member: ChooseMember,
+    spec: submissions.StepSpec,
+    count: int,
+    free_capacity: FreeCapacity,
 ) -> list[fleet.Worker] | None:
-    trial = free_capacity.copy()
     counts: dict[str, int] = {}
-    plan = []
-    for _ in range(count):
-        worker = choose_worker(
-            group, spec, trial, counts, (), now, reserved_for_others
-        )
+    plan: list[fleet.Worker] = []
+    while len(plan) < count:
+        worker = choose_member(free_capacity, counts)
         if worker is None:
-            return None
-        trial.reserve(worker, spec)
+            break
+        free_capacity.reserve(worker, spec)
         counts[worker.id] = counts.get(worker.id, 0) + 1
         plan.append(worker)
-    return plan
+    for worker in plan:
+        free_capacity.release(worker, spec)
+    return plan if len(plan) == count else None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
@@ -95,7 +95,7 @@
         if saved:
             self._record_checkpoint(task, saved)
         if how == "done":
-            self._complete_task(task)
+            self._complete_task(task, number)
         elif how == "failed":
             self._record_failure(task, number, worker)
         if submission.is_active and not task.is_done:
@@ -107,7 +107,16 @@
             member.saved = saved
             task.step.submission.progress.saved[member.key] = saved
 
-    def _complete_task(self, task: execution.Task):
+    def _expect_ends(self, step: execution.Step, number: int):
+        """Marks the other members of a gang that is done as about to end."""
+        now = clock.read_clock()
+        for member in step.tasks:
+            for run in member.runs:
+                run.requeue = False
+                if run.number == number:
+                    run.done_at = now
+
+    def _complete_task(self, task: execution.Task, number: int):
         step = task.step
         submission = step.submission
         tasks = step.tasks if step.spec.gang else [task]
@@ -115,13 +124,15 @@
             if not member.is_done:
                 submission.mark_done(member)
         self._shard.mark_dirty(submission)
-        if not step.spec.gang:
+        if step.spec.gang:
+            self._expect_ends(step, number)
+        else:
             for run in list(task.runs):
                 run.requeue = False
                 self._shard.stop_run(run, "copy_done")
         if not step.is_done:
             return
-        self._shard.ready_steps.pop(step, None)
+        self._shard.ready_steps.discard(step)
         may_have_copies = any(
             submission.steps[step_key].spec.allow_copies
             for step_key in submission.steps
@@ -174,5 +185,5 @@
                     if run.number <= number:
                         self._shard.stop_run(run, "gang_broken")
         if step.ready_since is not None:
-            self._shard.ready_steps[step] = None
+            self._shard.ready_steps.add(step)
         self._shard.request_schedule()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 import time
 
+from persimmonpath_entry.decisions import readysteps
+from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import runends
 from persimmonpath_entry.engine import workerregistry
@@ -44,7 +46,9 @@
         which submissions can't have running tasks.
       frozen_leases: ids of workers whose leases run out according to the
         stored owner row; none of these leases is extended.
-      ready_steps: steps whose dependencies are done, in insertion order.
+      pool: the workers that may get tasks, as of the last scheduling pass.
+      ready_steps: steps whose dependencies are done and that may have tasks to
+        place.
       next_steps: steps that may become ready soon, for which tickets are
         requested in advance.
       dirty: submissions whose progress has to be stored, by id.
@@ -87,7 +91,8 @@
         self.newest_version = 0
         self.stored_horizon = 0
         self.frozen_leases: set[str] = set()
-        self.ready_steps: dict[execution.Step, None] = {}
+        self.pool = workerpool.WorkerPool()
+        self.ready_steps = readysteps.ReadySteps()
         self.next_steps: dict[execution.Step, None] = {}
         self.dirty: dict[str, execution.Submission] = {}
         self.recurring: dict[str, execution.Submission] = {}
@@ -256,7 +261,8 @@
         self.submissions[submission_id] = submission
         if version > self.newest_version:
             self.newest_version = version
-            self.store_requested.set()
+            if version > self.stored_horizon:
+                self.store_requested.set()
         if not submission.is_active:
             submission.stored_at = clock.read_clock()
             submission.forget_details()
@@ -294,7 +300,7 @@
         """Marks a step as ready, so that its tasks are placed."""
         if step.ready_since is None:
             step.ready_since = clock.read_clock()
-        self.ready_steps[step] = None
+        self.ready_steps.add(step)
         self.request_schedule()
 
     def cancel(self, submission: execution.Submission):
@@ -314,7 +320,7 @@
         submission.progress.ended_ms = int(time.time() * 1000)
         self.recurring.pop(submission.id, None)
         for step in submission.steps.values():
-            self.ready_steps.pop(step, None)
+            self.ready_steps.discard(step)
             self.next_steps.pop(step, None)
         self.mark_dirty(submission)
         self.node.metrics.count(f'submissions_ended{{state="{state}"}}')
@@ -327,7 +333,8 @@
         )
         for run in submission.list_runs():
             run.requeue = False
-            self.stop_run(run, state)
+            if not run.is_ending:
+                self.stop_run(run, state)
 
     def count_waiting(self, queue: str) -> int:
         """Returns the number of active submissions of a queue not yet started.
@@ -364,6 +371,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.pool.update(worker)
         return run
 
     def request_speculative_copy(self, task: execution.Task):
@@ -371,7 +379,7 @@
         if task.wants_copy:
             return
         task.wants_copy = True
-        self.ready_steps[task.step] = None
+        self.ready_steps.add(task.step)
         self.request_schedule()
         self.node.log.write(
             "copy_wanted",
@@ -399,6 +407,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.pool.update(worker)
         task.step.submission.has_started = True
         return run
 
@@ -415,6 +424,7 @@
         """
         task = run.task
         run.worker.remove_run(run)
+        self.pool.update(run.worker)
         if run in task.runs:
             task.runs.remove(run)
         self.node.metrics.count(f'runs_ended{{how="{how}"}}')
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -19,23 +19,22 @@
     ):
         self._shard = shard
         self._advisor = advisor
-        # Steps without free capacity, with the workers that may run them and
-        # the advice policy of their queue, in order of urgency.
+        # Steps without free capacity, with the advice policy of their queue,
+        # in order of urgency.
         self._prefetch_queue: list[tuple] = []
 
     def begin_pass(self):
         """Clears the prefetch queue at the start of a scheduling pass."""
         self._prefetch_queue = []
 
-    def queue_prefetch(self, step: execution.Step, candidates, policy):
+    def queue_prefetch(self, step: execution.Step, policy):
         """Queues a step without free capacity for prefetching its tickets.
 
         Args:
           step: the step.
-          candidates: the workers that may run it.
           policy: the advice policy of its queue.
         """
-        self._prefetch_queue.append((step, candidates, policy))
+        self._prefetch_queue.append((step, policy))
 
     def add_next_steps(self, step: execution.Step):
         """Adds the dependents of a step that may soon be ready to `next_steps`.
@@ -55,13 +54,12 @@
             ):
                 self._shard.next_steps[dependent] = None
 
-    def prefetch_for_next_steps(self, usable, free_capacity, now: float):
+    def prefetch_for_next_steps(self, free_capacity, now: float):
         """Prefetches tickets of steps whose dependencies are running.
 
         Only steps whose queue has a short decision time are considered.
 
         Args:
-          usable: the workers that may get runs now.
           free_capacity: the free capacity less what the pass has planned.
           now: the monotonic clock, in seconds.
         """
@@ -78,12 +76,9 @@
             if policy is None or policy.decide_ms > MAX_PREFETCH_DECIDE_MS:
                 self._shard.next_steps.pop(step, None)
                 continue
-            fitting = [
-                w for w in usable if placement.can_ever_fit(w, step.spec)
-            ]
             if not self.request_tickets(
                 step,
-                fitting,
+                self._list_candidates(step),
                 [],
                 free_capacity,
                 policy,
@@ -106,8 +101,11 @@
           now: the monotonic clock, in seconds.
         """
         covered: set[str] = set()
-        for step, candidates, policy in self._prefetch_queue:
+        for step, policy in self._prefetch_queue:
+            if len(covered) >= len(self._shard.pool):
+                return
             step_advice = step.advice
+            candidates = self._list_candidates(step)
             open_workers = [w for w in candidates if w.id not in covered]
             if not open_workers:
                 continue
@@ -131,6 +129,15 @@
             ):
                 return
 
+    def _list_candidates(self, step: execution.Step):
+        """Returns the workers of the pool that may run a step."""
+        return [
+            worker
+            for worker in self._shard.pool.list_workers()
+            if placement.can_ever_fit(worker, step.spec)
+            and step.advice.may_run_on(worker)
+        ]
+
     def request_tickets(
         self, step, candidates, planned, free_capacity, policy, now, purpose
     ) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -54,10 +54,13 @@
       load: the load that the worker reported last, or None. For a run with a
         latency target it is the tail latency in milliseconds, for others the
         CPU usage in thousandths of a core.
+      load_at: when that load was reported, or None.
       percent: the CPU share that it may use, in percent.
       idle_since: since when it has used no CPU time, or None.
       over_target_since: since when its tail latency is over the target, or
         None.
+      done_at: when another member of its gang was seen to be done, or None.
+        All members end at the same time.
       is_being_stopped: whether a stop has been requested.
       is_being_paced: whether a call to change its CPU share is in flight.
     """
@@ -72,7 +75,9 @@
     load: float | None = None
     percent: float = 100
     idle_since: float | None = None
+    load_at: float | None = None
     over_target_since: float | None = None
+    done_at: float | None = None
     is_being_stopped: bool = False
     is_being_paced: bool = False
 
@@ -81,6 +86,11 @@
         """The specification of its step."""
         return self.task.step.spec
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it ends by itself, as its gang is done."""
+        return self.done_at is not None
+
 
 class Task:
     """One task of a step.
@@ -245,6 +255,10 @@
         self.is_asking = False
         self.retry_at = 0.0
 
+    def may_run_on(self, worker: fleet.Worker) -> bool:
+        """Returns whether the advisor hasn't excluded a worker so far."""
+        return worker.id in self.good or worker.id not in self.asked
+
     def find_ticket(self, worker_id: str, now: float) -> str | None:
         """Returns a valid ticket for a worker, or None."""
         row = self.tickets.get(worker_id)
