Don't hold an owner's own delay against its workers

Cause: an owner that is late reads answers late. Calls were counted as unanswered, sound workers as unresponsive and stalled, and their runs were stopped, which made more work. A start could be sent after the lease that permits it had ended, if it had waited for a connection. An unexpected error ended a loop on which the process depends; an unreadable row of the owner or progress table ended the reader. Change: a call that timed out late gets the time of the delay once more; what this process couldn't send in time says nothing about the worker; starts and renewals carry the end of their permission up to the moment of sending; a run counts as stalled by reports only; long-running loops start again after an error, with a log line.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
@@ -33,6 +33,10 @@
 MIN_STRAGGLER_S = 1.2
 
 
+# Seconds within which the ends of a gang's members are listed once one of them
+# is done. A run that is listed longer is stopped.
+GANG_END_S = 1.0
+
 # Number of unresponsive workers at which a zone counts as partitioned.
 MIN_UNRESPONSIVE_WORKERS = 2
 
@@ -104,10 +108,21 @@
     return now - run.sent_at > age_limit_s
 
 
+def is_overdue(run: execution.Run, now: float) -> bool:
+    """Returns whether a run goes on although its gang is done."""
+    return run.done_at is not None and now - run.done_at > GANG_END_S
+
+
 def is_stalled(run: execution.Run, now: float) -> bool:
-    """Returns whether a run makes no progress although it isn't throttled."""
+    """Returns whether a run makes no progress although it isn't throttled.
+
+    Only reports count: the time since the last one shows nothing, as the worker
+    may only be slow to report, or this process to read it.
+    """
     if run.phase is not execution.Phase.RUNNING or run.idle_since is None:
         return False
+    if run.load_at is None:
+        return False
     if run.spec.gang or run.spec.is_filler or run.percent < 100:
         return False
     if run.spec.target_ms:
@@ -117,7 +132,7 @@
         # if all the other tasks on the worker are idle too.
         return False
     started = now - run.sent_at > STARTUP_S + STALLED_AFTER_S
-    return started and now - run.idle_since > STALLED_AFTER_S
+    return started and run.load_at - run.idle_since > STALLED_AFTER_S
 
 
 def _has_busy_run(worker: fleet.Worker) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -1,8 +1,11 @@
 """Polls the workers of a shard: task leases, running tasks and run ends."""
 
 import asyncio
+import functools
 
 from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.engine import supervision
+from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
@@ -50,7 +53,13 @@
     def start_polling(self, worker: fleet.Worker):
         """Polls a worker until the shard removes it."""
         self._resume_events[worker.id] = asyncio.Event()
-        self._shard.spawn(self._poll(worker))
+        self._shard.spawn(
+            supervision.keep_running(
+                self._node,
+                "listing_poller",
+                functools.partial(self._poll, worker),
+            )
+        )
 
     async def _poll(self, worker: fleet.Worker):
         while self._shard.workers.get(worker.id) is worker:
@@ -165,11 +174,12 @@
             until_ms,
             wait_ms,
             wait_ms / 1000 + LISTING_SLACK_S,
+            self._shard.extend_leases_until if until_ms else None,
         )
         now = clock.read_clock()
         if isinstance(result, worker_calls.Listing):
             worker.record_answer(sent_at, now)
-        else:
+        elif result.reason not in workercommands.OWN_REASONS:
             worker.record_no_answer(sent_at)
         if isinstance(result, worker_calls.Listing):
             if result.born in (0, born):
@@ -190,6 +200,8 @@
                 )
                 self._shard.worker_registry.remove_worker(worker)
                 return
+        if result.reason in workercommands.OWN_REASONS:
+            return
         worker.listing_failures += 1
         if worker.listing_failures < UNRESPONSIVE_FAILURES:
             return
@@ -293,6 +305,7 @@
         run.load = load
         if load is None:
             return
+        run.load_at = now
         if run.spec.target_ms:
             if load <= run.spec.target_ms:
                 run.over_target_since = None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -14,6 +14,7 @@
 from persimmonpath_entry.engine import overview
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import peerapi
+from persimmonpath_entry.engine import supervision
 from persimmonpath_entry.engine import views
 from persimmonpath_entry.platform import machines as machine_calls
 from persimmonpath_entry.platform import settings as platform_settings
@@ -114,19 +115,20 @@
             front=settings.listen.front,
             peer=self.context.peer_address,
         )
+        components = {
+            "log": self.context.log.run,
+            "members": self.members.run,
+            "operator_feed": self.operator_feed.run,
+            "ownership": self.ownership.run,
+            "acceptance": self._acceptance.run,
+            "connectivity": self.reach.run,
+        }
+        if self._upkeep is not None:
+            components["machine_maintenance"] = self._upkeep.run
         self._tasks = [
-            loop.create_task(coroutine)
-            for coroutine in (
-                self.context.log.run(),
-                self.members.run(),
-                self.operator_feed.run(),
-                self.ownership.run(),
-                self._acceptance.run(),
-                self.reach.run(),
-            )
+            loop.create_task(supervision.keep_running(self.context, name, run))
+            for name, run in components.items()
         ]
-        if self._upkeep is not None:
-            self._tasks.append(loop.create_task(self._upkeep.run()))
         await self._stop.wait()
         await self._shut_down(front, peer, ready)
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -154,7 +154,13 @@
         if row.is_deleted:
             self.observed_owners.pop(row.part, None)
             return
-        record = msgspec.json.decode(row.value, type=persistence.OwnerRecord)
+        try:
+            record = msgspec.json.decode(
+                row.value, type=persistence.OwnerRecord
+            )
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._node.log.warn("row_unreadable", row=row.part, reason=error)
+            return
         previous = self.observed_owners.get(row.part)
         if previous is not None and previous.version >= row.version:
             return
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -16,6 +16,7 @@
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.engine import shardmaintenance
+from persimmonpath_entry.engine import supervision
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import store as platform_store
@@ -342,7 +343,11 @@
         scheduler = taskscheduler.TaskScheduler(
             shard, commands, worker_listings, self._advisor
         )
-        shard.spawn(shard_writer.run())
+        shard.spawn(
+            supervision.keep_running(
+                self._node, "shard_writer", shard_writer.run
+            )
+        )
         shard.spawn(self._serve(shard, shard_maintenance, scheduler))
 
     async def _serve(self, shard, shard_maintenance, scheduler):
@@ -355,10 +360,13 @@
             service=shard.service,
             submissions=len(shard.submissions),
         )
-        shard.spawn(shard_maintenance.follow_workers())
-        shard.spawn(shard_maintenance.follow_submissions())
-        shard.spawn(shard_maintenance.run())
-        shard.spawn(scheduler.run())
+        for name, run in (
+            ("follow_workers", shard_maintenance.follow_workers),
+            ("follow_submissions", shard_maintenance.follow_submissions),
+            ("shard_maintenance", shard_maintenance.run),
+            ("scheduler", scheduler.run),
+        ):
+            shard.spawn(supervision.keep_running(self._node, name, run))
 
     async def release_all(self):
         """Stores the remaining progress of every service and releases it."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -54,12 +54,11 @@
         )
         if isinstance(progress, platform_store.Refused):
             return False
-        progress_by_id = {
-            row.key: msgspec.json.decode(
-                row.value, type=submissions.ProgressRecord
-            )
-            for row in progress.rows
-        }
+        progress_by_id = {}
+        for row in progress.rows:
+            record = self._decode_row(row, submissions.ProgressRecord)
+            if record is not None:
+                progress_by_id[row.key] = record
         for row in rows.rows:
             self._apply_submission_row(row, progress_by_id.get(row.key))
         self._submission_version = rows.version
@@ -83,15 +82,17 @@
     def _apply_submission_row(self, row, progress=None):
         if row.is_deleted:
             return
+        record = self._decode_row(row, submissions.SubmissionRecord)
+        if record is not None and record.service == self._shard.service:
+            self._shard.apply_submission(row.key, record, progress, row.version)
+
+    def _decode_row(self, row: platform_store.Row, record_type: type):
+        """Returns the decoded row, None if it is unreadable."""
         try:
-            record = msgspec.json.decode(
-                row.value, type=submissions.SubmissionRecord
-            )
-        except msgspec.MsgspecError as error:
+            return msgspec.json.decode(row.value, type=record_type)
+        except (msgspec.MsgspecError, ValueError) as error:
             self._node.log.warn("row_unreadable", row=row.key, reason=error)
-            return
-        if record.service == self._shard.service:
-            self._shard.apply_submission(row.key, record, progress, row.version)
+            return None
 
     async def follow_submissions(self):
         """Applies new submissions and cancellations not announced by peers."""
@@ -199,6 +200,8 @@
             )
             if health.may_start_copy(run, typical_s, now):
                 self._shard.request_speculative_copy(run.task)
+            if health.is_overdue(run, now):
+                self._commands.stop(run, "gang_done")
             if health.is_stalled(run, now):
                 worker.recent_failures += 1
                 self._node.log.warn(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -11,6 +11,7 @@
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
 
 # Seconds. A round trip takes up to 10 ms, and a retransmitted packet 0.2 s.
 COMMAND_TIMEOUT_S = 0.35
@@ -19,9 +20,8 @@
 # after it answered with HTTP status 429 or 503.
 REJECTED_PENALTY_S = 0.3
 OVERLOADED_PENALTY_S = 1.5
-# Reason of a command that wasn't sent because every connection to the worker
-# was in use; it says nothing about the worker.
-BUSY = "busy"
+# Reasons of a command that wasn't sent and that say nothing about the worker.
+OWN_REASONS = frozenset({httpclient.BUSY, httpclient.EXPIRED})
 # Reasons of a command that wasn't sent because the worker wasn't reachable.
 UNREACHABLE_REASONS = frozenset({"unreachable", "refused"})
 
@@ -64,6 +64,7 @@
             task.saved,
             ticket,
             COMMAND_TIMEOUT_S,
+            self._shard.lease_until,
         )
         now = clock.read_clock()
         _record_reachability(worker, result, sent_at, now)
@@ -227,5 +228,5 @@
         or reason in UNREACHABLE_REASONS
     ):
         worker.record_no_answer(sent_at)
-    elif reason != BUSY:
+    elif reason not in OWN_REASONS:
         worker.record_answer(sent_at, now)
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
@@ -57,8 +57,7 @@
     reason: str
 
 
-@dataclasses.dataclass(slots=True)
-class RunningTask:
+class RunningTask(msgspec.Struct, array_like=True):
     """A task that a worker runs.
 
     Attributes:
@@ -72,13 +71,12 @@
 
     task: str
     run: int
-    saved: str
-    percent: float
-    load: float | None
+    saved: str = ""
+    percent: float = 100
+    load: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class EndedTask:
+class EndedTask(msgspec.Struct, array_like=True):
     """A run that has ended on a worker.
 
     Attributes:
@@ -94,7 +92,7 @@
     task: str
     run: int
     how: str
-    saved: str
+    saved: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,10 +116,9 @@
     clock_ms: float | None = None
     reason: str = ""
     born: int = 0
-    # Rows with the fields of RunningTask; workers may leave out the load.
-    running: list[list] = []
-    # Rows with the fields of EndedTask; further fields are ignored.
-    ended: list[list] = []
+    # Workers may leave out the load of a row, or add fields to it.
+    running: list[RunningTask] = []
+    ended: list[EndedTask] = []
 
 
 _decode_response = msgspec.json.Decoder(_WorkerResponse).decode
@@ -153,6 +150,7 @@
         saved: str,
         ticket: str,
         timeout_s: float,
+        send_by: float | None = None,
     ) -> Accepted | Rejected | Uncertain:
         """Starts a run of a task.
 
@@ -165,6 +163,7 @@
           saved: checkpoint to continue from, or empty.
           ticket: the advisor's ticket for this worker, or empty.
           timeout_s: seconds until the call is given up.
+          send_by: end of the permission to start runs, on the local clock.
         """
         command = {
             "task": task,
@@ -177,7 +176,9 @@
             command["saved"] = saved
         if ticket:
             command["ticket"] = ticket
-        return await self._send_command("/api/run-start", command, timeout_s)
+        return await self._send_command(
+            "/api/run-start", command, timeout_s, send_by
+        )
 
     async def stop(
         self, task: str, run: int, fence: int, timeout_s: float
@@ -198,9 +199,14 @@
         }
         return await self._send_command("/api/pace", command, timeout_s)
 
-    async def _send_command(self, path, command, timeout_s):
+    async def _send_command(self, path, command, timeout_s, send_by=None):
         outcome = await self._command_client.call(
-            "POST", path, msgspec.json.encode(command), self._header, timeout_s
+            "POST",
+            path,
+            msgspec.json.encode(command),
+            self._header,
+            timeout_s,
+            send_by=send_by,
         )
         if isinstance(outcome, httpclient.NoResponse):
             if outcome.sent:
@@ -215,6 +221,7 @@
         until_ms: int | None,
         wait_ms: int,
         timeout_s: float,
+        send_by: float | None = None,
     ) -> Listing | Rejected | Uncertain:
         """Renews the lease, acknowledges run ends and lists the worker's tasks.
 
@@ -225,6 +232,7 @@
           wait_ms: milliseconds that the worker may wait for a run end before
             it responds.
           timeout_s: seconds until the call is given up.
+          send_by: end of the permission to renew leases, on the local clock.
         """
         command = {"fencingToken": fence, "lastSeen": last_seen}
         if until_ms is not None:
@@ -237,6 +245,7 @@
             msgspec.json.encode(command),
             self._header,
             timeout_s,
+            send_by=send_by,
         )
         if isinstance(outcome, httpclient.NoResponse):
             if outcome.sent:
@@ -245,9 +254,15 @@
         if outcome.status != 200:
             return _decode_command_result(outcome)
         try:
-            return _decode_listing(_decode_response(outcome.body))
-        except (msgspec.MsgspecError, ValueError, IndexError) as error:
+            message = _decode_response(outcome.body)
+        except (msgspec.MsgspecError, ValueError) as error:
             return Uncertain(f"unreadable: {error}")
+        return Listing(
+            message.clock_ms or 0.0,
+            message.born,
+            message.running,
+            message.ended,
+        )
 
     def close(self):
         """Closes the connections."""
@@ -260,7 +275,7 @@
         return Rejected(OTHER_INCARNATION)
     try:
         message = _decode_response(response.body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, ValueError):
         message = _WorkerResponse()
     if response.status == 200:
         return Accepted(message.clock_ms or 0.0)
@@ -269,14 +284,3 @@
     if response.status in (400, 429, 503):
         return Rejected(str(response.status), message.clock_ms)
     return Uncertain(str(response.status))
-
-
-def _decode_listing(message: _WorkerResponse) -> Listing:
-    running = [
-        RunningTask(
-            row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else None
-        )
-        for row in message.running
-    ]
-    ended = [EndedTask(*row[:5]) for row in message.ended]
-    return Listing(message.clock_ms or 0.0, message.born, running, ended)
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -17,11 +17,23 @@
 # A response that has begun to arrive may exceed the deadline, within the extra
 # time of the call, as long as no gap between its parts is longer than this.
 STALL_TIMEOUT_S = 0.5
+# A call is only sent if at least this time is left for its response.
+MIN_RESPONSE_S = 0.05
+# A timer that fires later than this shows that the process was delayed. Packets
+# that arrived meanwhile may still be on their way to it.
+LATE_TIMER_S = 0.05
+# Most seconds by which a delay of the process extends the deadline of a call.
+MAX_LATE_EXTENSION_S = 0.5
 # Reason for a call without a response: none arrived within the deadline.
 TIMEOUT = "timeout"
 # Reason for a call without a response: the server was unreachable since the
 # call was sent, and has recovered, so that no response is to be expected.
 OVERTAKEN = "overtaken"
+# Reason for a call that wasn't sent: no connection became free in time, or this
+# process was too late itself. It says nothing about the server.
+BUSY = "busy"
+# Reason for a call that wasn't sent: what permits it has expired meanwhile.
+EXPIRED = "expired"
 
 
 @dataclasses.dataclass(slots=True)
@@ -171,6 +183,7 @@
         headers: str = "",
         timeout_s: float = 1.0,
         extra_s: float = 0.0,
+        send_by: float | None = None,
     ) -> Outcome:
         """Sends a request and waits for the complete response.
 
@@ -182,6 +195,8 @@
           timeout_s: seconds until the call is given up, including the wait for
             a free connection.
           extra_s: further seconds for a response that has begun to arrive.
+          send_by: time after which the request isn't sent any more, in seconds
+            of the local clock; None for no limit.
 
         Returns:
           The response, or why there is none.
@@ -190,6 +205,15 @@
         connection = await self._acquire_connection(deadline)
         if isinstance(connection, NoResponse):
             return connection
+        now = clock.read_clock()
+        unsent_reason = None
+        if now > deadline - min(MIN_RESPONSE_S, timeout_s / 2):
+            unsent_reason = BUSY
+        elif send_by is not None and now >= send_by:
+            unsent_reason = EXPIRED
+        if unsent_reason is not None:
+            self._release_connection(connection)
+            return NoResponse(sent=False, reason=unsent_reason)
         if body:
             headers += "Content-Type: application/json\r\n"
         future = connection.send(method, target, headers, body)
@@ -221,6 +245,10 @@
             while not future.done() and deadline is not None:
                 remaining = deadline - clock.read_clock()
                 await asyncio.wait([future], timeout=max(0.01, remaining))
+                late_s = clock.read_clock() - deadline
+                if late_s > LATE_TIMER_S and not future.done():
+                    grace_s = min(late_s, MAX_LATE_EXTENSION_S)
+                    await asyncio.wait([future], timeout=grace_s)
                 deadline = _extend_deadline(connection, limit)
         except asyncio.CancelledError:
             connection.abort()
@@ -246,7 +274,7 @@
             done, _ = await asyncio.wait([waiter], timeout=max(0, remaining))
             if not done:
                 waiter.cancel()
-                return NoResponse(sent=False, reason="busy")
+                return NoResponse(sent=False, reason=BUSY)
 
     def _pop_idle(self) -> _Connection | None:
         oldest = clock.read_clock() - IDLE_LIMIT_S
@@ -261,11 +289,13 @@
     async def _connect(self, deadline: float) -> _Connection | NoResponse:
         self._open_count += 1
         loop = asyncio.get_running_loop()
+        was_late = False
         while True:
             remaining = deadline - clock.read_clock()
             if remaining <= 0:
-                reason = "unreachable"
+                reason = BUSY if was_late else "unreachable"
                 break
+            give_up_at = clock.read_clock() + min(CONNECT_TIMEOUT_S, remaining)
             try:
                 async with asyncio.timeout(min(CONNECT_TIMEOUT_S, remaining)):
                     _, connection = await loop.create_connection(
@@ -275,6 +305,9 @@
                     )
                 return connection
             except TimeoutError:
+                # A connection needs several turns of the event loop.
+                late_s = clock.read_clock() - give_up_at
+                was_late = was_late or late_s > LATE_TIMER_S
                 continue
             except OSError:
                 reason = "refused"
--- a/tests/entry/test_decisions.py
+++ b/tests/entry/test_decisions.py
@@ -246,16 +246,33 @@
         """A worker that hangs reports no failure."""
         run = self.make_run()
         run.idle_since = NOW - health.STALLED_AFTER_S - 0.1
+        run.load_at = NOW
         self.assertTrue(health.is_stalled(run, NOW))
 
+    def test_a_worker_that_reports_late_has_no_stalled_runs(self):
+        """One report without load, then silence, had a sound run restarted."""
+        run = self.make_run()
+        run.idle_since = run.load_at = NOW - health.STALLED_AFTER_S - 5
+        self.assertFalse(health.is_stalled(run, NOW))
+
+    def test_a_gang_member_is_stopped_only_if_it_goes_on(self):
+        run = self.make_run(gang=True)
+        self.assertFalse(health.is_overdue(run, NOW))
+        run.done_at = NOW - health.GANG_END_S / 2
+        self.assertFalse(health.is_overdue(run, NOW))
+        run.done_at = NOW - health.GANG_END_S * 2
+        self.assertTrue(health.is_overdue(run, NOW))
+
     def test_run_that_waits_or_is_throttled_isn_t_stalled(self):
         for changes in ({"gang": True}, {"is_filler": True}, {"target_ms": 5}):
             with self.subTest(changes):
                 run = self.make_run(**changes)
                 run.idle_since = NOW - 9
+                run.load_at = NOW
                 self.assertFalse(health.is_stalled(run, NOW))
         run = self.make_run()
         run.idle_since = NOW - 9
+        run.load_at = NOW
         run.percent = 30
         self.assertFalse(health.is_stalled(run, NOW))
 
--- a/tests/entry/test_preemption.py
+++ b/tests/entry/test_preemption.py
@@ -91,7 +91,7 @@
         for run in (idle, other):
             run.phase = execution.Phase.RUNNING
             run.idle_since = now - 30
-            run.load = 0
+            run.load, run.load_at = 0, now
         self.assertTrue(health.is_stalled(idle, now))
         other.idle_since, other.load = None, 50
         self.assertFalse(health.is_stalled(idle, now))
--- a/tests/entry/test_workercommands.py
+++ b/tests/entry/test_workercommands.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
+from persimmonpath_entry.transport import httpclient
 from tests.entry import fakes
 
 ID = "00000000000000aa"
@@ -87,7 +88,7 @@
 
     async def test_a_busy_connection_pool_doesn_t_count_as_unanswered(self):
         """All connections to the worker were in use by other commands."""
-        await self.start(worker_calls.Rejected(workercommands.BUSY))
+        await self.start(worker_calls.Rejected(httpclient.BUSY))
         self.assertIsNone(self.worker.unanswered_since)
         await self.start(worker_calls.Rejected("unreachable"))
         self.assertIsNotNone(self.worker.unanswered_since)
