--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -6,6 +6,7 @@
 
 from persimmonpath_entry.decisions import ownerselection
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
@@ -105,12 +106,9 @@
         if row.is_deleted:
             self._records.pop(row.key, None)
             return
-        try:
-            record = msgspec.json.decode(row.value, type=MemberRecord)
-        except msgspec.MsgspecError as error:
-            self._node.log.warn("row_unreadable", row=row.key, reason=error)
-            return
-        self._records[row.key] = record
+        record = rowcodec.decode_row(self._node, row, MemberRecord)
+        if record is not None:
+            self._records[row.key] = record
 
     def list_reachable_peers(self) -> list[str]:
         """Returns the addresses of the reachable peers, own zone first.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -1,10 +1,9 @@
 """Tracks the owner of each service and detects failed owners."""
 
-import msgspec
-
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
@@ -154,12 +153,8 @@
         if row.is_deleted:
             self.observed_owners.pop(row.part, None)
             return
-        try:
-            record = msgspec.json.decode(
-                row.value, type=persistence.OwnerRecord
-            )
-        except (msgspec.MsgspecError, ValueError) as error:
-            self._node.log.warn("row_unreadable", row=row.part, reason=error)
+        record = rowcodec.decode_row(self._node, row, persistence.OwnerRecord)
+        if record is None:
             return
         previous = self.observed_owners.get(row.part)
         if previous is not None and previous.version >= row.version:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import execution
@@ -417,14 +418,16 @@
         for row in conflict.rows:
             if row.table != OWNER_TABLE or not row.value:
                 continue
-            record = msgspec.json.decode(row.value, type=OwnerRecord)
+            record = rowcodec.decode_row(self._node, row, OwnerRecord)
+            if record is None:
+                break
             is_own = record.owner == self._node.name
             if is_own and record.boot == self._node.boot:
                 self._version = row.version
                 return
             self._shard.close(f"owner is now {record.owner or 'nobody'}")
             return
-        self._shard.close("owner row no longer exists")
+        self._shard.close("no readable owner row")
 
     def release(self):
         """Starts the release of the ownership, after a last write.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -2,11 +2,10 @@
 
 import asyncio
 
-import msgspec
-
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import pacing
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import messages
@@ -56,7 +55,9 @@
             return False
         progress_by_id = {}
         for row in progress.rows:
-            record = self._decode_row(row, submissions.ProgressRecord)
+            record = rowcodec.decode_row(
+                self._node, row, submissions.ProgressRecord
+            )
             if record is not None:
                 progress_by_id[row.key] = record
         for row in rows.rows:
@@ -82,18 +83,12 @@
     def _apply_submission_row(self, row, progress=None):
         if row.is_deleted:
             return
-        record = self._decode_row(row, submissions.SubmissionRecord)
+        record = rowcodec.decode_row(
+            self._node, row, submissions.SubmissionRecord
+        )
         if record is not None and record.service == self._shard.service:
             self._shard.apply_submission(row.key, record, progress, row.version)
 
-    def _decode_row(self, row: platform_store.Row, record_type: type):
-        """Returns the decoded row, None if it is unreadable."""
-        try:
-            return msgspec.json.decode(row.value, type=record_type)
-        except (msgspec.MsgspecError, ValueError) as error:
-            self._node.log.warn("row_unreadable", row=row.key, reason=error)
-            return None
-
     async def follow_submissions(self):
         """Applies new submissions and cancellations not announced by peers."""
         while self._shard.is_open:
