Plan only changed steps between paced passes, and wait for answers in flight

A third of the first queries after an end was answered 'running' although the worker's answer was on its way, at most 20 ms before the owner knew the end; these callers asked again 0.25 s later. A query waits up to 30 ms for an open listing, whose answer shows what ended before the query.

--- a/packages/persimmonpath/persimmonpath/fitindex.py
+++ b/packages/persimmonpath/persimmonpath/fitindex.py
@@ -94,6 +94,23 @@
             self._keys.remove(entry.key)
         entry.key = None
 
+    def bound_fitting(self, size: resources.Resources, limit: int) -> int:
+        """Returns an upper bound of the tasks that fit, `limit` if reached."""
+        cpu_step = self.capacity.cpu_millis / BUCKET_LEVELS
+        memory_step = self.capacity.memory_mib / BUCKET_LEVELS
+        total = 0
+        for key, bucket in self._buckets.items():
+            _, cpu, memory, accelerators = key
+            total += len(bucket) * _count_tasks(
+                size,
+                min(self.capacity.cpu_millis, (cpu + 1) * cpu_step),
+                min(self.capacity.memory_mib, (memory + 1) * memory_step),
+                accelerators,
+            )
+            if total >= limit:
+                return limit
+        return total
+
     def list_fitting(
         self, size: resources.Resources, scan_limit: int | None
     ) -> Iterator[IndexEntry]:
@@ -127,6 +144,28 @@
                     yield entry
 
 
+def _count_tasks(
+    size: resources.Resources,
+    cpu_millis: float,
+    memory_mib: float,
+    accelerators: int,
+) -> int:
+    """Returns how many tasks fit into an amount of resources.
+
+    A task of size zero counts as one that fits any number of times.
+    """
+    counts = [
+        int(available // needed)
+        for needed, available in (
+            (size.cpu_millis, cpu_millis),
+            (size.memory_mib, memory_mib),
+            (size.accelerators, accelerators),
+        )
+        if needed
+    ]
+    return min(counts, default=1_000_000)
+
+
 class FitIndex:
     """Finds workers with enough free capacity without a full scan."""
 
@@ -179,6 +218,23 @@
         found = _find_allowed(classes, size, limit, allows)
         return sorted(found, key=lambda f: compute_leftover_share(f, size))
 
+    def may_fit(self, size: resources.Resources, count: int) -> bool:
+        """Returns whether `count` tasks may fit at the same time.
+
+        False is certain. True follows from rounded free capacities, so that
+        the tasks may still not fit.
+
+        Args:
+            size: Size of each task.
+            count: Number of tasks.
+        """
+        missing = count
+        for capacity_class in self._classes.values():
+            missing -= capacity_class.bound_fitting(size, missing)
+            if missing <= 0:
+                return True
+        return False
+
     def list_candidates(
         self,
         size: resources.Resources,
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -54,20 +54,24 @@
         self._reserved: dict[str, list[int]] = {}
         self._on_change = on_change
 
-    def reserve(self, worker: fleet.Worker, spec: submissions.StepSpec):
-        """Reserves the capacity that a task needs."""
-        self._adjust(worker, spec, 1)
-
-    def release(self, worker: fleet.Worker, spec: submissions.StepSpec):
-        """Releases the reserved capacity of a task."""
-        self._adjust(worker, spec, -1)
-
-    def _adjust(self, worker, spec, sign: int):
+    def reserve(
+        self, worker: fleet.Worker, spec: submissions.StepSpec, count: int = 1
+    ):
+        """Reserves the capacity that `count` tasks of a step need."""
+        self._adjust(worker, spec, count)
+
+    def release(
+        self, worker: fleet.Worker, spec: submissions.StepSpec, count: int = 1
+    ):
+        """Releases the reserved capacity of `count` tasks of a step."""
+        self._adjust(worker, spec, -count)
+
+    def _adjust(self, worker, spec, count: int):
         row = self._reserved.setdefault(worker.id, [0, 0, 0, 0, 0])
-        row[3 if spec.is_filler else 0] += sign * spec.cpu
-        row[1] += sign * spec.memory_mb
-        row[2] += sign * spec.gpu
-        row[4] += sign
+        row[3 if spec.is_filler else 0] += count * spec.cpu
+        row[1] += count * spec.memory_mb
+        row[2] += count * spec.gpu
+        row[4] += count
         if self._on_change is not None:
             self._on_change(worker)
 
@@ -113,7 +117,11 @@
     free_capacity: FreeCapacity,
 ) -> bool:
     """Returns whether a worker has enough free capacity for a task."""
-    cpu, memory_mb, gpu, filler_cpu, _ = free_capacity.get_free(worker)
+    return _fits_in(worker, spec, free_capacity.get_free(worker))
+
+
+def _fits_in(worker: fleet.Worker, spec: submissions.StepSpec, free) -> bool:
+    cpu, memory_mb, gpu, filler_cpu, _ = free
     if spec.memory_mb > memory_mb or spec.gpu > gpu:
         return False
     if spec.is_filler:
@@ -123,6 +131,39 @@
     return spec.cpu <= cpu
 
 
+def count_fitting(
+    worker: fleet.Worker,
+    spec: submissions.StepSpec,
+    free_capacity: FreeCapacity,
+    present: int = 0,
+) -> int:
+    """Returns how many tasks of a step fit on a worker at the same time.
+
+    For fillers it is at most 1.
+
+    Args:
+      worker: the worker.
+      spec: the step.
+      free_capacity: the capacity that is left in the current plan.
+      present: number of its tasks that the worker runs already.
+    """
+    free = free_capacity.get_free(worker)
+    if not _fits_in(worker, spec, free):
+        return 0
+    if spec.is_filler:
+        return 1
+    counts = [
+        available // needed
+        for available, needed in zip(
+            free, (spec.cpu, spec.memory_mb, spec.gpu), strict=False
+        )
+        if needed
+    ]
+    if spec.max_per_worker:
+        counts.append(spec.max_per_worker - present)
+    return max(0, min(counts, default=1))
+
+
 def compute_cost(
     worker: fleet.Worker,
     spec: submissions.StepSpec,
@@ -144,16 +185,30 @@
       now: the monotonic clock, in seconds.
       reserved_for_others: ids of workers that are reserved for other steps.
     """
+    free = free_capacity.get_free(worker)
+    return _compute_cost_of(
+        worker, spec, free, avoided, now, reserved_for_others
+    )
+
+
+def _compute_cost_of(
+    worker: fleet.Worker,
+    spec: submissions.StepSpec,
+    free: tuple[int, int, int, int, int],
+    avoided: Iterable[str],
+    now: float,
+    reserved_for_others: Collection[str],
+) -> float:
     registration = worker.registration
-    cpu, memory_mb, gpu, filler_cpu, _ = free_capacity.get_free(worker)
-    remaining_cpu = cpu - spec.cpu
+    cpu, memory_mb, gpu, filler_cpu, _ = free
+    worker_cpu = registration.cpu or 1
     if spec.is_filler:
         # Fillers use the CPU time that is left, so the most idle worker is
         # best.
-        cost = -(cpu - filler_cpu) / max(1, registration.cpu)
+        cost = -(cpu - filler_cpu) / worker_cpu
     else:
-        cost = remaining_cpu / max(1, registration.cpu)
-    cost += 0.5 * (memory_mb - spec.memory_mb) / max(1, registration.memory_mb)
+        cost = (cpu - spec.cpu) / worker_cpu
+    cost += 0.5 * (memory_mb - spec.memory_mb) / (registration.memory_mb or 1)
     if registration.gpu:
         cost += (gpu - spec.gpu) / registration.gpu
     if spec.data_rack and registration.rack != spec.data_rack:
@@ -197,14 +252,15 @@
     """
     best = None
     best_cost = 0.0
+    limit = spec.max_per_worker
     for worker in workers:
-        limit = spec.max_per_worker
         if limit and counts.get(worker.id, 0) >= limit:
             continue
-        if not fits(worker, spec, free_capacity):
+        free = free_capacity.get_free(worker)
+        if not _fits_in(worker, spec, free):
             continue
-        cost = compute_cost(
-            worker, spec, free_capacity, avoided, now, reserved_for_others
+        cost = _compute_cost_of(
+            worker, spec, free, avoided, now, reserved_for_others
         )
         if best is None or cost < best_cost:
             best = worker
@@ -248,11 +304,13 @@
         if min(cpu, memory_mb, gpu) >= 0:
             free[worker.id] = (worker, cpu, memory_mb, gpu)
     reserved: list[fleet.Worker] = []
+    counts: dict[str, int] = {}
     for _ in range(count):
         best = None
         best_shortfall = MAX_SHORTFALL
         for worker, cpu, memory_mb, gpu in free.values():
-            if not _fits_when_empty(worker, spec, reserved.count(worker) + 1):
+            present = counts.get(worker.id, 0)
+            if not _fits_when_empty(worker, spec, present + 1):
                 continue
             shortfall = _compute_shortfall(worker, spec, cpu, memory_mb, gpu)
             if shortfall <= best_shortfall:
@@ -261,6 +319,7 @@
         if best is None:
             return []
         reserved.append(best)
+        counts[best.id] = counts.get(best.id, 0) + 1
         _, cpu, memory_mb, gpu = free[best.id]
         free[best.id] = (
             best,
@@ -377,13 +436,19 @@
 ) -> list[fleet.Worker] | None:
     counts: dict[str, int] = {}
     plan: list[fleet.Worker] = []
+    reserved: list[tuple[fleet.Worker, int]] = []
     while len(plan) < count:
         worker = choose_member(free_capacity, counts)
         if worker is None:
             break
-        free_capacity.reserve(worker, spec)
-        counts[worker.id] = counts.get(worker.id, 0) + 1
-        plan.append(worker)
-    for worker in plan:
-        free_capacity.release(worker, spec)
+        # The best worker stays the best one until it is full.
+        present = counts.get(worker.id, 0)
+        fitting = count_fitting(worker, spec, free_capacity, present)
+        taken = min(fitting, count - len(plan))
+        free_capacity.reserve(worker, spec, taken)
+        reserved.append((worker, taken))
+        counts[worker.id] = present + taken
+        plan += [worker] * taken
+    for worker, taken in reserved:
+        free_capacity.release(worker, spec, taken)
     return plan if len(plan) == count else None
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -0,0 +1,421 @@
+"""Which workers the waiting steps of a service get, most urgent first.
+
+Covers an overloaded service, in which most of the waiting steps find no room.
+What a step holds in the plan stays until the step is planned anew, so that a
+step that has just become ready is planned without repeating all the others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import workerpool
+from persimmonpath_entry.state import execution
+from persimmonpath_entry.state import fleet
+
+# Steps that may reserve workers in one plan. Their reservations are kept for
+# RESERVATION_TTL_S seconds, since choosing them examines every worker.
+MAX_RESERVING_STEPS = 16
+RESERVATION_TTL_S = 0.2
+# Seconds for which the workers planned for a step without tickets are kept.
+PLAN_TTL_S = 0.1
+
+# A task and the worker on which it is to run.
+Placement = tuple[execution.Task, fleet.Worker]
+
+
+@dataclasses.dataclass(slots=True)
+class _Choice:
+    """Workers chosen for a step, and when."""
+
+    workers: list[fleet.Worker]
+    chosen_at: float
+
+
+class StepPlanner:
+    """Plans the waiting steps of a service on its workers.
+
+    Attributes:
+      reservations: the steps for which workers are reserved, by worker id.
+    """
+
+    def __init__(
+        self,
+        pool: workerpool.WorkerPool,
+        is_usable: Callable[[fleet.Worker, float], bool],
+    ):
+        """Creates a planner.
+
+        Args:
+          pool: the workers that may get tasks.
+          is_usable: returns whether a worker may still get tasks at a time.
+        """
+        self._pool = pool
+        self._is_usable = is_usable
+        # The capacity that each step holds in the current plan: workers and
+        # numbers of tasks.
+        self._held: dict[execution.Step, list[tuple[fleet.Worker, int]]] = {}
+        self._former_reservations: dict[str, execution.Step] = {}
+        self.reservations: dict[str, execution.Step] = {}
+        self._reserving_steps = 0
+        self._kept_reservations: dict[execution.Step, _Choice] = {}
+        self._kept_plans: dict[execution.Step, _Choice] = {}
+        self._unplaceable = workerpool.UnplaceableSizes()
+
+    @property
+    def free_capacity(self) -> placement.FreeCapacity:
+        """The capacity that is left in the current plan."""
+        return self._pool.free_capacity
+
+    def begin_plan(self, now: float):
+        """Discards the current plan and begins a new one."""
+        self._pool.begin_plan()
+        self._held.clear()
+        self._former_reservations = self.reservations
+        self.reservations = {}
+        self._reserving_steps = 0
+        self._unplaceable = workerpool.UnplaceableSizes()
+        _drop_older(self._kept_plans, now - PLAN_TTL_S)
+        _drop_older(self._kept_reservations, now - RESERVATION_TTL_S)
+
+    def release(self, step: execution.Step):
+        """Releases what a step holds, before it is planned anew."""
+        for worker, count in self._held.pop(step, ()):
+            self.free_capacity.release(worker, step.spec, count)
+
+    def forget(self, step: execution.Step):
+        """Forgets a step that has nothing to place any more."""
+        self.release(step)
+        self._kept_reservations.pop(step, None)
+        self._kept_plans.pop(step, None)
+
+    def _hold(self, step: execution.Step, worker: fleet.Worker, count: int):
+        self.free_capacity.reserve(worker, step.spec, count)
+        self._held.setdefault(step, []).append((worker, count))
+
+    def settle(self, step: execution.Step, pairs: list[Placement]):
+        """Releases the capacity of started tasks, now used by their runs."""
+        held = self._held.get(step, [])
+        for _, worker in pairs:
+            for index, (holder, count) in enumerate(held):
+                if holder is worker:
+                    held[index] = (holder, count - 1)
+                    break
+            self.free_capacity.release(worker, step.spec)
+        self._held[step] = [(w, count) for w, count in held if count]
+
+    def is_hopeless(self, step: execution.Step) -> bool:
+        """Returns whether a step can neither be planned nor reserve now."""
+        if self._reserving_steps < MAX_RESERVING_STEPS:
+            return False
+        count = step.remaining if step.spec.gang else 1
+        return self._unplaceable.covers(step.spec, count)
+
+    def list_ever_fitting(
+        self, step: execution.Step, allows: workerpool.Allows | None
+    ) -> list[fleet.Worker]:
+        """Returns the workers that could run a task if they ran nothing else.
+
+        Args:
+          step: the step.
+          allows: returns whether a worker may run the step, None if all may.
+        """
+        return [
+            worker
+            for worker in self._pool.list_workers()
+            if placement.can_ever_fit(worker, step.spec)
+            and (allows is None or allows(worker))
+        ]
+
+    def plan(
+        self,
+        step: execution.Step,
+        waiting: list[execution.Task],
+        now: float,
+        allows: workerpool.Allows | None = None,
+    ) -> list[Placement]:
+        """Chooses workers of the pool for tasks and holds their capacity.
+
+        Args:
+          step: the step.
+          waiting: the tasks; the members of a gang all together.
+          now: the monotonic clock, in seconds.
+          allows: returns whether a worker may run the step, None if all may.
+
+        Returns:
+          Pairs of task and worker. A gang is planned whole or not at all; for
+          other steps the tasks without free capacity are left out.
+        """
+        spec = step.spec
+        count = len(waiting) if spec.gang else 1
+        if self._unplaceable.covers(spec, count):
+            return []
+        if spec.gang and not self._pool.may_fit(spec, count):
+            self._unplaceable.add(spec, count)
+            return []
+
+        reserved = self._list_reserved_for_others(step)
+
+        def choose(counts, task=None):
+            return self._choose_from_pool(
+                step, counts, now, allows, task, reserved
+            )
+
+        if spec.gang:
+            workers = []
+            if spec.same_rack:
+                workers = self.list_ever_fitting(step, allows)
+            pairs = self._plan_gang(step, waiting, workers, now, choose)
+        else:
+            pairs = self._plan_tasks(step, waiting, choose)
+        is_any_allowed = allows is None and not any(t.runs for t in waiting)
+        if is_any_allowed and len(pairs) < len(waiting):
+            self._unplaceable.add(spec, count)
+        return pairs
+
+    def plan_among(
+        self,
+        step: execution.Step,
+        waiting: list[execution.Task],
+        workers: list[fleet.Worker],
+        now: float,
+    ) -> list[Placement]:
+        """Chooses some of the given workers for tasks, like `plan`.
+
+        Args:
+          step: the step.
+          waiting: the tasks; the members of a gang all together.
+          workers: the usable workers that may run the step.
+          now: the monotonic clock, in seconds.
+        """
+        if step.spec.gang:
+            return self._plan_gang(step, waiting, workers, now, None)
+        reserved = self._list_reserved_for_others(step)
+
+        def choose(counts, task):
+            current_ids = {run.worker.id for run in task.runs}
+            return placement.choose_worker(
+                [w for w in workers if w.id not in current_ids],
+                step.spec,
+                self.free_capacity,
+                counts,
+                task.avoided,
+                now,
+                reserved,
+            )
+
+        return self._plan_tasks(step, waiting, choose)
+
+    def plan_again(
+        self,
+        step: execution.Step,
+        waiting: list[execution.Task],
+        now: float,
+        allows: workerpool.Allows | None,
+    ) -> list[Placement]:
+        """Plans a step that waits for tickets, on the same workers if possible.
+
+        Args:
+          step: the step.
+          waiting: its tasks without a ticket.
+          now: the monotonic clock, in seconds.
+          allows: returns whether a worker may run the step, None if all may.
+
+        Returns:
+          Pairs of task and worker, as of `plan`.
+        """
+        pairs = self._repeat_plan(step, waiting, now)
+        if not pairs:
+            pairs = self.plan(step, waiting, now, allows)
+            workers = [worker for _, worker in pairs]
+            self._kept_plans[step] = _Choice(workers, now)
+        return pairs
+
+    def _repeat_plan(
+        self, step: execution.Step, waiting: list[execution.Task], now: float
+    ) -> list[Placement]:
+        kept = self._kept_plans.get(step)
+        if kept is None or now - kept.chosen_at >= PLAN_TTL_S:
+            return []
+        workers = kept.workers
+        if len(workers) > len(waiting):
+            return []
+        if step.spec.gang and len(workers) != len(waiting):
+            return []
+        for worker in workers:
+            if not self._is_usable(worker, now) or not placement.fits(
+                worker, step.spec, self.free_capacity
+            ):
+                self.release(step)
+                return []
+            self._hold(step, worker, 1)
+        return list(zip(waiting, workers, strict=False))
+
+    def _plan_gang(self, step, waiting, workers, now: float, choose):
+        def choose_member(_, counts):
+            return choose(counts)
+
+        plan = placement.plan_gang(
+            workers,
+            step.spec,
+            len(waiting),
+            self.free_capacity,
+            now,
+            self._list_reserved_for_others(step),
+            None if choose is None else choose_member,
+        )
+        if plan is None or not all(self._is_usable(w, now) for w in plan):
+            return []
+        counts: dict[fleet.Worker, int] = {}
+        for worker in plan:
+            counts[worker] = counts.get(worker, 0) + 1
+        for worker, count in counts.items():
+            self._hold(step, worker, count)
+        return list(zip(waiting, plan, strict=True))
+
+    def _plan_tasks(self, step, waiting, choose) -> list[Placement]:
+        counts = step.count_runs_by_worker()
+        pairs: list[Placement] = []
+        while len(pairs) < len(waiting):
+            worker = choose(counts, waiting[len(pairs)])
+            if worker is None:
+                break
+            present = counts.get(worker.id, 0)
+            # The best worker stays the best one until it is full.
+            fitting = placement.count_fitting(
+                worker, step.spec, self.free_capacity, present
+            )
+            group = _take_alike(waiting, len(pairs), fitting)
+            self._hold(step, worker, len(group))
+            counts[worker.id] = present + len(group)
+            pairs += [(task, worker) for task in group]
+        return pairs
+
+    def _choose_from_pool(
+        self,
+        step: execution.Step,
+        counts: Mapping[str, int],
+        now: float,
+        allows: workerpool.Allows | None,
+        task: execution.Task | None,
+        reserved: Collection[str],
+    ) -> fleet.Worker | None:
+        """Chooses a worker of the pool that is still usable."""
+        avoided: Iterable[str] = () if task is None else task.avoided
+        current_ids = set()
+        if task is not None:
+            current_ids = {run.worker.id for run in task.runs}
+
+        def is_allowed(worker: fleet.Worker) -> bool:
+            if worker.id in current_ids:
+                return False
+            return allows is None or allows(worker)
+
+        while True:
+            worker = self._pool.choose_worker(
+                step.spec,
+                counts,
+                avoided,
+                now,
+                reserved,
+                is_allowed,
+            )
+            if worker is None or self._is_usable(worker, now):
+                return worker
+            self._pool.remove(worker)
+
+    def reserve(
+        self,
+        step: execution.Step,
+        count: int,
+        now: float,
+        allows: workerpool.Allows | None,
+    ) -> list[fleet.Worker]:
+        """Reserves the workers that lack the least capacity for waiting tasks.
+
+        Less urgent steps don't get the reserved capacity. A gang needs capacity
+        for all its members at once; other tasks start one by one, so that one
+        reserved worker is enough for them.
+
+        Args:
+          step: the step.
+          count: number of its tasks that wait.
+          now: the monotonic clock, in seconds.
+          allows: returns whether a worker may run the step, None if all may.
+
+        Returns:
+          A worker for each task that has a reservation.
+        """
+        if self._reserving_steps >= MAX_RESERVING_STEPS:
+            return []
+        waited_s = now - (step.ready_since or now)
+        if not placement.is_reservation_active(waited_s):
+            return []
+        self._reserving_steps += 1
+        reserved = self._find_kept_reservation(step, count, now)
+        if reserved is None:
+            reserved = placement.choose_workers_to_reserve(
+                self.list_ever_fitting(step, allows),
+                step.spec,
+                self.free_capacity,
+                count if step.spec.gang else 1,
+            )
+            self._kept_reservations[step] = _Choice(reserved, now)
+        for worker in reserved:
+            self._hold(step, worker, 1)
+            self.reservations[worker.id] = step
+        return reserved
+
+    def _find_kept_reservation(
+        self, step: execution.Step, count: int, now: float
+    ) -> list[fleet.Worker] | None:
+        """Returns the workers last reserved for a step, None if too old."""
+        kept = self._kept_reservations.get(step)
+        if kept is None or now - kept.chosen_at >= RESERVATION_TTL_S:
+            return None
+        is_whole = not step.spec.gang or len(kept.workers) in (0, count)
+        if is_whole and all(self._is_usable(w, now) for w in kept.workers):
+            return kept.workers
+        return None
+
+    def _list_reserved_for_others(self, step: execution.Step) -> set[str]:
+        """Returns the ids of the workers reserved for other steps."""
+        return {
+            worker_id
+            for worker_id, other in self._former_reservations.items()
+            if other is not step
+        }
+
+
+def _drop_older(choices: dict[execution.Step, _Choice], limit: float):
+    for step, choice in list(choices.items()):
+        if choice.chosen_at <= limit:
+            del choices[step]
+
+
+def _take_alike(
+    waiting: list[execution.Task], position: int, limit: int
+) -> list[execution.Task]:
+    """Returns the next tasks that may go to the same worker.
+
+    Args:
+      waiting: the tasks.
+      position: index of the first task, which is always taken.
+      limit: most tasks to take.
+    """
+    group = [waiting[position]]
+    if _needs_own_choice(group[0]):
+        return group
+    for task in waiting[position + 1 : position + limit]:
+        if _needs_own_choice(task):
+            break
+        group.append(task)
+    return group
+
+
+def _needs_own_choice(task: execution.Task) -> bool:
+    """Returns whether a task avoids workers that suit others of its step."""
+    return bool(task.avoided or task.runs)
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -120,28 +120,44 @@
         """
 
         def is_candidate(worker: fleet.Worker) -> bool:
-            return (
-                (not spec.label or spec.label in worker.registration.labels)
-                and placement.fits(worker, spec, self.free_capacity)
-                and allows(worker)
+            has_label = (
+                not spec.label or spec.label in worker.registration.labels
             )
+            return has_label and allows(worker)
+
+        def filter_fitting(workers: Iterable[fleet.Worker]):
+            return [
+                worker
+                for worker in workers
+                if placement.fits(worker, spec, self.free_capacity)
+                and is_candidate(worker)
+            ]
 
         if spec.is_filler:
             # Fillers don't count against the CPU by which workers are indexed.
-            return [w for w in self.list_workers() if is_candidate(w)]
-        near_data = [
-            worker
-            for worker in self._racks.get(spec.data_rack, {}).values()
-            if spec.data_rack and is_candidate(worker)
-        ]
-        if near_data:
-            return near_data
-        found = self._index.list_candidates(
+            return filter_fitting(self.list_workers())
+        if spec.data_rack:
+            near_data = self._racks.get(spec.data_rack, {}).values()
+            found = filter_fitting(near_data)
+            if found:
+                return found
+        entries = self._index.list_candidates(
             resources.Resources(spec.cpu, spec.memory_mb, spec.gpu),
             CANDIDATES,
             lambda entry: is_candidate(entry.worker),
         )
-        return [entry.worker for entry in found]
+        return [entry.worker for entry in entries]
+
+    def may_fit(self, spec: submissions.StepSpec, count: int) -> bool:
+        """Returns whether `count` tasks of a step may fit at the same time.
+
+        False is certain. True only says that the free capacity, taken roughly,
+        is enough; labels and limits for each worker aren't looked at.
+        """
+        if spec.is_filler:
+            return True
+        size = resources.Resources(spec.cpu, spec.memory_mb, spec.gpu)
+        return self._index.may_fit(size, count)
 
     def choose_worker(
         self,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/freshness.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/freshness.py
@@ -11,6 +11,8 @@
 
 # A query is answered with the known state after this time at the latest.
 REFRESH_TIMEOUT_S = 0.15
+# Seconds that the answer of an open listing takes to arrive and to be applied.
+IN_FLIGHT_S = 0.03
 
 
 class SubmissionRefresher:
@@ -52,15 +54,22 @@
     ):
         """Lists the runs of workers whose answers may complete the submission.
 
-        Leaves out unresponsive workers, and those with an open listing that
-        answers as soon as a run ends.
+        Leaves out unresponsive workers. An open listing that answers as soon as
+        a run ends takes the place of a query: what has ended before the
+        caller's query is then on its way.
         """
-        queries = [
-            self._poller.request_listing(worker)
-            for worker in completionchecks.choose_workers_to_query(submission)
-            if worker.unresponsive_since is None
-            and not self._poller.has_long_poll(worker)
-        ]
+        queries: list[asyncio.Future] = []
+        open_listings: list[asyncio.Future] = []
+        for worker in completionchecks.choose_workers_to_query(submission):
+            if worker.unresponsive_since is not None:
+                continue
+            open_listing = self._poller.find_long_poll(worker)
+            if open_listing is None:
+                queries.append(self._poller.request_listing(worker))
+            else:
+                open_listings.append(open_listing)
+        if open_listings:
+            await asyncio.wait(open_listings, timeout=IN_FLIGHT_S)
         if queries:
             remaining_s = deadline - clock.read_clock()
             await asyncio.wait(queries, timeout=max(0.0, remaining_s))
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -44,9 +44,9 @@
         self._node = shard.node
         self.commands = None
         self._scheduled: dict[str, asyncio.Task] = {}
-        # Ids of workers with a listing in progress that answers as soon as a
-        # run ends.
-        self._long_polls: set[str] = set()
+        # Done once the listing in progress of a worker, which answers as soon
+        # as a run ends, has been applied; by worker id.
+        self._long_polls: dict[str, asyncio.Future] = {}
         self._resume_events: dict[str, asyncio.Event] = {}
         self.on_stored = asyncio.Event()
 
@@ -91,16 +91,23 @@
                 await asyncio.sleep(BATCH_DELAY_S)
 
     async def _long_poll(self, worker: fleet.Worker, wait_ms: int) -> bool:
-        if wait_ms:
-            self._long_polls.add(worker.id)
+        if not wait_ms:
+            return await self._fetch_listing(worker, 0)
+        applied = asyncio.get_running_loop().create_future()
+        self._long_polls[worker.id] = applied
         try:
             return await self._fetch_listing(worker, wait_ms)
         finally:
-            self._long_polls.discard(worker.id)
+            del self._long_polls[worker.id]
+            applied.set_result(None)
 
-    def has_long_poll(self, worker: fleet.Worker) -> bool:
-        """Returns whether a listing in progress answers when a run ends."""
-        return worker.id in self._long_polls
+    def find_long_poll(self, worker: fleet.Worker) -> asyncio.Future | None:
+        """Returns a future for the listing that answers when a run ends.
+
+        The future is done once the answer has been applied; it must not be
+        cancelled. None if no such listing is in progress.
+        """
+        return self._long_polls.get(worker.id)
 
     async def _await_stored(self, worker: fleet.Worker):
         await asyncio.sleep(BATCH_DELAY_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -64,6 +64,8 @@
         extended.
       store_requested: set to have the owner row and progress stored soon.
       schedule_requested: set to have waiting tasks placed soon.
+      is_pass_requested: whether all waiting steps are to be planned anew.
+      changed_steps: steps to be planned before the next pass over all steps.
       stop_run: callback that stops a run, given the run and a reason.
       on_worker_added: callback for a worker that was added.
       on_worker_restarted: callback for a worker that has restarted.
@@ -106,6 +108,8 @@
         self.extend_leases_until = 0.0
         self.store_requested = asyncio.Event()
         self.schedule_requested = asyncio.Event()
+        self.is_pass_requested = False
+        self.changed_steps: dict[execution.Step, None] = {}
         self.stop_run = None
         self.on_worker_added = None
         self.on_worker_restarted = None
@@ -196,7 +200,13 @@
         return submission.version <= self.stored_horizon
 
     def request_schedule(self):
-        """Requests a scheduling pass."""
+        """Requests a scheduling pass over all waiting steps."""
+        self.is_pass_requested = True
+        self.schedule_requested.set()
+
+    def request_placement(self, step: execution.Step):
+        """Requests that one step is planned, without a pass over all."""
+        self.changed_steps[step] = None
         self.schedule_requested.set()
 
     def mark_dirty(self, submission: execution.Submission):
@@ -301,7 +311,7 @@
         if step.ready_since is None:
             step.ready_since = clock.read_clock()
         self.ready_steps.add(step)
-        self.request_schedule()
+        self.request_placement(step)
 
     def cancel(self, submission: execution.Submission):
         """Ends a submission that its client has cancelled."""
@@ -322,6 +332,7 @@
         for step in submission.steps.values():
             self.ready_steps.discard(step)
             self.next_steps.pop(step, None)
+            self.changed_steps.pop(step, None)
         self.mark_dirty(submission)
         self.node.metrics.count(f'submissions_ended{{state="{state}"}}')
         self.node.log.write(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -173,4 +173,4 @@
             await self._advisor.ask(step, targets, policy, caller)
         finally:
             step.advice.is_asking = False
-        self._shard.request_schedule()
+        self._shard.request_placement(step)
--- a/tests/entry/test_freshness.py
+++ b/tests/entry/test_freshness.py
@@ -19,14 +19,16 @@
 
 
 class FakeWorkerClient:
-    """Lists every given run as ended and counts the calls."""
+    """Lists every given run as ended, after `takes_s`, and counts the calls."""
 
     def __init__(self, runs):
         self.runs = runs
+        self.takes_s = 0.0
         self.calls = 0
 
     async def list_tasks(self, *rest):
         self.calls += 1
+        await asyncio.sleep(self.takes_s)
         ended = [
             worker_calls.EndedTask(
                 number, run.task.name, run.number, "done", ""
@@ -141,9 +143,26 @@
 
     async def test_a_worker_with_an_open_listing_is_not_queried(self):
         """An open listing answers as soon as the run ends."""
-        self.listings._long_polls.add(self.worker.id)
+        self.client.takes_s = 60.0
+        poll = asyncio.create_task(self.listings._long_poll(self.worker, 500))
+        await asyncio.sleep(0)
         await self.refresher.refresh(self.submission)
-        self.assertEqual(self.client.calls, 0)
+        poll.cancel()
+        self.assertEqual(self.client.calls, 1)
+
+    async def test_an_end_that_an_open_listing_brings_is_shown(self):
+        """The run ended before the query, and the answer was on its way.
+
+        A third of the first queries after an end was told `running`, and the
+        callers asked again after 0.25 s.
+        """
+        self.client.takes_s = freshness.IN_FLIGHT_S / 3
+        poll = asyncio.create_task(self.listings._long_poll(self.worker, 500))
+        await asyncio.sleep(0)
+        await self.refresher.refresh(self.submission)
+        shown = self.submission.state
+        await poll
+        self.assertEqual(shown, submissions.COMPLETED)
 
     async def test_an_unresponsive_worker_doesn_t_delay_the_answer(self):
         self.worker.unresponsive_since = clock.read_clock()
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -69,7 +69,7 @@
         self.scheduler._run_pass(clock.read_clock())
         self.assertEqual(self.commands.started, [])
         self.assertEqual(
-            self.scheduler._reservations, {self.worker.id: large_step}
+            self.scheduler._planner.reservations, {self.worker.id: large_step}
         )
 
     async def test_nothing_starts_beyond_the_stored_horizon(self):
@@ -88,3 +88,41 @@
         self.worker.record_no_answer(clock.read_clock())
         self.scheduler._run_pass(clock.read_clock())
         self.assertEqual(self.commands.started, [])
+
+    async def test_a_new_step_leaves_what_others_hold_between_passes(self):
+        """Planning it alone must not take capacity reserved for a large one."""
+        runner = self.add_step("cc" * 8, SMALL_SPEC, queue="batch")
+        fakes.start_run(self.shard, runner.tasks[0], self.worker)
+        large_step = self.add_step(LARGE_ID, LARGE_SPEC)
+        large_step.advice.is_asking = True
+        self.scheduler._run_pass(clock.read_clock())
+        self.add_step(SMALL_ID, SMALL_SPEC, queue="batch")
+        self.scheduler._place_changed(clock.read_clock())
+        self.assertEqual(self.commands.started, [])
+
+    async def test_a_step_with_new_tickets_starts_between_passes(self):
+        """Its own reservation must not be in its way."""
+        step = self.add_step(LARGE_ID, LARGE_SPEC)
+        step.advice.is_asking = True
+        now = clock.read_clock()
+        self.scheduler._run_pass(now)
+        self.assertEqual(self.commands.started, [])
+        step.advice.asked.add(self.worker.id)
+        step.advice.good.add(self.worker.id)
+        step.advice.tickets[self.worker.id] = ("ticket", now + 2)
+        self.shard.request_placement(step)
+        self.scheduler._place_changed(now)
+        self.assertEqual(self.commands.started, [f"{LARGE_ID}.0.0.0"])
+        # Nothing of the step is left in the plan.
+        free = self.scheduler._planner.free_capacity.get_free(self.worker)
+        self.assertEqual(free[:2], (0, 32000 - 100))
+
+    async def test_a_change_of_one_step_causes_no_pass_over_all(self):
+        """Thousands of waiting steps were planned anew for each event."""
+        self.scheduler._place(clock.read_clock())
+        self.shard.is_pass_requested = False
+        self.add_step(SMALL_ID, SMALL_SPEC, queue="batch")
+        self.assertFalse(self.shard.is_pass_requested)
+        self.assertTrue(self.shard.schedule_requested.is_set())
+        self.scheduler._place(clock.read_clock())
+        self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
--- a/tests/entry/test_workerpool.py
+++ b/tests/entry/test_workerpool.py
@@ -4,6 +4,7 @@
 import unittest
 
 from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import passpacing
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.decisions import readysteps
 from persimmonpath_entry.decisions import workerpool
@@ -117,6 +118,84 @@
         self.assertEqual(self.choose(pool, spec).registration.rack, "r7")
 
 
+class GangTest(unittest.TestCase):
+    """Gangs of a nearly full pool, most of which find no room."""
+
+    def plan(self, pool, spec):
+        def choose(_, counts):
+            return pool.choose_worker(spec, counts)
+
+        return placement.plan_gang(
+            [], spec, spec.count, pool.free_capacity, choose_member=choose
+        )
+
+    def test_a_gang_that_fits_is_never_ruled_out_beforehand(self):
+        pool, workers = make_pool(count=40, seed=4)
+        generator = random.Random(5)
+        planned = 0
+        for _ in range(300):
+            spec = submissions.StepSpec(
+                count=generator.randrange(1, 60),
+                cpu=generator.randrange(50, 8001, 50),
+                memory_mb=generator.randrange(16, 16001, 16),
+                gang=True,
+            )
+            plan = self.plan(pool, spec)
+            if plan is None:
+                continue
+            planned += 1
+            with self.subTest(spec=spec):
+                self.assertTrue(pool.may_fit(spec, spec.count))
+                for worker in set(plan):
+                    members = plan.count(worker)
+                    self.assertLessEqual(members * spec.cpu, worker.free_cpu)
+                    self.assertLessEqual(
+                        members * spec.memory_mb, worker.free_memory_mb
+                    )
+        self.assertGreater(planned, 30)
+
+    def test_a_gang_larger_than_all_free_capacity_is_ruled_out(self):
+        pool, workers = make_pool(count=40, seed=4)
+        free_cpu = sum(worker.free_cpu for worker in workers)
+        spec = submissions.StepSpec(cpu=100, memory_mb=1, gang=True)
+        # Free capacity is rounded up to eighths of a worker.
+        too_many = (free_cpu + len(workers) * 2000) // spec.cpu + 1
+        self.assertFalse(pool.may_fit(spec, too_many))
+
+    def test_a_limit_for_each_worker_holds_for_members(self):
+        pool, workers = make_pool(count=3)
+        for worker in workers:
+            worker.used_cpu = worker.used_memory_mb = 0
+            pool.update(worker)
+        spec = submissions.StepSpec(
+            count=6, cpu=100, memory_mb=100, gang=True, max_per_worker=2
+        )
+        plan = self.plan(pool, spec)
+        self.assertEqual({plan.count(w) for w in workers}, {2})
+
+
+class PassPacerTest(unittest.TestCase):
+    def test_passes_leave_most_of_the_time_to_other_work(self):
+        """Passes in a row left the answers of workers unread."""
+        pacer = passpacing.PassPacer()
+        now = 0.0
+        busy = 0.0
+        while now < 10:
+            now += pacer.choose_wait(True, now)
+            self.assertTrue(pacer.is_due(True, now))
+            pacer.record_pass(now, now + 0.1)
+            now += 0.1
+            busy += 0.1
+        share = busy / now
+        self.assertLessEqual(share, passpacing.MAX_TIME_SHARE + 0.02)
+
+    def test_without_a_request_a_pass_follows_in_time(self):
+        pacer = passpacing.PassPacer()
+        pacer.record_pass(5.0, 5.01)
+        self.assertFalse(pacer.is_due(False, 5.1))
+        self.assertTrue(pacer.is_due(False, 5.0 + passpacing.MAX_INTERVAL_S))
+
+
 class UnplaceableSizesTest(unittest.TestCase):
     def test_what_is_as_large_as_a_size_that_failed_is_covered(self):
         sizes = workerpool.UnplaceableSizes()
