--- a/packages/persimmonpath_daemon/persimmonpath_daemon/instrumentation.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/instrumentation.py
@@ -204,11 +204,10 @@
         reply = self._inner.run(address, request_id, request)
         return self._instruments.record_when_done("peer", "run", reply, span)
 
-    def ask(self, address, request_id, close):
+    def ask(self, address, request_id, close, digest=""):
         """Queries the owner of a shard for the outcome of a request."""
-        return self._record_when_done(
-            "ask", self._inner.ask(address, request_id, close)
-        )
+        reply = self._inner.ask(address, request_id, close, digest)
+        return self._record_when_done("ask", reply)
 
     def issue_ids(self, address, shard, count):
         """Requests new request ids from the owner of a shard."""
