Have the process soak notice every mutant and every unexpected exit

Cause (KNOWN-RED.txt): the soak overlooked reject_what_may_be_stored and trust_every_worker, since the faults that show them seldom met by chance, and it didn't look at exit codes. Change: targeted faults beside the random ones: the store carries calls out and answers none for 4.5 s and more; all VMs are killed while the worker with the longest run is cut off. A process that ends by itself or with another code than 0 is a violation; a failed release is logged. Regression seeds keep their old faults and times.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -200,9 +200,22 @@
             await asyncio.sleep(0.05)
         for server in (front, peer, ready):
             server.stop_listening()
+        self._log_failed_release(release_task)
         self.context.log.warn("stopped", requests=front.busy_connections)
         self.context.log.flush()
 
+    def _log_failed_release(self, release_task: asyncio.Task):
+        """Logs why the services were not released; peers then take over."""
+        if not release_task.done():
+            self.context.log.warn("release_failed", reason="out of time")
+        elif release_task.exception() is not None:
+            error = release_task.exception()
+            self.context.log.warn(
+                "release_failed",
+                reason=f"{type(error).__name__}: {error}",
+                where=context.find_raise_location(error),
+            )
+
     async def _release_services(self, limit_s: float):
         """Releases the owned services and removes this VM's row.
 
--- a/tests/entry/mutants.py
+++ b/tests/entry/mutants.py
@@ -14,6 +14,7 @@
 
 from persimmonpath_entry import main as program  # noqa: E402
 from persimmonpath_entry.engine import acceptance  # noqa: E402
+from persimmonpath_entry.engine import node  # noqa: E402
 from persimmonpath_entry.engine import shard  # noqa: E402
 from persimmonpath_entry.engine import workercommands  # noqa: E402
 from persimmonpath_entry.platform import workers  # noqa: E402
@@ -77,6 +78,15 @@
     workercommands.WorkerCommands._handle_start_result = handle_start
 
 
+def fail_while_stopping():
+    """Raises an error in the middle of a graceful shutdown."""
+
+    async def shut_down(self, *servers):
+        raise RuntimeError("failed while stopping")
+
+    node.Node._shut_down = shut_down
+
+
 def acknowledge_unstored():
     """Acknowledges run ends before they are stored."""
     fleet.Worker.choose_acknowledged_end = lambda self, now: self.processed
@@ -93,6 +103,7 @@
         trust_every_worker,
         take_silence_for_refusal,
         acknowledge_unstored,
+        fail_while_stopping,
     )
 }
 
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -40,6 +40,8 @@
 # outcome is unknown.
 MAX_CALLS = 5
 SINGLE_CALL_SHARE = 0.15
+# A process that gets SIGTERM before it handles the signal is ended by it.
+STARTUP_S = 1.0
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ENTRY = ROOT / "deploy" / "entry.py"
 
@@ -62,10 +64,12 @@
       link: the proxy between the VM and the store.
       client: HTTP client of the VM's caller interface.
       process: the running or last process, None before `start`.
+      violations: receives unexpected ends of the process.
     """
 
-    def __init__(self, name, folder, link, advice, mutant):
+    def __init__(self, name, folder, link, advice, mutant, violations):
         self.name = name
+        self.violations = violations
         self.mutant = mutant
         self.link = link
         front, ready, peer, metrics_port = find_ports(4)
@@ -82,13 +86,16 @@
             f'[platform]\naddress = "{link.address}"\n'
         )
         self.process = None
-        self.is_paused = False
+        self.started_at = 0.0
+        # The process that was last told to end.
+        self.told_to_end = None
 
     def start(self):
         """Starts the process, with the mutant if there is one."""
         command = [sys.executable, str(ENTRY)]
         if self.mutant:
             command = [sys.executable, "-m", "tests.entry.mutants", self.mutant]
+        self.started_at = time.monotonic()
         self.process = subprocess.Popen(
             command,
             cwd=ROOT,
@@ -104,12 +111,27 @@
 
     async def terminate(self, number, limit_s=8.0):
         """Sends a signal and waits; kills the process after `limit_s`."""
+        process = self.process
+        self.check_running()
+        self.told_to_end = process
+        expected = {0, -signal.SIGKILL}
+        if time.monotonic() - self.started_at < STARTUP_S:
+            expected.add(-number)
         self.signal(number)
         deadline = time.monotonic() + limit_s
-        while self.process.poll() is None and time.monotonic() < deadline:
+        while process.poll() is None and time.monotonic() < deadline:
             await asyncio.sleep(0.05)
-        self.signal(signal.SIGKILL)
-        self.process.wait()
+        if process.poll() is None:
+            process.kill()
+        if process.wait() not in expected:
+            self.violations.add("EXIT", f"{self.name}: {process.returncode}")
+
+    def check_running(self):
+        """Records a violation if the process has ended by itself."""
+        code = self.process.poll()
+        if code is not None and self.process is not self.told_to_end:
+            self.violations.add("EXIT", f"{self.name} by itself: {code}")
+            self.told_to_end = self.process
 
 
 class Soak:
@@ -121,12 +143,14 @@
       checker: the checker of the invariants.
     """
 
-    def __init__(self, seed, seconds, folder, mutant=""):
+    def __init__(self, seed, seconds, folder, mutant, has_targeted_faults):
         self.mutant = mutant
+        self.has_targeted_faults = has_targeted_faults
         self.random = random.Random(seed)
         # A separate generator, so that draws added later don't change the
         # sequence of faults and submissions of older seeds.
         self.chain_random = random.Random(seed + 1)
+        self.targeted_random = random.Random(seed + 2)
         self.seconds = seconds
         self.folder = folder
         self.checker = invariants.InvariantChecker(seed)
@@ -167,6 +191,7 @@
                 link,
                 self.advice.address,
                 self.mutant,
+                self.checker.violations,
             )
             self.vms.append(vm)
             vm.start()
@@ -327,6 +352,40 @@
             await asyncio.sleep(self.random.uniform(0.5, 2.5))
         await asyncio.gather(*running)
 
+    async def inject_targeted_faults(self):
+        """Injects combinations of faults that the random ones seldom make."""
+        deadline = time.monotonic() + self.seconds
+        faults = [self.lose_answers, self.lose_busy_worker_and_owners]
+        await asyncio.sleep(self.targeted_random.uniform(2.0, 4.0))
+        while time.monotonic() < deadline:
+            fault = self.targeted_random.choice(faults)
+            self.record_event(fault.__name__)
+            await fault()
+            await asyncio.sleep(self.targeted_random.uniform(1.0, 3.0))
+
+    async def lose_answers(self):
+        """Has the store carry calls out and answer none of them.
+
+        A caller that is told during this time that its submission was rejected
+        would find it running once the store answers again.
+        """
+        self.store.loses_answers = True
+        await asyncio.sleep(self.targeted_random.uniform(4.5, 6.0))
+        self.store.loses_answers = False
+
+    async def lose_busy_worker_and_owners(self):
+        """Kills all VMs while a worker that runs on can't be reached.
+
+        The next owner must not start its tasks elsewhere before its lease has
+        ended.
+        """
+        worker = max(self.workers, key=standins.WorkerStandIn.find_last_end)
+        worker.link.mode = "silent"
+        worker.link.reset()
+        await self.kill_all()
+        await asyncio.sleep(self.targeted_random.uniform(5.0, 7.0))
+        worker.link.mode = "pass"
+
     async def kill(self):
         """Kills a VM and starts it again."""
         vm = self.random.choice(self.vms)
@@ -407,7 +466,10 @@
         registering = asyncio.create_task(self.register_workers())
         try:
             await asyncio.sleep(2.0)
-            await asyncio.gather(self.submit_all(), self.inject_faults())
+            tasks = [self.submit_all(), self.inject_faults()]
+            if self.has_targeted_faults:
+                tasks.append(self.inject_targeted_faults())
+            await asyncio.gather(*tasks)
             for vm in self.vms:
                 vm.signal(signal.SIGCONT)
             await self.check_all(time.monotonic() + COMPLETION_TIMEOUT_S)
@@ -418,7 +480,7 @@
                 await vm.terminate(signal.SIGKILL)
 
 
-def run_soak(seed, seconds, folder, mutant=""):
+def run_soak(seed, seconds, folder, mutant="", has_targeted_faults=True):
     """Runs the soak test.
 
     Args:
@@ -426,11 +488,15 @@
       seconds: duration of the load.
       folder: directory for the logs and settings of the processes.
       mutant: name of the mutant that all VMs run, empty for none.
+      has_targeted_faults: whether combinations of faults are injected besides
+        the random ones. They change the load and the timing of a seed.
 
     Returns:
       The finished soak, with its counts and violations.
     """
-    soak = Soak(seed, seconds, pathlib.Path(folder), mutant)
+    soak = Soak(
+        seed, seconds, pathlib.Path(folder), mutant, has_targeted_faults
+    )
     asyncio.run(soak.run())
     return soak
 
--- a/tests/entry/standins.py
+++ b/tests/entry/standins.py
@@ -60,6 +60,7 @@
 
     Attributes:
       mode: ok, down (status 503) or silent (no response).
+      loses_answers: whether transactions are applied and no call is answered.
       unanswered_share: share of the transactions that are applied without a
         response.
       delay_s: seconds after which these transactions are applied.
@@ -77,6 +78,7 @@
         self.changes = []
         self.oldest_version = 0
         self.mode = "ok"
+        self.loses_answers = False
         self.unanswered_share = 0.0
         self.delay_s = 0.0
         self.calls = collections.Counter()
@@ -92,6 +94,10 @@
             return make_response(503)
         if self.mode == "silent":
             await asyncio.sleep(FOREVER_S)
+        if self.loses_answers:
+            if name == "rows-tx":
+                await self._apply(json.loads(request.body))
+            await asyncio.sleep(FOREVER_S)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         if name == "rows-tx":
             return await self._handle_transaction(json.loads(request.body))
@@ -353,6 +359,11 @@
             longest = self.read_clock() + 6000
             self.lease_ms = max(self.lease_ms, min(until, longest))
 
+    def find_last_end(self):
+        """Returns the monotonic time at which the last run ends by itself."""
+        ends = [row["ends_at"] for row in self.running.values()]
+        return max(ends, default=0.0)
+
     def _expire_lease(self):
         if self.running and self.read_clock() > self.lease_ms:
             for key in list(self.running):
@@ -371,7 +382,11 @@
         task = asyncio.get_running_loop().create_task(
             self._work(key, duration_s)
         )
-        self.running[key] = {"task": task, "saved": ""}
+        self.running[key] = {
+            "task": task,
+            "saved": "",
+            "ends_at": time.monotonic() + duration_s,
+        }
         return self._reply()
 
     async def _work(self, key, duration_s):
--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -11,6 +11,8 @@
 # Seeds 11, 13, 15: the same after a connection reset; and a run that started in
 # a worker's new incarnation was treated as lost when the worker registered.
 SEEDS = (2, 11, 13, 15)
+TARGETED_SEED = 402
+TARGETED_SECONDS = 14.0
 
 
 class SoakTest(unittest.TestCase):
@@ -21,6 +23,21 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 with tempfile.TemporaryDirectory() as folder:
-                    run = soak.run_soak(seed, SECONDS, folder)
+                    run = soak.run_soak(
+                        seed, SECONDS, folder, has_targeted_faults=False
+                    )
                 self.assertEqual(list(run.checker.violations), [])
                 self.assertGreater(len(run.accepted), 10)
+
+    def test_invariants_hold_under_targeted_faults(self):
+        """Guards against a takeover that runs tasks of a lost worker twice.
+
+        The seed also makes the store carry out calls that it doesn't answer, so
+        that a rejected submission would be found running.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            run = soak.run_soak(TARGETED_SEED, TARGETED_SECONDS, folder)
+        self.assertEqual(list(run.checker.violations), [])
+        self.assertGreater(len(run.accepted), 10)
+        self.assertIn("lose_answers", " ".join(run.events))
+        self.assertIn("lose_busy_worker_and_owners", " ".join(run.events))
