Use capacity that gangs only wait for, and prepare whole gangs at once

A gang asked the advisor one call after the other, 2.4 s for twenty members; the first tickets had expired when the last ones came. Runs were preempted for parts of gangs. Long calls took the lanes of short ones. The new tests of test_taskscheduler fail on the code before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
@@ -21,8 +21,17 @@
 # Most calls in flight from this VM. More than one keeps the advisor busy during
 # the round trip.
 MAX_LOCAL_CALLS = 3
-# Number of idle peers that prefetching leaves free for tasks that can start.
+# Number of idle peers that prefetching leaves free for tasks that can start,
+# besides a share of all peers.
 PREFETCH_SPARE_CALLERS = 1
+PREFETCH_SPARE_SHARE = 0.25
+# Share of the peers that long calls leave to short ones.
+SHORT_CALL_SHARE = 0.125
+# The advisor is asked for a gang until the workers that it approves could carry
+# this multiple of the members if they were empty.
+EXPLORED_MULTIPLE = 2.0
+# Most calls in flight for one step.
+MAX_PARALLEL_CALLS = 6
 
 
 class Purpose(enum.Enum):
@@ -86,6 +95,56 @@
     return list(targets)[:WORKERS_PER_CALL]
 
 
+def choose_batches_to_explore(
+    step_advice: execution.StepAdvice,
+    spec: submissions.StepSpec,
+    count: int,
+    fitting: list[fleet.Worker],
+    good_share: float,
+    free_capacity: placement.FreeCapacity,
+) -> list[list[str]]:
+    """Returns the workers to ask about before a gang is planned.
+
+    A gang starts only if the advisor approves workers for all its members.
+    Asked one call after the other, a gang of twenty needs seconds, and the
+    first tickets have expired before the last ones arrive.
+
+    Args:
+      step_advice: the advisor's answers for the step so far.
+      spec: the step.
+      count: the number of members.
+      fitting: workers that could run its tasks when empty.
+      good_share: the share of workers that the advisor usually approves.
+      free_capacity: the capacity that is left in the current plan.
+
+    Returns:
+      The ids to name in each of several calls at the same time; empty if
+      enough workers are approved or expected to be.
+    """
+    wanted = EXPLORED_MULTIPLE * count
+    expected = 0.0
+    unasked = []
+    for worker in fitting:
+        slots = placement.count_fitting_when_empty(worker, spec)
+        if worker.id in step_advice.good:
+            wanted -= slots
+        elif worker.id in step_advice.asking:
+            expected += slots * good_share
+        elif worker.id not in step_advice.asked:
+            unasked.append((worker, slots))
+    unasked.sort(key=lambda entry: -free_capacity.get_free(entry[0])[0])
+    chosen = []
+    for worker, slots in unasked:
+        if expected >= wanted:
+            break
+        expected += slots * good_share
+        chosen.append(worker.id)
+    return [
+        chosen[start : start + WORKERS_PER_CALL]
+        for start in range(0, len(chosen), WORKERS_PER_CALL)
+    ][:MAX_PARALLEL_CALLS]
+
+
 def choose_caller(
     own_address: str,
     peers: list[str],
@@ -103,12 +162,15 @@
       purpose: why the call is made.
     """
     idle = [address for address in peers if not busy.get(address)]
+    own_calls = busy.get(own_address, 0)
     if call_s <= SHORT_CALL_S or not peers:
-        if busy.get(own_address, 0) < MAX_LOCAL_CALLS:
-            return own_address
         # Long calls take the most preferred idle peer, so the last one is the
         # least likely to be needed for them.
-        return idle[-1] if idle else None
-    if purpose is Purpose.PREFETCH and len(idle) <= PREFETCH_SPARE_CALLERS:
-        return None
-    return idle[0] if idle else None
+        if own_calls and idle:
+            return idle[-1]
+        return own_address if own_calls < MAX_LOCAL_CALLS else None
+    spare = int(SHORT_CALL_SHARE * len(peers))
+    if purpose is Purpose.PREFETCH:
+        spare += PREFETCH_SPARE_CALLERS
+        spare += int(PREFETCH_SPARE_SHARE * len(peers))
+    return idle[0] if len(idle) > spare else None
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import dataclasses
+import heapq
 
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.state import fleet
@@ -164,6 +166,25 @@
     return max(0, min(counts, default=1))
 
 
+def count_fitting_when_empty(
+    worker: fleet.Worker, spec: submissions.StepSpec
+) -> int:
+    """Returns how many tasks of a step a worker could run by themselves."""
+    registration = worker.registration
+    counts = [
+        available // needed
+        for available, needed in (
+            (registration.cpu, spec.cpu),
+            (registration.memory_mb, spec.memory_mb),
+            (registration.gpu, spec.gpu),
+        )
+        if needed
+    ]
+    if spec.max_per_worker:
+        counts.append(spec.max_per_worker)
+    return min(counts, default=1)
+
+
 def compute_cost(
     worker: fleet.Worker,
     spec: submissions.StepSpec,
@@ -276,6 +297,10 @@
     )
 
 
+# Returns the CPU, memory and accelerators that preemption would free.
+MeasureReclaimable = Callable[[fleet.Worker], tuple[int, int, int]]
+
+
 def choose_workers_to_reserve(
     workers: Iterable[fleet.Worker],
     spec: submissions.StepSpec,
@@ -298,36 +323,99 @@
       A worker for each task, or an empty list if there aren't enough for all:
       a gang that never fits would keep the workers from others forever.
     """
-    free = {}
+    rooms = [
+        _Room(worker, cpu, memory_mb, gpu)
+        for worker, (cpu, memory_mb, gpu, _, _) in (
+            (worker, free_capacity.get_free(worker)) for worker in workers
+        )
+        if min(cpu, memory_mb, gpu) >= 0
+    ]
+    return _choose_least_short(rooms, spec, count, MAX_SHORTFALL)
+
+
+def choose_workers_to_vacate(
+    workers: Iterable[fleet.Worker],
+    spec: submissions.StepSpec,
+    free_capacity: FreeCapacity,
+    count: int,
+    measure_reclaimable: MeasureReclaimable,
+) -> list[fleet.Worker]:
+    """Returns workers on which tasks fit once other runs are preempted.
+
+    Args:
+      workers: workers that may run the step.
+      spec: the step.
+      free_capacity: the capacity that is left in the current plan.
+      count: number of tasks; a worker may be chosen for several.
+      measure_reclaimable: returns what preemption would free on a worker.
+
+    Returns:
+      A worker for each task, or an empty list if not all of them would fit:
+      preempting runs for a part of a gang only wastes capacity.
+    """
+    rooms = []
     for worker in workers:
         cpu, memory_mb, gpu, _, _ = free_capacity.get_free(worker)
-        if min(cpu, memory_mb, gpu) >= 0:
-            free[worker.id] = (worker, cpu, memory_mb, gpu)
-    reserved: list[fleet.Worker] = []
-    counts: dict[str, int] = {}
-    for _ in range(count):
-        best = None
-        best_shortfall = MAX_SHORTFALL
-        for worker, cpu, memory_mb, gpu in free.values():
-            present = counts.get(worker.id, 0)
-            if not _fits_when_empty(worker, spec, present + 1):
-                continue
-            shortfall = _compute_shortfall(worker, spec, cpu, memory_mb, gpu)
-            if shortfall <= best_shortfall:
-                best = worker
-                best_shortfall = shortfall
-        if best is None:
-            return []
-        reserved.append(best)
-        counts[best.id] = counts.get(best.id, 0) + 1
-        _, cpu, memory_mb, gpu = free[best.id]
-        free[best.id] = (
-            best,
-            cpu - (0 if spec.is_filler else spec.cpu),
-            memory_mb - spec.memory_mb,
-            gpu - spec.gpu,
+        more_cpu, more_mb, more_gpu = measure_reclaimable(worker)
+        rooms.append(
+            _Room(worker, cpu + more_cpu, memory_mb + more_mb, gpu + more_gpu)
+        )
+    return _choose_least_short(rooms, spec, count, 0.0)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Room:
+    """A worker and the capacity left on it during a choice."""
+
+    worker: fleet.Worker
+    cpu: int
+    memory_mb: int
+    gpu: int
+    chosen: int = 0
+
+    def take(self, spec: submissions.StepSpec):
+        self.chosen += 1
+        self.cpu -= 0 if spec.is_filler else spec.cpu
+        self.memory_mb -= spec.memory_mb
+        self.gpu -= spec.gpu
+
+    def compute_shortfall(self, spec: submissions.StepSpec) -> float:
+        return _compute_shortfall(
+            self.worker, spec, self.cpu, self.memory_mb, self.gpu
         )
-    return reserved
+
+
+def _choose_least_short(
+    rooms: list[_Room],
+    spec: submissions.StepSpec,
+    count: int,
+    max_shortfall: float,
+) -> list[fleet.Worker]:
+    """Returns the worker with the smallest shortfall for each task.
+
+    Returns:
+      A worker for each task, or an empty list if there aren't enough within
+      the largest shortfall allowed.
+    """
+    heap = [
+        (room.compute_shortfall(spec), index)
+        for index, room in enumerate(rooms)
+        if _fits_when_empty(room.worker, spec, 1)
+    ]
+    heapq.heapify(heap)
+    chosen: list[fleet.Worker] = []
+    while heap and len(chosen) < count:
+        shortfall, index = heap[0]
+        if shortfall > max_shortfall:
+            break
+        room = rooms[index]
+        room.take(spec)
+        chosen.append(room.worker)
+        if _fits_when_empty(room.worker, spec, room.chosen + 1):
+            heapq.heapreplace(heap, (room.compute_shortfall(spec), index))
+        else:
+            heapq.heappop(heap)
+    return chosen if len(chosen) == count else []
 
 
 def _fits_when_empty(worker, spec, count: int) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
@@ -13,6 +13,9 @@
 
 # Seconds for which a step waits before other runs are preempted for it.
 PREEMPTION_DELAY_S = 1.0
+# Most seconds from the preemption of a run until its capacity is known to be
+# free.
+STOP_DURATION_S = 0.4
 # Minimum seconds between two preemptions on a worker, so that the capacity of
 # the first one has been released and used.
 MIN_PREEMPTION_INTERVAL_S = 1.5
@@ -70,6 +73,32 @@
     return victims if max(shortfall) <= 0 else []
 
 
+def measure_reclaimable(
+    worker: fleet.Worker,
+    priority: int,
+    find_priority: Callable[[execution.Run], int],
+) -> tuple[int, int, int]:
+    """Returns the capacity that preemption would add to the free one.
+
+    Args:
+      worker: the worker.
+      priority: the priority of the queue for which runs would be preempted.
+      find_priority: returns the priority of a run's queue.
+
+    Returns:
+      CPU in thousandths of a core, memory in MB and accelerators, including
+      those of runs that are being stopped.
+    """
+    added = [0, 0, 0]
+    for run in worker.runs.values():
+        is_stopping = run.phase is execution.Phase.STOPPING
+        if is_stopping or (
+            is_preemptible(run) and find_priority(run) > priority
+        ):
+            _subtract(added, run.spec)
+    return -added[0], -added[1], -added[2]
+
+
 def _subtract(shortfall: list[int], spec: submissions.StepSpec):
     shortfall[0] -= 0 if spec.is_filler else spec.cpu
     shortfall[1] -= spec.memory_mb
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -5,6 +5,7 @@
 step that has just become ready is planned without repeating all the others.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -22,6 +23,9 @@
 RESERVATION_TTL_S = 0.2
 # Seconds for which the workers planned for a step without tickets are kept.
 PLAN_TTL_S = 0.1
+# Seconds for which a gang keeps the workers on which runs were preempted for
+# it. No other task gets that capacity meanwhile.
+VACATED_TTL_S = 1.5
 
 # A task and the worker on which it is to run.
 Placement = tuple[execution.Task, fleet.Worker]
@@ -35,6 +39,19 @@
     chosen_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldCapacity:
+    """What the steps hold in a plan.
+
+    Attributes:
+      counts: workers and numbers of tasks by step.
+      reservations: the steps for which workers are reserved, by worker id.
+    """
+
+    counts: dict[execution.Step, list[tuple[fleet.Worker, int]]]
+    reservations: dict[str, execution.Step]
+
+
 class StepPlanner:
     """Plans the waiting steps of a service on its workers.
 
@@ -63,6 +80,7 @@
         self._reserving_steps = 0
         self._kept_reservations: dict[execution.Step, _Choice] = {}
         self._kept_plans: dict[execution.Step, _Choice] = {}
+        self._vacated: dict[execution.Step, _Choice] = {}
         self._unplaceable = workerpool.UnplaceableSizes()
 
     @property
@@ -80,6 +98,49 @@
         self._unplaceable = workerpool.UnplaceableSizes()
         _drop_older(self._kept_plans, now - PLAN_TTL_S)
         _drop_older(self._kept_reservations, now - RESERVATION_TTL_S)
+        _drop_older(self._vacated, now - VACATED_TTL_S)
+
+    def begin_backfill(self) -> "HeldCapacity":
+        """Begins a plan in which the steps hold only what is vacated for them.
+
+        Returns:
+          What the steps held before, for `end_backfill`.
+        """
+        held = HeldCapacity(self._held, self.reservations)
+        self._pool.begin_plan()
+        self._unplaceable = workerpool.UnplaceableSizes()
+        self._held = {}
+        self.reservations = {}
+        for step, choice in self._vacated.items():
+            if step in held.counts:
+                self._reserve_each(step, choice.workers)
+        return held
+
+    def end_backfill(self, held: "HeldCapacity"):
+        """Has the steps hold again what they held before `begin_backfill`."""
+        self._pool.begin_plan()
+        self._held = {}
+        self.reservations = held.reservations
+        for step, counts in held.counts.items():
+            if step.submission.is_active and not step.is_done:
+                for worker, count in counts:
+                    self._hold(step, worker, count)
+
+    def _hold_each(self, step: execution.Step, workers: list[fleet.Worker]):
+        """Holds the capacity of one task for each occurrence of a worker."""
+        for worker, count in collections.Counter(workers).items():
+            self._hold(step, worker, count)
+
+    def _reserve_each(self, step: execution.Step, workers: list[fleet.Worker]):
+        """Holds the capacity and has other steps avoid the workers."""
+        self._hold_each(step, workers)
+        for worker in workers:
+            self.reservations[worker.id] = step
+
+    @property
+    def holds_capacity(self) -> bool:
+        """Whether any step holds capacity in the current plan."""
+        return any(self._held.values())
 
     def release(self, step: execution.Step):
         """Releases what a step holds, before it is planned anew."""
@@ -91,6 +152,7 @@
         self.release(step)
         self._kept_reservations.pop(step, None)
         self._kept_plans.pop(step, None)
+        self._vacated.pop(step, None)
 
     def _hold(self, step: execution.Step, worker: fleet.Worker, count: int):
         self.free_capacity.reserve(worker, step.spec, count)
@@ -269,11 +331,7 @@
         )
         if plan is None or not all(self._is_usable(w, now) for w in plan):
             return []
-        counts: dict[fleet.Worker, int] = {}
-        for worker in plan:
-            counts[worker] = counts.get(worker, 0) + 1
-        for worker, count in counts.items():
-            self._hold(step, worker, count)
+        self._hold_each(step, plan)
         return list(zip(waiting, plan, strict=True))
 
     def _plan_tasks(self, step, waiting, choose) -> list[Placement]:
@@ -327,6 +385,63 @@
                 return worker
             self._pool.remove(worker)
 
+    def vacate(
+        self,
+        step: execution.Step,
+        count: int,
+        now: float,
+        allows: workerpool.Allows,
+        measure_reclaimable: placement.MeasureReclaimable,
+    ) -> list[fleet.Worker]:
+        """Chooses workers on which a gang fits once runs are preempted there.
+
+        Their capacity is held for the gang for VACATED_TTL_S.
+
+        Args:
+          step: the step of the gang.
+          count: the number of its members.
+          now: the monotonic clock, in seconds.
+          allows: returns whether a worker may run the step.
+          measure_reclaimable: returns what preemption would free on a worker.
+
+        Returns:
+          A worker for each member; empty if they wouldn't all fit.
+        """
+        kept = self._vacated.get(step)
+        if kept is not None and (
+            now - kept.chosen_at >= VACATED_TTL_S
+            or len(kept.workers) != count
+            or not all(self._is_usable(w, now) for w in kept.workers)
+        ):
+            kept = None
+        if kept is None:
+            workers = self.list_vacatable(
+                step, count, allows, measure_reclaimable
+            )
+            if not workers:
+                self._vacated.pop(step, None)
+                return []
+            kept = _Choice(workers, now)
+            self._vacated[step] = kept
+        self._reserve_each(step, kept.workers)
+        return kept.workers
+
+    def list_vacatable(
+        self,
+        step: execution.Step,
+        count: int,
+        allows: workerpool.Allows,
+        measure_reclaimable: placement.MeasureReclaimable,
+    ) -> list[fleet.Worker]:
+        """Returns the workers that `vacate` would choose; holds nothing."""
+        return placement.choose_workers_to_vacate(
+            self.list_ever_fitting(step, allows),
+            step.spec,
+            self.free_capacity,
+            count,
+            measure_reclaimable,
+        )
+
     def reserve(
         self,
         step: execution.Step,
@@ -364,9 +479,7 @@
                 count if step.spec.gang else 1,
             )
             self._kept_reservations[step] = _Choice(reserved, now)
-        for worker in reserved:
-            self._hold(step, worker, 1)
-            self.reservations[worker.id] = step
+        self._reserve_each(step, reserved)
         return reserved
 
     def _find_kept_reservation(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from persimmonpath_entry.decisions import advisorcalls
+from persimmonpath_entry.decisions import backfilling
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import passpacing
@@ -57,6 +58,7 @@
         self._planner = stepplanner.StepPlanner(shard.pool, self._is_usable)
         self._started = 0
         self._pacer = passpacing.PassPacer()
+        self._backfilled_at = -backfilling.MIN_INTERVAL_S
         self._unresponsive_zones: set[str] = set()
         self._pool_refreshed_at = -POOL_REFRESH_S
         # The configuration by which the ready steps are ranked.
@@ -133,12 +135,41 @@
         for step, until in list(self._broken_until.items()):
             if until <= now:
                 del self._broken_until[step]
-        if not self._handle_steps(self._list_ranked(now), now):
+        steps = self._list_ranked(now)
+        if not self._handle_steps(steps, now):
             return
+        self._backfill(steps, now)
         free_capacity = self._planner.free_capacity
         self._ticket_requester.prefetch_queued(free_capacity, now)
         self._ticket_requester.prefetch_for_next_steps(free_capacity, now)
 
+    def _backfill(self, steps: list[execution.Step], now: float):
+        """Lets preemptible tasks run where other steps only hold capacity."""
+        if (
+            now - self._backfilled_at < backfilling.MIN_INTERVAL_S
+            or not self._planner.holds_capacity
+        ):
+            return
+        candidates = [
+            step
+            for step in steps
+            if step in self._shard.ready_steps
+            and backfilling.may_backfill(step.spec)
+        ]
+        if not candidates:
+            return
+        self._backfilled_at = now
+        budget = backfilling.compute_budget(self._shard.pool.list_workers())
+        held = self._planner.begin_backfill()
+        for step in candidates:
+            if budget <= 0 or self._started >= STARTS_PER_PASS:
+                break
+            limit = budget // max(1, step.spec.cpu)
+            started = self._started
+            self._handle_step_safely(step, now, limit)
+            budget -= (self._started - started) * step.spec.cpu
+        self._planner.end_backfill(held)
+
     def _place_changed(self, now: float):
         """Plans the changed steps beside what the other steps hold."""
         steps = [
@@ -159,13 +190,7 @@
         """Places steps in order; returns whether all of them were examined."""
         self._started = 0
         for step in steps:
-            if step in self._broken_until:
-                continue
-            try:
-                self._handle_step(step, now)
-            except Exception as error:  # noqa: BLE001
-                # One step must not keep all others from being placed.
-                self._set_aside(step, error, now)
+            self._handle_step_safely(step, now)
             if (
                 self._started >= STARTS_PER_PASS
                 or clock.read_clock() - now >= MAX_PASS_S
@@ -174,7 +199,30 @@
                 return False
         return True
 
-    def _handle_step(self, step: execution.Step, now: float):
+    def _handle_step_safely(
+        self,
+        step: execution.Step,
+        now: float,
+        backfill_limit: int | None = None,
+    ):
+        """Places a step; an error must not keep others from being placed.
+
+        Args:
+          step: the step.
+          now: the monotonic clock, in seconds.
+          backfill_limit: most tasks to place by backfilling, which reserves
+            nothing; None in a plan of all steps.
+        """
+        if step in self._broken_until:
+            return
+        try:
+            self._handle_step(step, now, backfill_limit)
+        except Exception as error:  # noqa: BLE001
+            self._set_aside(step, error, now)
+
+    def _handle_step(
+        self, step: execution.Step, now: float, backfill_limit: int | None
+    ):
         if not step.submission.is_active:
             self._forget_step(step)
             return
@@ -197,7 +245,10 @@
             waiting = waiting[:STARTS_PER_PASS]
         elif len(waiting) < step.remaining:
             return
-        self._place_step(step, waiting, now)
+        if backfill_limit is not None:
+            waiting = waiting[:backfill_limit]
+        if waiting:
+            self._place_step(step, waiting, now, backfill_limit is None)
 
     def _forget_step(self, step: execution.Step):
         self._shard.ready_steps.discard(step)
@@ -247,13 +298,18 @@
         return self._shard.find_queue(step.submission).advice
 
     def _place_step(
-        self, step: execution.Step, waiting: list[execution.Task], now: float
+        self,
+        step: execution.Step,
+        waiting: list[execution.Task],
+        now: float,
+        may_reserve: bool,
     ):
         policy = self._find_advice_policy(step)
         may_start = self._shard.is_within_horizon(step.submission)
         if policy is None:
             pairs = self._planner.plan(step, waiting, now)
-            self._reserve(step, len(waiting) - len(pairs), now, None)
+            if may_reserve:
+                self._reserve(step, len(waiting) - len(pairs), now, None)
             if may_start:
                 self._start_planned(step, pairs)
             return
@@ -265,8 +321,14 @@
                 self._ticket_requester.add_next_steps(step)
             placed = {task for task, _ in pairs}
         remaining = [task for task in waiting if task not in placed]
-        if remaining:
-            self._reserve_and_request_tickets(step, remaining, policy, now)
+        if not remaining:
+            return
+        if step.spec.gang:
+            self._prepare_gang(step, remaining, policy, now)
+        else:
+            self._reserve_and_request_tickets(
+                step, remaining, policy, now, may_reserve
+            )
 
     def _plan_with_tickets(
         self, step: execution.Step, waiting: list[execution.Task], now: float
@@ -333,6 +395,7 @@
         remaining: list[execution.Task],
         policy: configuration.AdvicePolicy,
         now: float,
+        may_reserve: bool,
     ):
         """Reserves capacity for tasks without a ticket and requests tickets.
 
@@ -342,22 +405,98 @@
         step_advice = step.advice
         allows = step_advice.may_run_on if step_advice.asked else None
         pairs = self._planner.plan_again(step, remaining, now, allows)
-        self._reserve(step, len(remaining) - len(pairs), now, allows)
-        if step_advice.is_asking or now < step_advice.retry_at:
-            return
-        if not pairs:
+        if may_reserve:
+            self._reserve(step, len(remaining) - len(pairs), now, allows)
+        if pairs:
+            workers = [worker for _, worker in pairs]
+            self._request_tickets(step, workers, policy, now, allows)
+        elif not step_advice.is_asking and now >= step_advice.retry_at:
             self._ticket_requester.queue_prefetch(step, policy)
+
+    def _request_tickets(self, step, workers, policy, now: float, allows):
+        """Requests the tickets that planned tasks lack."""
+        if step.advice.is_asking or now < step.advice.retry_at:
             return
         self._ticket_requester.request_tickets(
             step,
             self._planner.list_ever_fitting(step, allows),
-            [worker for _, worker in pairs],
+            workers,
             self._planner.free_capacity,
             policy,
             now,
             advisorcalls.Purpose.START,
         )
 
+    def _prepare_gang(
+        self,
+        step: execution.Step,
+        members: list[execution.Task],
+        policy: configuration.AdvicePolicy,
+        now: float,
+    ):
+        """Obtains tickets and capacity for all members of a waiting gang.
+
+        Nothing is held before enough workers are approved. Other runs are
+        preempted only once all members can start as soon as those have ended.
+        """
+        if self._plan_approved_gang(step, members, policy, now):
+            return
+        if now >= step.advice.retry_at:
+            self._ticket_requester.explore(
+                step, policy, self._planner.free_capacity
+            )
+        if not step.advice.is_asking:
+            self._planner.reserve(
+                step, len(members), now, step.advice.is_approved
+            )
+
+    def _plan_approved_gang(
+        self,
+        step: execution.Step,
+        members: list[execution.Task],
+        policy: configuration.AdvicePolicy,
+        now: float,
+    ) -> bool:
+        """Plans a gang on approved workers, with preemption if need be.
+
+        Returns:
+          Whether all members fit there at once.
+        """
+        advice = step.advice
+        pairs = self._planner.plan_again(step, members, now, advice.is_approved)
+        if pairs:
+            workers = [worker for _, worker in pairs]
+            self._request_tickets(
+                step, workers, policy, now, advice.is_approved
+            )
+            return True
+        priority = self._shard.find_queue(step.submission).priority
+
+        def has_ticket(worker: fleet.Worker) -> bool:
+            valid_until = now + preemption.STOP_DURATION_S
+            return advice.find_ticket(worker.id, valid_until) is not None
+
+        def measure_reclaimable(worker: fleet.Worker) -> tuple[int, int, int]:
+            return preemption.measure_reclaimable(
+                worker, priority, self._find_priority
+            )
+
+        count = len(members)
+        vacated = self._planner.vacate(
+            step, count, now, has_ticket, measure_reclaimable
+        )
+        if vacated:
+            self._preempt(step, vacated)
+            return True
+        workers = self._planner.list_vacatable(
+            step, count, advice.is_approved, measure_reclaimable
+        )
+        if workers:
+            self._request_tickets(
+                step, workers, policy, now, advice.is_approved
+            )
+        return bool(workers)
+
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
         """Reserves workers for waiting tasks, preempting runs if need be."""
         if count:
@@ -368,7 +507,8 @@
         """Preempts less urgent runs for a step that has waited for long."""
         now = clock.read_clock()
         is_early = (
-            now - (step.ready_since or now) < preemption.PREEMPTION_DELAY_S
+            not step.spec.gang
+            and now - (step.ready_since or now) < preemption.PREEMPTION_DELAY_S
         )
         if is_early or not self._shard.may_start(now):
             return
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -9,6 +9,10 @@
 # Tickets of a step that isn't ready yet are requested only if the advisor takes
 # at most this long, in milliseconds.
 MAX_PREFETCH_DECIDE_MS = 60.0
+# Share of workers that the advisor approves for a queue of which nothing is
+# known yet, and the weight of the newest answer in the moving average.
+INITIAL_GOOD_SHARE = 0.5
+GOOD_SHARE_WEIGHT = 0.2
 
 
 class TicketRequester:
@@ -22,6 +26,8 @@
         # Steps without free capacity, with the advice policy of their queue,
         # in order of urgency.
         self._prefetch_queue: list[tuple] = []
+        # Share of the workers that the advisor has approved lately, by queue.
+        self._good_shares: dict[str, float] = {}
 
     def begin_pass(self):
         """Clears the prefetch queue at the start of a scheduling pass."""
@@ -129,6 +135,34 @@
             ):
                 return
 
+    def explore(
+        self,
+        step: execution.Step,
+        policy,
+        free_capacity: placement.FreeCapacity,
+    ):
+        """Asks about more workers for a gang if too few are approved.
+
+        Args:
+          step: the step of the gang.
+          policy: the advice policy of its queue.
+          free_capacity: the capacity that is left in the current plan.
+        """
+        queue = step.submission.record.queue
+        batches = advisorcalls.choose_batches_to_explore(
+            step.advice,
+            step.spec,
+            step.remaining,
+            self._list_candidates(step),
+            self._good_shares.get(queue, INITIAL_GOOD_SHARE),
+            free_capacity,
+        )
+        for targets in batches:
+            if not self._start_call(
+                step, targets, policy, advisorcalls.Purpose.START
+            ):
+                return
+
     def _list_candidates(self, step: execution.Step):
         """Returns the workers of the pool that may run a step."""
         return [
@@ -161,16 +195,32 @@
         )
         if not targets:
             return True
+        return self._start_call(step, targets, policy, purpose)
+
+    def _start_call(self, step, targets: list[str], policy, purpose) -> bool:
+        """Starts a call unless no VM is free; returns whether it did."""
         caller = self._advisor.reserve_caller(policy, len(targets), purpose)
         if caller is None:
             return False
         step.advice.is_asking = True
+        step.advice.asking.update(targets)
         self._shard.spawn(self._fetch_tickets(step, targets, policy, caller))
         return True
 
-    async def _fetch_tickets(self, step, targets, policy, caller):
+    async def _fetch_tickets(self, step, targets: list[str], policy, caller):
+        step_advice = step.advice
+        new = [w for w in targets if w not in step_advice.asked]
         try:
             await self._advisor.ask(step, targets, policy, caller)
         finally:
-            step.advice.is_asking = False
+            step_advice.asking.difference_update(targets)
+            step_advice.is_asking = bool(step_advice.asking)
+        if new and step_advice.asked.issuperset(new):
+            good = sum(worker_id in step_advice.good for worker_id in new)
+            self._record_good_share(step, good / len(new))
         self._shard.request_placement(step)
+
+    def _record_good_share(self, step: execution.Step, share: float):
+        queue = step.submission.record.queue
+        known = self._good_shares.get(queue, INITIAL_GOOD_SHARE)
+        self._good_shares[queue] = known + GOOD_SHARE_WEIGHT * (share - known)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -245,6 +245,7 @@
       good: ids of the workers that may run the step.
       asked: ids of the workers for which the advisor has answered.
       is_asking: whether a call is in flight.
+      asking: ids of the workers named in calls in flight.
       retry_at: when the advisor may be called again after a failure.
     """
 
@@ -253,12 +254,17 @@
         self.good: set[str] = set()
         self.asked: set[str] = set()
         self.is_asking = False
+        self.asking: set[str] = set()
         self.retry_at = 0.0
 
     def may_run_on(self, worker: fleet.Worker) -> bool:
         """Returns whether the advisor hasn't excluded a worker so far."""
         return worker.id in self.good or worker.id not in self.asked
 
+    def is_approved(self, worker: fleet.Worker) -> bool:
+        """Returns whether the advisor has approved a worker."""
+        return worker.id in self.good
+
     def find_ticket(self, worker_id: str, now: float) -> str | None:
         """Returns a valid ticket for a worker, or None."""
         row = self.tickets.get(worker_id)
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -1,9 +1,12 @@
 """Tests of what a scheduling pass starts, reserves and requests."""
 
+import asyncio
 import unittest
 
+from persimmonpath_entry.decisions import backfilling
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 from tests.entry import fakes
@@ -13,6 +16,9 @@
 ADVICE = configuration.AdvicePolicy(500.0, 8.0, 2000.0)
 LARGE_SPEC = submissions.StepSpec(count=1, cpu=16000, memory_mb=100)
 SMALL_SPEC = submissions.StepSpec(count=1, cpu=1000, memory_mb=100)
+CHECKPOINTING_SPEC = submissions.StepSpec(
+    count=1, cpu=1000, memory_mb=100, checkpointing=True
+)
 
 
 class FakeCommands:
@@ -29,11 +35,25 @@
 
 
 class FakeAdvisor:
+    """Answers each call with a ticket for every worker that is approved."""
+
+    def __init__(self):
+        self.approved = None
+        self.calls = []
+
     def reserve_caller(self, policy, count, purpose):
-        return None
+        return None if self.approved is None else "vm-2"
 
+    async def ask(self, step, workers, policy, caller):
+        self.calls.append(workers)
+        step.advice.asked.update(workers)
+        for worker_id in self.approved.intersection(workers):
+            step.advice.good.add(worker_id)
+            until = clock.read_clock() + policy.valid_ms / 1000
+            step.advice.tickets[worker_id] = ("ticket", until)
 
-class PassTest(unittest.IsolatedAsyncioTestCase):
+
+class SchedulerTestCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         queues = [
             fakes.make_queue(advice=ADVICE),
@@ -44,8 +64,9 @@
         self.shard = fakes.make_shard(node)
         self.worker = fakes.add_worker(self.shard)
         self.commands = FakeCommands()
+        self.advisor = FakeAdvisor()
         self.scheduler = taskscheduler.TaskScheduler(
-            self.shard, self.commands, FakeListings(), FakeAdvisor()
+            self.shard, self.commands, FakeListings(), self.advisor
         )
 
     def add_step(self, submission_id, spec, **changes):
@@ -53,6 +74,8 @@
         self.shard.apply_submission(submission_id, record)
         return self.shard.submissions[submission_id].steps["0.0"]
 
+
+class PassTest(SchedulerTestCase):
     async def test_capacity_is_reserved_while_the_advisor_is_asked(self):
         """Small tasks took the free capacity during each of a dozen calls.
 
@@ -126,3 +149,96 @@
         self.assertTrue(self.shard.schedule_requested.is_set())
         self.scheduler._place(clock.read_clock())
         self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
+
+    async def test_preemptible_tasks_use_what_a_gang_only_waits_for(self):
+        """Half of the capacity was idle while hundreds of tasks waited.
+
+        Seen in trouble-1 of the grown tender: 1,500 of 2,800 cores in use and
+        2,000 held for gangs that waited for tickets or room.
+        """
+        runner = self.add_step("cc" * 8, SMALL_SPEC, queue="batch")
+        fakes.start_run(self.shard, runner.tasks[0], self.worker)
+        large_step = self.add_step(LARGE_ID, LARGE_SPEC)
+        large_step.advice.is_asking = True
+        self.add_step(SMALL_ID, CHECKPOINTING_SPEC, queue="batch")
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
+        # The next plan between passes leaves the held capacity alone.
+        self.add_step("dd" * 8, SMALL_SPEC, queue="batch")
+        self.scheduler._place_changed(clock.read_clock())
+        self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
+
+    async def test_backfilling_leaves_room_for_urgent_tasks(self):
+        """A quote that comes next would wait until a batch task ends."""
+        large_step = self.add_step(LARGE_ID, LARGE_SPEC)
+        large_step.advice.is_asking = True
+        spec = submissions.StepSpec(
+            count=40, cpu=1000, memory_mb=100, checkpointing=True
+        )
+        self.add_step(SMALL_ID, spec, queue="batch")
+        for _ in range(3):
+            self.scheduler._backfilled_at = -1.0
+            self.scheduler._run_pass(clock.read_clock())
+        headroom = backfilling.HEADROOM_SHARE * self.worker.registration.cpu
+        self.assertTrue(self.commands.started)
+        self.assertGreaterEqual(self.worker.free_cpu, headroom - SMALL_SPEC.cpu)
+
+
+class GangTest(SchedulerTestCase):
+    """A gang whose members only some of the workers may run."""
+
+    WORKERS = 64
+    MEMBERS = 24
+
+    def setUp(self):
+        super().setUp()
+        for number in range(self.WORKERS - 1):
+            fakes.add_worker(self.shard, f"w{number + 2}")
+        ids = sorted(self.shard.workers)
+        self.advisor.approved = set(ids[::3])
+
+    def add_gang(self):
+        spec = submissions.StepSpec(
+            count=self.MEMBERS, cpu=8000, memory_mb=100, gang=True
+        )
+        return self.add_step(LARGE_ID, spec)
+
+    async def settle_calls(self):
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def test_enough_workers_are_asked_about_at_the_same_time(self):
+        """Asked one call after the other a gang of 20 waited for 2.4 s.
+
+        The first tickets had expired when the last ones came.
+        """
+        self.add_gang()
+        self.scheduler._run_pass(clock.read_clock())
+        await self.settle_calls()
+        self.assertEqual(len(self.advisor.calls), 2)
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(len(self.commands.started), self.MEMBERS)
+
+    async def test_runs_are_preempted_once_the_whole_gang_can_start(self):
+        """Room made for a part of the gang would stay idle."""
+        fill = submissions.StepSpec(
+            count=2 * self.WORKERS, cpu=8000, memory_mb=100, checkpointing=True
+        )
+        batch = self.add_step(SMALL_ID, fill, queue="batch")
+        workers = list(self.shard.workers.values())
+        for number, task in enumerate(batch.tasks):
+            run = fakes.start_run(self.shard, task, workers[number // 2])
+            run.phase = execution.Phase.RUNNING
+        self.add_gang()
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(self.shard.stopped, [])
+        await self.settle_calls()
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(len(self.shard.stopped), self.MEMBERS)
+        stopped_on = {run.worker.id for run, _ in self.shard.stopped}
+        self.assertLessEqual(stopped_on, self.advisor.approved)
+        for run, _ in self.shard.stopped:
+            self.shard.remove_run(run, "stopped", "saved")
+        self.scheduler._run_pass(clock.read_clock())
+        gang = [n for n in self.commands.started if n.startswith(LARGE_ID)]
+        self.assertEqual(len(gang), self.MEMBERS)
