Limit what waiting gangs reserve, and ask for spare tickets

Sixteen gangs each kept two free workers and waited for a third; a call named only the planned workers, whose capacity was taken before it was answered; expired gangs preempted others. Change: reservations end at a quarter of the CPU; a call for a gang names up to 12 spare approved workers; exploring calls name ten workers at least; expired steps preempt nothing.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
@@ -15,6 +15,11 @@
 
 # Most workers named in one call; the call takes longer with each of them.
 WORKERS_PER_CALL = 30
+# Most approved workers with free capacity that a call for a gang names besides
+# the planned ones, whose capacity may be taken while the call is under way.
+SPARE_WORKERS = 12
+# Fewest workers named in a call that explores, if so many are left.
+MIN_EXPLORED_WORKERS = 10
 # Calls expected to take at most this long are made by this VM. Longer ones are
 # made by peers, so that urgent tasks with short calls don't wait behind them.
 SHORT_CALL_S = 0.1
@@ -79,11 +84,19 @@
     if step_advice.asked and all(
         worker_id in step_advice.good for worker_id in targets
     ):
+        good = [w for w in fitting if w.id in step_advice.good]
         if targets:
+            if spec.gang:
+                spare = [
+                    worker.id
+                    for worker in good
+                    if not step_advice.find_ticket(worker.id, now)
+                    and placement.fits(worker, spec, free_capacity)
+                ]
+                targets.update(dict.fromkeys(spare[:SPARE_WORKERS]))
             return list(targets)[:WORKERS_PER_CALL]
-        good = [w.id for w in fitting if w.id in step_advice.good]
         if good:
-            return good[:WORKERS_PER_CALL]
+            return [w.id for w in good][:WORKERS_PER_CALL]
     unasked = [
         worker for worker in fitting if worker.id not in step_advice.asked
     ]
@@ -134,8 +147,10 @@
             unasked.append((worker, slots))
     unasked.sort(key=lambda entry: -free_capacity.get_free(entry[0])[0])
     chosen = []
+    if expected >= wanted:
+        return []
     for worker, slots in unasked:
-        if expected >= wanted:
+        if expected >= wanted and len(chosen) >= MIN_EXPLORED_WORKERS:
             break
         expected += slots * good_share
         chosen.append(worker.id)
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -17,9 +17,13 @@
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 
-# Steps that may reserve workers in one plan. Their reservations are kept for
-# RESERVATION_TTL_S seconds, since choosing them examines every worker.
+# Steps that may reserve workers in one plan, and the share of the CPU after
+# which no further step may. Many gangs that each keep a part of what they need
+# would leave most of the workers idle.
 MAX_RESERVING_STEPS = 16
+MAX_RESERVED_SHARE = 0.25
+# Reservations are kept for this long, in seconds, since choosing them examines
+# every worker.
 RESERVATION_TTL_S = 0.2
 # Seconds for which the workers planned for a step without tickets are kept.
 PLAN_TTL_S = 0.1
@@ -77,7 +81,8 @@
         self._held: dict[execution.Step, list[tuple[fleet.Worker, int]]] = {}
         self._former_reservations: dict[str, execution.Step] = {}
         self.reservations: dict[str, execution.Step] = {}
-        self._reserving_steps = 0
+        # The CPU that each step with a reservation has reserved.
+        self._reserved_cpu: dict[execution.Step, int] = {}
         self._kept_reservations: dict[execution.Step, _Choice] = {}
         self._kept_plans: dict[execution.Step, _Choice] = {}
         self._vacated: dict[execution.Step, _Choice] = {}
@@ -94,7 +99,7 @@
         self._held.clear()
         self._former_reservations = self.reservations
         self.reservations = {}
-        self._reserving_steps = 0
+        self._reserved_cpu.clear()
         self._unplaceable = workerpool.UnplaceableSizes()
         _drop_older(self._kept_plans, now - PLAN_TTL_S)
         _drop_older(self._kept_reservations, now - RESERVATION_TTL_S)
@@ -144,6 +149,7 @@
 
     def release(self, step: execution.Step):
         """Releases what a step holds, before it is planned anew."""
+        self._reserved_cpu.pop(step, None)
         for worker, count in self._held.pop(step, ()):
             self.free_capacity.release(worker, step.spec, count)
 
@@ -171,7 +177,7 @@
 
     def is_hopeless(self, step: execution.Step) -> bool:
         """Returns whether a step can neither be planned nor reserve now."""
-        if self._reserving_steps < MAX_RESERVING_STEPS:
+        if self._may_reserve():
             return False
         count = step.remaining if step.spec.gang else 1
         return self._unplaceable.covers(step.spec, count)
@@ -464,12 +470,11 @@
         Returns:
           A worker for each task that has a reservation.
         """
-        if self._reserving_steps >= MAX_RESERVING_STEPS:
+        if not self._may_reserve():
             return []
         waited_s = now - (step.ready_since or now)
         if not placement.is_reservation_active(waited_s):
             return []
-        self._reserving_steps += 1
         reserved = self._find_kept_reservation(step, count, now)
         if reserved is None:
             reserved = placement.choose_workers_to_reserve(
@@ -479,9 +484,18 @@
                 count if step.spec.gang else 1,
             )
             self._kept_reservations[step] = _Choice(reserved, now)
+        self._reserved_cpu[step] = len(reserved) * step.spec.cpu
         self._reserve_each(step, reserved)
         return reserved
 
+    def _may_reserve(self) -> bool:
+        """Returns whether a further step may reserve workers in this plan."""
+        limit_cpu = MAX_RESERVED_SHARE * self._pool.cpu
+        return (
+            len(self._reserved_cpu) < MAX_RESERVING_STEPS
+            and sum(self._reserved_cpu.values()) <= limit_cpu
+        )
+
     def _find_kept_reservation(
         self, step: execution.Step, count: int, now: float
     ) -> list[fleet.Worker] | None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -470,6 +470,8 @@
                 step, workers, policy, now, advice.is_approved
             )
             return True
+        if self._rank_step(step, now)[0].is_expired:
+            return False
         priority = self._shard.find_queue(step.submission).priority
 
         def has_ticket(worker: fleet.Worker) -> bool:
@@ -506,6 +508,8 @@
     def _preempt(self, step: execution.Step, reserved: list[fleet.Worker]):
         """Preempts less urgent runs for a step that has waited for long."""
         now = clock.read_clock()
+        if self._rank_step(step, now)[0].is_expired:
+            return
         is_early = (
             not step.spec.gang
             and now - (step.ready_since or now) < preemption.PREEMPTION_DELAY_S
