Don't lose ends of submissions not read yet, and take over on strong VMs

Candidates called a store that refused as fast as it answered. Change: an end of an unknown submission, and those after it, wait for a complete read of the submissions; its task isn't started meanwhile. A weak VM leaves a takeover to a much stronger one that reaches the store, for 4 s at most, and gives way before it has loaded.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ownerselection.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ownerselection.py
@@ -68,3 +68,29 @@
 def is_outweighed(own_weight: float, other_weights: list[float]) -> bool:
     """Returns whether an owner should transfer its service to another VM."""
     return max(other_weights, default=0.0) >= TRANSFER_WEIGHT_RATIO * own_weight
+
+
+def list_much_stronger(
+    own_weight: float, weights: dict[str, float], limit: int
+) -> list[str]:
+    """Returns the VMs that should take a service over instead of this one.
+
+    Covers an outage after which a VM with a narrow link is the first to reach
+    the store again. It can't load a service of thousands of submissions before
+    its lease ends, and the next such VM takes over from it.
+
+    Args:
+      own_weight: the weight of this VM.
+      weights: the weights of the reachable peers by address.
+      limit: most VMs to return.
+
+    Returns:
+      Addresses, the strongest first.
+    """
+    stronger = [
+        address
+        for address, weight in weights.items()
+        if is_outweighed(own_weight, [weight])
+    ]
+    stronger.sort(key=lambda address: (-weights[address], address))
+    return stronger[:limit]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -259,16 +259,35 @@
         if not worker.is_fenced:
             worker.is_fenced = True
             self._shard.request_schedule()
-        self._apply_ends(worker, listing)
+        unidentified = self._apply_ends(worker, listing, now)
         self._apply_running(worker, listing, now)
         self._remove_unlisted_runs(worker, listing, listed_runs, sent_at)
+        unidentified.update(task for task, _ in worker.unknown_runs)
+        if unidentified:
+            self._shard.unidentified_tasks[worker.id] = unidentified
+        else:
+            self._shard.unidentified_tasks.pop(worker.id, None)
         if self._shard.unsettled.pop(worker.id, None) is not None:
             self._shard.store_requested.set()
 
-    def _apply_ends(self, worker: fleet.Worker, listing: worker_calls.Listing):
-        for end in sorted(listing.ended, key=lambda end: end.number):
+    def _apply_ends(
+        self, worker: fleet.Worker, listing: worker_calls.Listing, now: float
+    ) -> set[str]:
+        """Applies the ends that haven't been processed, in their order.
+
+        An end of an unknown submission may belong to one that this owner hasn't
+        read yet. It is neither processed nor acknowledged, and no later one,
+        until the submissions have been read after it was first listed.
+
+        Returns:
+          The names of the tasks whose ends were left for a later listing.
+        """
+        ends = sorted(listing.ended, key=lambda end: end.number)
+        for index, end in enumerate(ends):
             if end.number <= worker.processed:
                 continue
+            if not self._is_identified(worker, end, now):
+                return {left.task for left in ends[index:]}
             worker.processed = end.number
             self._shard.store_requested.set()
             run = worker.runs.get((end.task, end.run))
@@ -281,6 +300,26 @@
                     task, end.run, end.how, end.saved, worker
                 )
 
+        return set()
+
+    def _is_identified(
+        self, worker: fleet.Worker, end: worker_calls.EndedTask, now: float
+    ) -> bool:
+        """Returns whether the submission of an end is known or is none."""
+        if end.task.partition(".")[0] in self._shard.submissions:
+            return True
+        if worker.unidentified_end != end.number:
+            worker.unidentified_end = end.number
+            worker.unidentified_since = now
+            self._node.log.write(
+                "end_unidentified",
+                task=end.task,
+                run=end.run,
+                worker=worker.id,
+                how=end.how,
+            )
+        return self._shard.submissions_read_at > worker.unidentified_since
+
     def _find_task(self, name: str) -> execution.Task | None:
         submission_id, _, key = name.partition(".")
         submission = self._shard.submissions.get(submission_id)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -144,6 +144,24 @@
             if name != self._node.name
         ]
 
+    async def ask_for_takeover(self, address: str) -> bool:
+        """Asks a peer to look for services without an owner.
+
+        Returns:
+          Whether it answers and reaches the store.
+        """
+        outcome = await self.call(
+            address, "POST", "/peer/owners-changed", timeout_s=PEER_TIMEOUT_S
+        )
+        if isinstance(outcome, httpclient.NoResponse):
+            return False
+        outcome = await self.call(
+            address, "GET", "/peer/store", timeout_s=PEER_TIMEOUT_S
+        )
+        return (
+            isinstance(outcome, httpclient.Response) and outcome.status == 200
+        )
+
     def list_probe_targets(self, count: int) -> list[str]:
         """Returns peers of other zones to probe, spread over many zones.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -39,6 +39,10 @@
 # stronger one takes over first. On a link of 10 Mbit/s, reading a thousand
 # submissions takes 3 s.
 WEAK_VM_DELAY_S = 1.0
+# A VM leaves a takeover to much stronger ones that reach the store, but not for
+# longer than this, in seconds. The two strongest ones are asked.
+MAX_DEFERRAL_S = 4.0
+ASKED_STRONGER_VMS = 2
 
 
 class Ownership:
@@ -65,6 +69,8 @@
         self._watchers: dict[str, ownerwatch.OwnerWatcher] = {}
         self._refresh_requested = asyncio.Event()
         self._takeovers: set[str] = set()
+        # Since when this VM has left the takeover of a service to others.
+        self._deferred_since: dict[str, float] = {}
         self.has_read_owners = False
 
     def find_owner(self, service: str) -> str | None:
@@ -159,9 +165,13 @@
             observed = self._directory.observed_owners.get(service)
             if await self._directory.may_take_over(observed):
                 await asyncio.sleep(self._choose_takeover_delay(service))
+                if await self._defer_to_stronger_vm(service):
+                    return
                 await self._take_over(
                     service, self._directory.observed_owners.get(service)
                 )
+            else:
+                self._deferred_since.pop(service, None)
         finally:
             self._takeovers.discard(service)
 
@@ -207,7 +217,9 @@
             return
         now = clock.read_clock()
         for service, shard in self.shards.items():
-            if shard.is_open and now - shard.opened_at > MIN_TENURE_S:
+            # Until it is loaded, nothing is lost by a change of the owner.
+            is_due = not shard.is_loaded or now - shard.opened_at > MIN_TENURE_S
+            if shard.is_open and not shard.is_leaving and is_due:
                 self._node.log.warn(
                     "giving_way", service=service, weight=self._peers.own_weight
                 )
@@ -216,6 +228,32 @@
                     self._release(service, shard)
                 )
 
+    async def _defer_to_stronger_vm(self, service: str) -> bool:
+        """Leaves a takeover to a much stronger VM that reaches the store.
+
+        Returns:
+          Whether there is one, and this VM hasn't waited for MAX_DEFERRAL_S.
+        """
+        weights = self._peers.list_reachable_weights()
+        weights.pop(self._node.peer_address)
+        stronger = ownerselection.list_much_stronger(
+            self._peers.own_weight, weights, ASKED_STRONGER_VMS
+        )
+        now = clock.read_clock()
+        since = self._deferred_since.setdefault(service, now)
+        if not stronger or now - since > MAX_DEFERRAL_S:
+            return False
+        statuses = await asyncio.gather(
+            *(self._peers.ask_for_takeover(address) for address in stronger)
+        )
+        if not any(statuses):
+            return False
+        self._node.log.write(
+            "takeover_deferred", service=service, to=",".join(stronger)
+        )
+        await asyncio.sleep(RETRY_S)
+        return True
+
     def _choose_takeover_delay(self, service: str) -> float:
         """Returns the seconds to wait before this VM takes a service over.
 
@@ -284,6 +322,10 @@
                 version=version,
                 outcome=type(result).__name__,
             )
+            if not isinstance(result, platform_store.Conflict):
+                # A store that is away refuses at once. Without a pause the
+                # candidates would call it as fast as it answers.
+                await asyncio.sleep(RETRY_S)
             self.request_refresh()
             return
         self._start_shard(service, result.version, former, observed, sent_at)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -38,6 +38,11 @@
         the time at which every lease granted there has expired.
       unsettled_tasks: names of the tasks that may run on an unsettled worker,
         by worker id; a worker that isn't a key may run any task.
+      unidentified_tasks: names of tasks of which a worker lists a run or an end
+        and whose submission hasn't been read yet, by worker id. A former owner
+        may have started them after this one had read the submissions.
+      submissions_read_at: when the last complete read of the submissions began,
+        on the monotonic clock.
       former_horizon: newest submission version of which former owners may
         have started tasks, None if unknown.
       newest_version: newest submission version that this owner has seen.
@@ -89,6 +94,8 @@
         self.clients: dict[str, worker_calls.WorkerClient] = {}
         self.unsettled = unsettled
         self.unsettled_tasks: dict[str, set[str]] = {}
+        self.unidentified_tasks: dict[str, set[str]] = {}
+        self.submissions_read_at = 0.0
         self.former_horizon: int | None = 0
         self.newest_version = 0
         self.stored_horizon = 0
@@ -217,7 +224,11 @@
     # Submissions.
 
     def may_run_elsewhere(self, task: execution.Task) -> bool:
-        """Returns whether an unsettled worker may still run a task."""
+        """Returns whether a former owner's run of a task isn't accounted for.
+
+        It may go on at a worker that hasn't answered yet, or be listed by one
+        whose listing couldn't be applied to the submission.
+        """
         step = task.step
         if (
             task.is_accounted
@@ -228,6 +239,8 @@
         if not step.submission.may_have_former_runs:
             return False
         name = task.name
+        if any(name in names for names in self.unidentified_tasks.values()):
+            return True
         return any(
             worker_id not in self.unsettled_tasks
             or name in self.unsettled_tasks[worker_id]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -45,6 +45,7 @@
           False if the store refused a read; nothing is applied then.
         """
         store = self._node.store
+        began_at = clock.read_clock()
         rows = await self._read_submissions()
         if isinstance(rows, platform_store.Refused):
             return False
@@ -63,6 +64,7 @@
         for row in rows.rows:
             self._apply_submission_row(row, progress_by_id.get(row.key))
         self._submission_version = rows.version
+        self._shard.submissions_read_at = began_at
         return True
 
     async def _read_submissions(self):
@@ -92,6 +94,7 @@
     async def follow_submissions(self):
         """Applies new submissions and cancellations not announced by peers."""
         while self._shard.is_open:
+            began_at = clock.read_clock()
             result = await self._node.store.follow(
                 persistence.SUBMISSION_TABLE, self._submission_version, 0
             )
@@ -108,6 +111,7 @@
                 self._submission_version = result.version
                 if result.has_more:
                     continue
+                self._shard.submissions_read_at = began_at
             await asyncio.sleep(SUBMISSION_POLL_S)
 
     async def follow_workers(self):
@@ -178,7 +182,8 @@
 
     def _check_worker(self, worker: fleet.Worker, now: float):
         is_unresponsive = worker.unresponsive_since is not None
-        if is_unresponsive and worker.runs and now > worker.bound_lease_end():
+        may_run = worker.runs or worker.id in self._shard.unidentified_tasks
+        if is_unresponsive and may_run and now > worker.bound_lease_end():
             self._shard.worker_registry.mark_worker_lost(worker, "lease ended")
         if is_unresponsive and not worker.is_listed and not worker.runs:
             self._shard.worker_registry.remove_worker(worker)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -233,7 +233,7 @@
         if not waiting:
             self._forget_step(step)
             return
-        if self._shard.unsettled:
+        if self._shard.unsettled or self._shard.unidentified_tasks:
             waiting = [
                 task
                 for task in waiting
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
@@ -110,6 +110,7 @@
             else clock.read_clock() - worker.unresponsive_since,
         )
         self._shard.unsettled.pop(worker.id, None)
+        self._shard.unidentified_tasks.pop(worker.id, None)
         for run in list(worker.runs.values()):
             self._shard.remove_run(run, "lost", "")
 
@@ -136,6 +137,7 @@
     def remove_worker(self, worker: fleet.Worker):
         """Removes a worker that has left, and closes its client."""
         self._shard.workers.pop(worker.id, None)
+        self._shard.unidentified_tasks.pop(worker.id, None)
         client = self._shard.clients.pop(worker.id, None)
         if client is not None:
             client.close()
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -30,6 +30,9 @@
       last_seen: number of the last run end that is stored.
       acknowledged: number of the last run end acknowledged to the worker.
       processed: number of the last run end that has been processed.
+      unidentified_end: number of a run end whose submission isn't known, and
+        that isn't processed yet.
+      unidentified_since: when that end was first listed.
       clock: the worker's monotonic clock in milliseconds and the time at which
         it was read, or None.
       max_lease_end_ms: the latest lease end granted, on the worker's clock.
@@ -72,6 +75,8 @@
         self.last_seen = 0
         self.acknowledged = 0
         self.processed = 0
+        self.unidentified_end = 0
+        self.unidentified_since = 0.0
         self.clock: tuple[float, float] | None = None
         self.max_lease_end_ms = 0.0
         self.born = registration.born
@@ -110,6 +115,7 @@
         """
         self.born = born
         self.processed = 0
+        self.unidentified_end = 0
         self.last_seen = 0
         self.acknowledged = 0
         self.clock = None
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -230,3 +230,59 @@
         fenced = worker_calls.Rejected(worker_calls.STALE_FENCE)
         self.listings._handle_failure(self.worker, fenced, 1.0)
         self.assertFalse(self.shard.is_open)
+
+
+LATE_ID = "00000000000000bb"
+LATE_NAME = f"{LATE_ID}.0.0.0"
+
+
+class UnreadSubmissionTest(unittest.IsolatedAsyncioTestCase):
+    """A former owner started a task that this owner hasn't read yet.
+
+    A horizon that lies ahead lets a replaced owner start tasks of submissions
+    that are accepted after the takeover, until a worker sees the new fence. A
+    task ran again after it had been done (trouble-3 of the grown tender).
+    """
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.shard.former_horizon = 20
+        self.worker = fakes.add_worker(self.shard)
+        self.listings = listings.ListingPoller(self.shard)
+        self.listings.commands = FakeCommands()
+
+    def apply(self, listing):
+        now = clock.read_clock()
+        self.listings._apply_listing(self.worker, listing, now, now)
+
+    def read_submission(self):
+        self.shard.apply_submission(LATE_ID, fakes.make_record(), version=15)
+        return self.shard.submissions[LATE_ID].find_task("0.0.0")
+
+    async def test_its_end_is_kept_until_the_submission_is_read(self):
+        listing = make_listing(ended=[(1, LATE_NAME, 4001, "done", "")])
+        self.apply(listing)
+        self.assertEqual(self.worker.processed, 0)
+        task = self.read_submission()
+        self.assertTrue(self.shard.may_run_elsewhere(task))
+        self.apply(listing)
+        self.assertTrue(task.is_done)
+        self.assertEqual(self.worker.processed, 1)
+        self.assertEqual(self.shard.unidentified_tasks, {})
+
+    async def test_its_run_is_adopted_and_not_started_again(self):
+        listing = make_listing([(LATE_NAME, 4001, "", 100, 500)])
+        self.apply(listing)
+        task = self.read_submission()
+        self.assertTrue(self.shard.may_run_elsewhere(task))
+        self.apply(listing)
+        self.assertEqual([run.number for run in task.runs], [4001])
+
+    async def test_an_end_of_no_submission_holds_others_up_for_one_read(self):
+        """Rows of ended submissions are removed; their ends may come later."""
+        listing = make_listing(ended=[(1, LATE_NAME, 4001, "done", "")])
+        self.apply(listing)
+        self.shard.submissions_read_at = clock.read_clock()
+        self.apply(listing)
+        self.assertEqual(self.worker.processed, 1)
+        self.assertEqual(self.shard.unidentified_tasks, {})
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -1,5 +1,6 @@
 """Tests of takeovers and of the ends of a former owner's leases."""
 
+import asyncio
 import unittest
 
 import msgspec
@@ -144,3 +145,64 @@
         self.ownership._peers.own_weight = 2.0
         delay_s = self.ownership._choose_takeover_delay(fakes.SERVICE)
         self.assertLess(delay_s, owners.WEAK_VM_DELAY_S)
+
+
+class TakeoverTest(unittest.IsolatedAsyncioTestCase):
+    """Covers a store that is back after an outage, with VMs of unlike sizes."""
+
+    def setUp(self):
+        self.store = fakes.FakeStore()
+        self.node = fakes.make_context(self.store)
+        self.peers = members.Members(self.node)
+        advisor = advicebalancer.AdviceBalancer(self.node, self.peers)
+        self.ownership = owners.Ownership(self.node, self.peers, advisor)
+        self.peers.own_weight = 0.05
+        self.peers._records["vm-2"] = members.MemberRecord(
+            "b:1", "z1", "y", 2.0
+        )
+        self.calls = []
+        self.store_status = 200
+
+        async def call(address, method, target, *arguments, **options):
+            self.calls.append((address, target))
+            return httpclient.Response(self.store_status, b"")
+
+        self.peers.call = call
+
+    async def test_a_weak_vm_leaves_it_to_a_strong_one(self):
+        """Weak VMs took a service over from one another for six seconds.
+
+        None of them could load it within its lease (trouble-3 of the grown
+        tender).
+        """
+        self.assertTrue(
+            await self.ownership._defer_to_stronger_vm(fakes.SERVICE)
+        )
+        self.assertIn(("b:1", "/peer/owners-changed"), self.calls)
+
+    async def test_a_weak_vm_acts_if_strong_ones_don_t_reach_the_store(self):
+        self.store_status = 503
+        self.assertFalse(
+            await self.ownership._defer_to_stronger_vm(fakes.SERVICE)
+        )
+
+    async def test_a_weak_vm_waits_for_a_strong_one_for_a_limited_time(self):
+        """The service must not stay without an owner if that one never acts."""
+        self.ownership._deferred_since[fakes.SERVICE] = (
+            clock.read_clock() - owners.MAX_DEFERRAL_S - 1
+        )
+        self.assertFalse(
+            await self.ownership._defer_to_stronger_vm(fakes.SERVICE)
+        )
+
+    async def test_refused_takeovers_are_spaced(self):
+        """During an outage the candidates called the store hundreds of times.
+
+        A store that is away refuses at once.
+        """
+        self.store.outcomes = [platform_store.Refused(503)] * 100
+        for _ in range(2):
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(owners.RETRY_S / 2):
+                    await self.ownership._take_over(fakes.SERVICE, None)
+        self.assertEqual(len(self.store.commits), 2)
