Limit reservations by the scarcest resource, expired gangs last

Change: the limit counts the largest share of a worker that each task needs; an expired step reserves only if no other one does; workers that need fewer preemptions come first. test_stepplanner covers the limits, vacating and exploring.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -357,32 +357,52 @@
     for worker in workers:
         cpu, memory_mb, gpu, _, _ = free_capacity.get_free(worker)
         more_cpu, more_mb, more_gpu = measure_reclaimable(worker)
-        rooms.append(
-            _Room(worker, cpu + more_cpu, memory_mb + more_mb, gpu + more_gpu)
-        )
+        reclaimable = (more_cpu, more_mb, more_gpu)
+        rooms.append(_Room(worker, cpu, memory_mb, gpu, reclaimable))
     return _choose_least_short(rooms, spec, count, 0.0)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Room:
-    """A worker and the capacity left on it during a choice."""
+    """A worker and the capacity left on it during a choice.
+
+    Attributes:
+      worker: the worker.
+      cpu: free CPU in thousandths of a core.
+      memory_mb: free memory in MB.
+      gpu: free accelerators.
+      reclaimable: what preemption adds to each of these.
+      chosen: number of tasks for which the worker has been chosen.
+    """
 
     worker: fleet.Worker
     cpu: int
     memory_mb: int
     gpu: int
+    reclaimable: tuple[int, int, int] = (0, 0, 0)
     chosen: int = 0
 
     def take(self, spec: submissions.StepSpec):
+        """Takes the capacity of a task."""
         self.chosen += 1
         self.cpu -= 0 if spec.is_filler else spec.cpu
         self.memory_mb -= spec.memory_mb
         self.gpu -= spec.gpu
 
-    def compute_shortfall(self, spec: submissions.StepSpec) -> float:
-        return _compute_shortfall(
+    def rank(self, spec: submissions.StepSpec) -> tuple[float, float]:
+        """Returns the shortfall that remains with preemption, and without."""
+        cpu, memory_mb, gpu = self.reclaimable
+        without = _compute_shortfall(
             self.worker, spec, self.cpu, self.memory_mb, self.gpu
         )
+        remaining = _compute_shortfall(
+            self.worker,
+            spec,
+            self.cpu + cpu,
+            self.memory_mb + memory_mb,
+            self.gpu + gpu,
+        )
+        return max(0.0, remaining), without
 
 
 def _choose_least_short(
@@ -398,26 +418,38 @@
       the largest shortfall allowed.
     """
     heap = [
-        (room.compute_shortfall(spec), index)
+        (room.rank(spec), index)
         for index, room in enumerate(rooms)
         if _fits_when_empty(room.worker, spec, 1)
     ]
     heapq.heapify(heap)
     chosen: list[fleet.Worker] = []
     while heap and len(chosen) < count:
-        shortfall, index = heap[0]
+        (shortfall, _), index = heap[0]
         if shortfall > max_shortfall:
             break
         room = rooms[index]
         room.take(spec)
         chosen.append(room.worker)
         if _fits_when_empty(room.worker, spec, room.chosen + 1):
-            heapq.heapreplace(heap, (room.compute_shortfall(spec), index))
+            heapq.heapreplace(heap, (room.rank(spec), index))
         else:
             heapq.heappop(heap)
     return chosen if len(chosen) == count else []
 
 
+def compute_dominant_share(
+    worker: fleet.Worker, spec: submissions.StepSpec
+) -> float:
+    """Returns the largest share of a worker's resources that a task needs."""
+    registration = worker.registration
+    return max(
+        0.0 if spec.is_filler else spec.cpu / max(1, registration.cpu),
+        spec.memory_mb / max(1, registration.memory_mb),
+        spec.gpu / max(1, registration.gpu),
+    )
+
+
 def _fits_when_empty(worker, spec, count: int) -> bool:
     """Returns whether an empty worker could run `count` tasks at once."""
     registration = worker.registration
@@ -433,15 +465,16 @@
 def _compute_shortfall(worker, spec, cpu, memory_mb, gpu) -> float:
     """Returns the missing capacity for a task, as a share of the worker.
 
-    The largest share of all resources counts; it is 0 or less if none is
-    missing.
+    The largest share of the resources that the task needs counts; it is 0 or
+    less if none is missing.
     """
     registration = worker.registration
-    return max(
-        0.0 if spec.is_filler else (spec.cpu - cpu) / registration.cpu,
-        (spec.memory_mb - memory_mb) / registration.memory_mb,
-        (spec.gpu - gpu) / max(1, registration.gpu),
-    )
+    shares = [(spec.memory_mb - memory_mb) / registration.memory_mb]
+    if not spec.is_filler:
+        shares.append((spec.cpu - cpu) / registration.cpu)
+    if spec.gpu:
+        shares.append((spec.gpu - gpu) / max(1, registration.gpu))
+    return max(shares)
 
 
 # Returns a worker for a member of a gang, given the capacity that is left and
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -17,9 +17,9 @@
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 
-# Steps that may reserve workers in one plan, and the share of the CPU after
-# which no further step may. Many gangs that each keep a part of what they need
-# would leave most of the workers idle.
+# Steps that may reserve workers in one plan, and the share of all capacity
+# after which no further step may. Many gangs that each keep a part of what they
+# need would leave most of the workers idle.
 MAX_RESERVING_STEPS = 16
 MAX_RESERVED_SHARE = 0.25
 # Reservations are kept for this long, in seconds, since choosing them examines
@@ -81,8 +81,8 @@
         self._held: dict[execution.Step, list[tuple[fleet.Worker, int]]] = {}
         self._former_reservations: dict[str, execution.Step] = {}
         self.reservations: dict[str, execution.Step] = {}
-        # The CPU that each step with a reservation has reserved.
-        self._reserved_cpu: dict[execution.Step, int] = {}
+        # What each step has reserved, in workers.
+        self._reserved: dict[execution.Step, float] = {}
         self._kept_reservations: dict[execution.Step, _Choice] = {}
         self._kept_plans: dict[execution.Step, _Choice] = {}
         self._vacated: dict[execution.Step, _Choice] = {}
@@ -99,7 +99,7 @@
         self._held.clear()
         self._former_reservations = self.reservations
         self.reservations = {}
-        self._reserved_cpu.clear()
+        self._reserved.clear()
         self._unplaceable = workerpool.UnplaceableSizes()
         _drop_older(self._kept_plans, now - PLAN_TTL_S)
         _drop_older(self._kept_reservations, now - RESERVATION_TTL_S)
@@ -149,7 +149,7 @@
 
     def release(self, step: execution.Step):
         """Releases what a step holds, before it is planned anew."""
-        self._reserved_cpu.pop(step, None)
+        self._reserved.pop(step, None)
         for worker, count in self._held.pop(step, ()):
             self.free_capacity.release(worker, step.spec, count)
 
@@ -454,6 +454,7 @@
         count: int,
         now: float,
         allows: workerpool.Allows | None,
+        is_expired: bool = False,
     ) -> list[fleet.Worker]:
         """Reserves the workers that lack the least capacity for waiting tasks.
 
@@ -466,11 +467,13 @@
           count: number of its tasks that wait.
           now: the monotonic clock, in seconds.
           allows: returns whether a worker may run the step, None if all may.
+          is_expired: whether the result will be too late to be of use. Such a
+            step reserves workers only if no other one does.
 
         Returns:
           A worker for each task that has a reservation.
         """
-        if not self._may_reserve():
+        if not self._may_reserve() or (is_expired and self._reserved):
             return []
         waited_s = now - (step.ready_since or now)
         if not placement.is_reservation_active(waited_s):
@@ -484,16 +487,19 @@
                 count if step.spec.gang else 1,
             )
             self._kept_reservations[step] = _Choice(reserved, now)
-        self._reserved_cpu[step] = len(reserved) * step.spec.cpu
+        self._reserved[step] = sum(
+            placement.compute_dominant_share(worker, step.spec)
+            for worker in reserved
+        )
         self._reserve_each(step, reserved)
         return reserved
 
     def _may_reserve(self) -> bool:
         """Returns whether a further step may reserve workers in this plan."""
-        limit_cpu = MAX_RESERVED_SHARE * self._pool.cpu
+        limit = MAX_RESERVED_SHARE * len(self._pool)
         return (
-            len(self._reserved_cpu) < MAX_RESERVING_STEPS
-            and sum(self._reserved_cpu.values()) <= limit_cpu
+            len(self._reserved) < MAX_RESERVING_STEPS
+            and sum(self._reserved.values()) <= limit
         )
 
     def _find_kept_reservation(
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -35,12 +35,10 @@
 
     Attributes:
       free_capacity: the capacity that is left in the current plan.
-      cpu: the CPU of all its workers, in thousandths of a core.
     """
 
     def __init__(self):
         """Creates an empty pool."""
-        self.cpu = 0
         self._index = fitindex.FitIndex()
         self._entries: dict[str, _PooledWorker] = {}
         self._racks: dict[str, dict[str, fleet.Worker]] = {}
@@ -88,7 +86,6 @@
             worker=worker, capacity=capacity, free=self._measure_free(worker)
         )
         self._entries[worker.id] = entry
-        self.cpu += capacity.cpu_millis
         self._index.add(entry)
         rack = self._racks.setdefault(registration.rack, {})
         rack[worker.id] = worker
@@ -98,7 +95,6 @@
         entry = self._entries.pop(worker.id, None)
         if entry is None:
             return
-        self.cpu -= entry.capacity.cpu_millis
         self._index.remove(entry)
         for rack in self._racks.values():
             rack.pop(worker.id, None)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -290,6 +290,10 @@
             ordering.find_rank_change(*arguments),
         )
 
+    def _is_expired(self, step: execution.Step, now: float) -> bool:
+        """Returns whether a step's result will be too late to be of use."""
+        return self._rank_step(step, now)[0].is_expired
+
     def _find_advice_policy(
         self, step: execution.Step
     ) -> configuration.AdvicePolicy | None:
@@ -447,7 +451,11 @@
             )
         if not step.advice.is_asking:
             self._planner.reserve(
-                step, len(members), now, step.advice.is_approved
+                step,
+                len(members),
+                now,
+                step.advice.is_approved,
+                self._is_expired(step, now),
             )
 
     def _plan_approved_gang(
@@ -470,7 +478,7 @@
                 step, workers, policy, now, advice.is_approved
             )
             return True
-        if self._rank_step(step, now)[0].is_expired:
+        if self._is_expired(step, now):
             return False
         priority = self._shard.find_queue(step.submission).priority
 
@@ -502,13 +510,15 @@
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
         """Reserves workers for waiting tasks, preempting runs if need be."""
         if count:
-            reserved = self._planner.reserve(step, count, now, allows)
+            reserved = self._planner.reserve(
+                step, count, now, allows, self._is_expired(step, now)
+            )
             self._preempt(step, reserved)
 
     def _preempt(self, step: execution.Step, reserved: list[fleet.Worker]):
         """Preempts less urgent runs for a step that has waited for long."""
         now = clock.read_clock()
-        if self._rank_step(step, now)[0].is_expired:
+        if self._is_expired(step, now):
             return
         is_early = (
             not step.spec.gang
--- /dev/null
+++ b/tests/entry/test_stepplanner.py
@@ -0,0 +1,150 @@
+"""Tests of what waiting steps may reserve, vacate and ask about."""
+
+import unittest
+
+from persimmonpath_entry.decisions import advisorcalls
+from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import stepplanner
+from persimmonpath_entry.decisions import workerpool
+from persimmonpath_entry.state import execution
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+from tests.entry import fakes
+
+NOW = 1000.0
+# A member of a gang needs most of a worker's memory, but half of its CPU.
+MEMBER = submissions.StepSpec(count=3, cpu=8000, memory_mb=20000, gang=True)
+
+
+def make_workers(count):
+    return [
+        fleet.Worker(fakes.make_registration(f"w{n}")) for n in range(count)
+    ]
+
+
+def make_gang(number, spec=MEMBER):
+    submission = execution.Submission(
+        f"{number:016x}", fakes.make_record(spec), None, False, NOW
+    )
+    step = submission.add_occurrence(0, NOW)[0]
+    step.ready_since = NOW
+    return step
+
+
+class ReservationLimitTest(unittest.TestCase):
+    """Covers dozens of gangs that each wait for whole workers.
+
+    Each kept two free workers and waited for a third, while most of the
+    capacity was free (LOST in trouble-1 of large).
+    """
+
+    def setUp(self):
+        self.workers = make_workers(40)
+        self.pool = workerpool.WorkerPool()
+        self.pool.replace(self.workers)
+        self.planner = stepplanner.StepPlanner(
+            self.pool, lambda worker, now: True
+        )
+        self.planner.begin_plan(NOW)
+
+    def reserve(self, count, **options):
+        return [
+            self.planner.reserve(make_gang(number), 3, NOW, None, **options)
+            for number in range(count)
+        ]
+
+    def test_reservations_end_at_a_share_of_the_scarcest_resource(self):
+        reserved = sum(len(workers) for workers in self.reserve(12))
+        share = placement.compute_dominant_share(self.workers[0], MEMBER)
+        limit = stepplanner.MAX_RESERVED_SHARE * len(self.workers)
+        self.assertGreater(reserved, 0)
+        self.assertLess((reserved - MEMBER.count) * share, limit)
+
+    def test_an_expired_gang_reserves_only_if_no_other_step_does(self):
+        """Its result is of no use, but it must start one day."""
+        first, second = self.reserve(2, is_expired=True)
+        self.assertEqual(len(first), 3)
+        self.assertEqual(second, [])
+
+    def test_a_released_reservation_makes_room_for_another(self):
+        steps = [make_gang(number) for number in range(12)]
+        for step in steps:
+            self.planner.reserve(step, 3, NOW, None)
+        self.assertEqual(self.planner.reserve(steps[-1], 3, NOW, None), [])
+        for step in steps:
+            self.planner.release(step)
+        self.assertEqual(len(self.planner.reserve(steps[-1], 3, NOW, None)), 3)
+
+
+class VacateTest(unittest.TestCase):
+    def choose(self, workers, count, reclaimable):
+        return placement.choose_workers_to_vacate(
+            workers,
+            MEMBER,
+            placement.FreeCapacity(),
+            count,
+            lambda worker: reclaimable,
+        )
+
+    def test_all_members_or_none(self):
+        """Runs would be preempted for members that can't start."""
+        workers = make_workers(3)
+        for worker in workers:
+            worker.used_memory_mb = 32000
+        room = (8000, 20000, 0)
+        self.assertEqual(len(self.choose(workers, 3, room)), 3)
+        self.assertEqual(self.choose(workers, 4, room), [])
+        self.assertEqual(self.choose(workers, 3, (8000, 19999, 0)), [])
+
+    def test_free_workers_come_first(self):
+        """Each preempted run has to be restarted."""
+        free, busy = make_workers(2)
+        busy.used_memory_mb = 32000
+        self.assertEqual(self.choose([busy, free], 1, (0, 20000, 0)), [free])
+
+
+class ExploreTest(unittest.TestCase):
+    """Covers a gang of twenty of which three in ten workers are allowed."""
+
+    GOOD_SHARE = 0.3
+
+    def setUp(self):
+        self.workers = make_workers(200)
+        self.advice = execution.StepAdvice()
+
+    def choose(self, count=20):
+        return advisorcalls.choose_batches_to_explore(
+            self.advice,
+            MEMBER,
+            count,
+            self.workers,
+            self.GOOD_SHARE,
+            placement.FreeCapacity(),
+        )
+
+    def test_calls_for_all_members_are_made_at_once(self):
+        batches = self.choose()
+        named = [worker_id for batch in batches for worker_id in batch]
+        self.assertEqual(len(named), len(set(named)))
+        self.assertGreaterEqual(len(named) * self.GOOD_SHARE, 20)
+        self.assertLessEqual(len(batches), advisorcalls.MAX_PARALLEL_CALLS)
+        for batch in batches:
+            self.assertLessEqual(len(batch), advisorcalls.WORKERS_PER_CALL)
+
+    def test_workers_in_calls_under_way_are_counted(self):
+        """Each pass would start the same calls again."""
+        for batch in self.choose():
+            self.advice.asking.update(batch)
+        self.assertEqual(self.choose(), [])
+
+    def test_no_more_are_asked_about_than_the_members_need(self):
+        self.advice.good = {worker.id for worker in self.workers[:40]}
+        self.advice.asked = set(self.advice.good)
+        self.assertEqual(self.choose(), [])
+
+    def test_the_last_few_are_not_asked_about_one_by_one(self):
+        """Each call takes a second, whatever it names."""
+        self.advice.good = {worker.id for worker in self.workers[:39]}
+        self.advice.asked = set(self.advice.good)
+        (batch,) = self.choose()
+        self.assertEqual(len(batch), advisorcalls.MIN_EXPLORED_WORKERS)
