--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -215,6 +215,7 @@
     # Cancelling.
 
     async def _cancel(self, submission_id, deadline):
+        may_be_cancelled = False
         while clock.read_clock() < deadline:
             stored = await self._node.store.read_row(
                 persistence.SUBMISSION_TABLE,
@@ -253,5 +254,9 @@
                 self._node.log.write("submission_cancelled", id=submission_id)
                 self._notify_owner(submission_id, record, result.version)
                 return httpserver.Response(200)
+            if isinstance(result, platform_store.Unknown):
+                may_be_cancelled = True
             await asyncio.sleep(0.02)
+        if may_be_cancelled:
+            return make_error(504, "the store has not answered")
         return make_error(503, "store unavailable", RETRY_AFTER_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/advice.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/advice.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.transport import httpclient
 
 # Most worker ids in one call; the caller keeps to it, nothing here checks it.
@@ -43,5 +44,5 @@
             return dict(
                 msgspec.json.decode(outcome.body, type=_AdviceResponse).good
             )
-        except msgspec.MsgspecError:
+        except messages.UNREADABLE:
             return None
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.transport import httpclient
 
 # State of a machine that is in service.
@@ -73,7 +74,7 @@
                 return None
             try:
                 page = msgspec.json.decode(outcome.body, type=_Page)
-            except msgspec.MsgspecError:
+            except messages.UNREADABLE:
                 return None
             rows += page.machines
             token = page.next_token
@@ -106,6 +107,17 @@
         if outcome.status == 200:
             return MaintenanceResult(True)
         if outcome.status == 409:
-            body = msgspec.json.decode(outcome.body)
-            return MaintenanceResult(False, str(body.get("reason")))
+            return MaintenanceResult(False, _decode_reason(outcome.body))
         return MaintenanceResult(False, str(outcome.status))
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = "409"
+
+
+def _decode_reason(body: bytes) -> str:
+    """Returns the reason of a refusal, "409" if the body is unreadable."""
+    try:
+        return msgspec.json.decode(body, type=_Refusal).reason
+    except messages.UNREADABLE:
+        return "409"
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -8,6 +8,10 @@
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import submissions
 
+# What decoding an unreadable message raises. Deep nesting exhausts the stack.
+UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
+MAX_PORT = 65535
+
 
 class _Step(msgspec.Struct, rename="camel"):
     count: int = 0
@@ -90,7 +94,7 @@
     """
     try:
         message = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return str(error)
     record = submissions.SubmissionRecord(
         queue=queue.name,
@@ -102,7 +106,11 @@
         interval_ms=message.interval_ms,
         occurrences=message.run_count,
     )
-    return submissions.check_steps(record.steps) or record
+    return (
+        submissions.check_steps(record.steps)
+        or submissions.check_schedule(record)
+        or record
+    )
 
 
 class _Advice(msgspec.Struct, rename="camel"):
@@ -165,7 +173,7 @@
     """Decodes a configuration row; returns a text if it is invalid."""
     try:
         message = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return str(error)
     return configuration.Configuration(
         message.version,
@@ -234,13 +242,17 @@
     """Decodes a registration row; returns a text if it is invalid."""
     try:
         message = msgspec.json.decode(value, type=_Registration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return str(error)
     if message.state not in ("ready", "draining"):
         return f"state: {message.state}"
     host, _, port = message.address.rpartition(":")
-    if not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
         return f"address: {message.address}"
+    capacity = message.capacity
+    if capacity.cpu <= 0 or capacity.mem_mb <= 0 or capacity.gpu < 0:
+        return "capacity: cpu and memory above 0 are needed"
     return Registration(
         worker_id=worker_id,
         service=message.service,
@@ -279,7 +291,7 @@
     """Decodes the row of a wave; returns a text if it is invalid."""
     try:
         return msgspec.json.decode(value, type=MaintenanceWave)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return str(error)
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -357,17 +357,26 @@
             if outcome.sent:
                 return Unknown(outcome.reason)
             return Refused(0)
-        if outcome.status == 200:
-            return Committed(self._decode_response(outcome, sent_at).ver)
-        if outcome.status == 412:
-            rows = self._decode_response(outcome, sent_at).rows
-            return Conflict([_decode_row(row) for row in rows])
+        if outcome.status in (200, 412):
+            return self._decode_result(outcome, sent_at)
         if outcome.status in (429, 503):
             return Refused(outcome.status)
         if outcome.status >= 500:
             return Unknown(str(outcome.status))
         return Refused(outcome.status)
 
+    def _decode_result(
+        self, response: httpclient.Response, sent_at: float
+    ) -> Committed | Conflict | Unknown:
+        """Decodes the answer to a transaction; an unreadable one is none."""
+        try:
+            message = self._decode_response(response, sent_at)
+            if response.status == 200:
+                return Committed(message.ver)
+            return Conflict([_decode_row(row) for row in message.rows])
+        except messages.UNREADABLE as error:
+            return Unknown(f"unreadable: {error}")
+
     async def read(
         self,
         table: str,
@@ -452,6 +461,9 @@
             return HistoryGone()
         if outcome.status != 200:
             return Refused(outcome.status)
-        message = self._decode_response(outcome, sent_at)
-        rows = [_decode_row(row) for row in message.rows]
+        try:
+            message = self._decode_response(outcome, sent_at)
+            rows = [_decode_row(row) for row in message.rows]
+        except messages.UNREADABLE:
+            return Refused(outcome.status)
         return Rows(rows, message.ver, message.has_more)
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.transport import httpclient
 
 # Reasons for which a worker rejects a command, as on the wire.
@@ -255,7 +256,7 @@
             return _decode_command_result(outcome)
         try:
             message = _decode_response(outcome.body)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except messages.UNREADABLE as error:
             return Uncertain(f"unreadable: {error}")
         return Listing(
             message.clock_ms or 0.0,
@@ -275,7 +276,7 @@
         return Rejected(OTHER_INCARNATION)
     try:
         message = _decode_response(response.body)
-    except (msgspec.MsgspecError, ValueError):
+    except messages.UNREADABLE:
         message = _WorkerResponse()
     if response.status == 200:
         return Accepted(message.clock_ms or 0.0)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -102,6 +102,19 @@
     ended_ms: int = 0
 
 
+# Most occurrences of a submission. All that are due are opened at once.
+MAX_OCCURRENCES = 10_000
+
+
+def check_schedule(record: SubmissionRecord) -> str | None:
+    """Returns the error in the schedule of a submission, or None."""
+    if not 0 <= record.occurrences <= MAX_OCCURRENCES:
+        return f"occurrences: {record.occurrences}; allowed: 0 to 10000"
+    if record.interval_ms < 0:
+        return f"interval: {record.interval_ms}; allowed: 0 or more"
+    return None
+
+
 def check_steps(steps: list[StepSpec]) -> str | None:
     """Returns the first error in the steps of a submission, or None."""
     if not steps:
