--- a/tests/entry/test_clientapi.py
+++ b/tests/entry/test_clientapi.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from persimmonpath_entry.engine import clientapi
-from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from tests.entry import fakes
