Read the owners anew before a weak VM defers a takeover

Change: a weak VM reads the owner rows after its delay and asks only if there is still no live owner. Result: test_ownership.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -165,11 +165,7 @@
             observed = self._directory.observed_owners.get(service)
             if await self._directory.may_take_over(observed):
                 await asyncio.sleep(self._choose_takeover_delay(service))
-                if await self._defer_to_stronger_vm(service):
-                    return
-                await self._take_over(
-                    service, self._directory.observed_owners.get(service)
-                )
+                await self._act_as_candidate(service)
             else:
                 self._deferred_since.pop(service, None)
         finally:
@@ -228,6 +224,27 @@
                     self._release(service, shard)
                 )
 
+    async def _act_as_candidate(self, service: str):
+        """Takes a service over, unless another VM did or should do so."""
+        if self._is_weak():
+            # Others have acted meanwhile, most likely. Without this read every
+            # weak VM would call the strongest ones at each takeover.
+            await self._directory.refresh()
+            observed = self._directory.observed_owners.get(service)
+            if not await self._directory.may_take_over(observed):
+                return
+            if await self._defer_to_stronger_vm(service):
+                return
+        await self._take_over(
+            service, self._directory.observed_owners.get(service)
+        )
+
+    def _is_weak(self) -> bool:
+        """Returns whether a much stronger VM is in service."""
+        return ownerselection.is_outweighed(
+            self._peers.own_weight, self._peers.list_peer_weights()
+        )
+
     async def _defer_to_stronger_vm(self, service: str) -> bool:
         """Leaves a takeover to a much stronger VM that reaches the store.
 
@@ -266,8 +283,7 @@
             MAX_RANK_DELAY_S,
             self._count_earlier_candidates(service) * RANK_DELAY_S,
         )
-        weights = self._peers.list_peer_weights()
-        if ownerselection.is_outweighed(self._peers.own_weight, weights):
+        if self._is_weak():
             delay_s += WEAK_VM_DELAY_S
         return delay_s
 
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -206,3 +206,19 @@
                 async with asyncio.timeout(owners.RETRY_S / 2):
                     await self.ownership._take_over(fakes.SERVICE, None)
         self.assertEqual(len(self.store.commits), 2)
+
+    async def test_a_weak_vm_asks_nobody_if_there_is_an_owner_already(self):
+        """After a start 97 VMs called the strongest ones at the same moment."""
+        record = persistence.OwnerRecord(owner="vm-2", boot="x", address="b:1")
+
+        async def refresh():
+            observed = ownerdirectory.ObservedOwner(
+                record, 11, clock.read_clock()
+            )
+            observed.was_probed = True
+            self.ownership._directory.observed_owners[fakes.SERVICE] = observed
+
+        self.ownership._directory.refresh = refresh
+        await self.ownership._act_as_candidate(fakes.SERVICE)
+        self.assertEqual(self.calls, [])
+        self.assertEqual(self.store.commits, [])
