Never store a horizon below a former one

The horizon lies ahead by what the store's version rises in half a second; when that rate fell, a later row held a lower horizon (9390 after 9401). The owner had started tasks of a submission with version 9393, and its successor took them for never started. Change: the horizon of a row is never below that of a former one. Result: test_persistence.test_the_horizon_never_goes_back fails before, passes now.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
@@ -134,6 +134,7 @@
         self._node = shard.node
         self._version = version
         self._versions_per_s = 0.0
+        self._horizon = 0
         # A version of the store and when it was the newest one.
         self._rate_start: tuple[int, float] | None = None
         self._sequence = 0
@@ -240,11 +241,16 @@
         return value, record
 
     def _choose_horizon(self) -> int:
-        newest = self._shard.newest_version
-        if not self._versions_per_s:
-            return newest
+        """Returns the horizon of the next write, never below a former one.
+
+        Tasks may have been started up to any horizon that was stored, also when
+        the store has become slower since.
+        """
         lead = math.ceil(self._versions_per_s * HORIZON_LEAD_S)
-        return max(newest, self._version + lead)
+        self._horizon = max(self._horizon, self._shard.newest_version)
+        if lead:
+            self._horizon = max(self._horizon, self._version + lead)
+        return self._horizon
 
     def _measure_rate(self, version: int, now: float):
         """Updates the rate at which the store's version increases."""
--- a/tests/entry/test_persistence.py
+++ b/tests/entry/test_persistence.py
@@ -219,6 +219,21 @@
         self.assertTrue(self.shard.is_within_horizon(submission))
         self.assertEqual(self.read_record().horizon, 41)
 
+    async def test_the_horizon_never_goes_back(self):
+        """Tasks started within a stored horizon were unknown to the next owner.
+
+        The store had become slower, and a later row held a lower horizon: a task
+        ran twice (TWICE in trouble-3 of the grown tender).
+        """
+        self.shard_writer._measure_rate(100, 0.0)
+        self.shard_writer._measure_rate(500, 1.0)
+        await self.write(platform_store.Committed(500))
+        horizon = self.read_record().horizon
+        self.shard_writer._measure_rate(510, 2.0)
+        await self.write(platform_store.Committed(510))
+        self.assertGreaterEqual(self.read_record().horizon, horizon)
+        self.assertEqual(self.shard.stored_horizon, self.read_record().horizon)
+
     async def test_tasks_of_the_next_submissions_need_no_write_to_start(self):
         """Each one waited for a write of the owner row, 40 ms at the peak."""
         self.shard_writer._measure_rate(100, 0.0)
