--- a/tests/entry/test_persistence.py
+++ b/tests/entry/test_persistence.py
@@ -222,8 +222,8 @@
     async def test_the_horizon_never_goes_back(self):
         """Tasks started within a stored horizon were unknown to the next owner.
 
-        The store had become slower, and a later row held a lower horizon: a task
-        ran twice (TWICE in trouble-3 of the grown tender).
+        The store had become slower, and a later row held a lower horizon: a
+        task ran twice (TWICE in trouble-3 of the grown tender).
         """
         self.shard_writer._measure_rate(100, 0.0)
         self.shard_writer._measure_rate(500, 1.0)
