--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -13,6 +13,7 @@
 import dataclasses
 
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import reservations
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
@@ -397,7 +398,7 @@
         count: int,
         now: float,
         allows: workerpool.Allows,
-        measure_reclaimable: placement.MeasureReclaimable,
+        measure_reclaimable: reservations.MeasureReclaimable,
     ) -> list[fleet.Worker]:
         """Chooses workers on which a gang fits once runs are preempted there.
 
@@ -437,10 +438,10 @@
         step: execution.Step,
         count: int,
         allows: workerpool.Allows,
-        measure_reclaimable: placement.MeasureReclaimable,
+        measure_reclaimable: reservations.MeasureReclaimable,
     ) -> list[fleet.Worker]:
         """Returns the workers that `vacate` would choose; holds nothing."""
-        return placement.choose_workers_to_vacate(
+        return reservations.choose_workers_to_vacate(
             self.list_ever_fitting(step, allows),
             step.spec,
             self.free_capacity,
@@ -476,11 +477,11 @@
         if not self._may_reserve() or (is_expired and self._reserved):
             return []
         waited_s = now - (step.ready_since or now)
-        if not placement.is_reservation_active(waited_s):
+        if not reservations.is_reservation_active(waited_s):
             return []
         reserved = self._find_kept_reservation(step, count, now)
         if reserved is None:
-            reserved = placement.choose_workers_to_reserve(
+            reserved = reservations.choose_workers_to_reserve(
                 self.list_ever_fitting(step, allows),
                 step.spec,
                 self.free_capacity,
@@ -488,7 +489,7 @@
             )
             self._kept_reservations[step] = _Choice(reserved, now)
         self._reserved[step] = sum(
-            placement.compute_dominant_share(worker, step.spec)
+            reservations.compute_dominant_share(worker, step.spec)
             for worker in reserved
         )
         self._reserve_each(step, reserved)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -0,0 +1,33 @@
+"""Ranks the waiting steps of a shard."""
+
+from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.state import execution
+
+
+class StepRanking:
+    """Ranks steps by the configuration of their queues."""
+
+    def __init__(self, shard: shards.Shard):
+        self._shard = shard
+
+    def rank(
+        self, step: execution.Step, now: float
+    ) -> tuple[ordering.Rank, float]:
+        """Returns the rank of a step and the time at which it changes."""
+        submission = step.submission
+        arguments = (
+            step,
+            self._shard.find_queue(submission),
+            now - submission.known_since,
+            ordering.estimate_critical_path_ms(submission.record.steps),
+            now,
+        )
+        return (
+            ordering.rank_step(*arguments),
+            ordering.find_rank_change(*arguments),
+        )
+
+    def is_expired(self, step: execution.Step, now: float) -> bool:
+        """Returns whether a step's result will be too late to be of use."""
+        return self.rank(step, now)[0].is_expired
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -2,18 +2,18 @@
 
 import asyncio
 
-from persimmonpath_entry.decisions import advisorcalls
 from persimmonpath_entry.decisions import backfilling
 from persimmonpath_entry.decisions import health
-from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import passpacing
 from persimmonpath_entry.decisions import placement
-from persimmonpath_entry.decisions import preemption
 from persimmonpath_entry.decisions import stepplanner
 from persimmonpath_entry.engine import advicebalancer
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import gangpreparation
 from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import preemptor
 from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.engine import stepranking
 from persimmonpath_entry.engine import ticketrequests
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.state import configuration
@@ -56,6 +56,14 @@
         self._poller = poller
         self._ticket_requester = ticketrequests.TicketRequester(shard, advisor)
         self._planner = stepplanner.StepPlanner(shard.pool, self._is_usable)
+        self._ranking = stepranking.StepRanking(shard)
+        self._preemptor = preemptor.Preemptor(shard, self._ranking)
+        self._gangs = gangpreparation.GangPreparer(
+            self._planner,
+            self._ticket_requester,
+            self._preemptor,
+            self._ranking,
+        )
         self._started = 0
         self._pacer = passpacing.PassPacer()
         self._backfilled_at = -backfilling.MIN_INTERVAL_S
@@ -181,7 +189,7 @@
         if not steps:
             return
         self._refresh_pool(now)
-        steps.sort(key=lambda step: self._rank_step(step, now)[0])
+        steps.sort(key=lambda step: self._ranking.rank(step, now)[0])
         for step in steps:
             self._planner.release(step)
         self._handle_steps(steps, now)
@@ -270,29 +278,8 @@
             self._ranked_configuration = self._node.configuration
             self._shard.ready_steps.rerank()
         return self._shard.ready_steps.list_ranked(
-            now, lambda step: self._rank_step(step, now)
-        )
-
-    def _rank_step(
-        self, step: execution.Step, now: float
-    ) -> tuple[ordering.Rank, float]:
-        """Returns the rank of a step and the time at which it changes."""
-        submission = step.submission
-        arguments = (
-            step,
-            self._shard.find_queue(submission),
-            now - submission.known_since,
-            ordering.estimate_critical_path_ms(submission.record.steps),
-            now,
+            now, lambda step: self._ranking.rank(step, now)
         )
-        return (
-            ordering.rank_step(*arguments),
-            ordering.find_rank_change(*arguments),
-        )
-
-    def _is_expired(self, step: execution.Step, now: float) -> bool:
-        """Returns whether a step's result will be too late to be of use."""
-        return self._rank_step(step, now)[0].is_expired
 
     def _find_advice_policy(
         self, step: execution.Step
@@ -328,7 +315,7 @@
         if not remaining:
             return
         if step.spec.gang:
-            self._prepare_gang(step, remaining, policy, now)
+            self._gangs.prepare(step, remaining, policy, now)
         else:
             self._reserve_and_request_tickets(
                 step, remaining, policy, now, may_reserve
@@ -413,144 +400,21 @@
             self._reserve(step, len(remaining) - len(pairs), now, allows)
         if pairs:
             workers = [worker for _, worker in pairs]
-            self._request_tickets(step, workers, policy, now, allows)
-        elif not step_advice.is_asking and now >= step_advice.retry_at:
-            self._ticket_requester.queue_prefetch(step, policy)
-
-    def _request_tickets(self, step, workers, policy, now: float, allows):
-        """Requests the tickets that planned tasks lack."""
-        if step.advice.is_asking or now < step.advice.retry_at:
-            return
-        self._ticket_requester.request_tickets(
-            step,
-            self._planner.list_ever_fitting(step, allows),
-            workers,
-            self._planner.free_capacity,
-            policy,
-            now,
-            advisorcalls.Purpose.START,
-        )
-
-    def _prepare_gang(
-        self,
-        step: execution.Step,
-        members: list[execution.Task],
-        policy: configuration.AdvicePolicy,
-        now: float,
-    ):
-        """Obtains tickets and capacity for all members of a waiting gang.
-
-        Nothing is held before enough workers are approved. Other runs are
-        preempted only once all members can start as soon as those have ended.
-        """
-        if self._plan_approved_gang(step, members, policy, now):
-            return
-        if now >= step.advice.retry_at:
-            self._ticket_requester.explore(
-                step, policy, self._planner.free_capacity
-            )
-        if not step.advice.is_asking:
-            self._planner.reserve(
+            self._ticket_requester.request_start(
                 step,
-                len(members),
+                self._planner.list_ever_fitting(step, allows),
+                workers,
+                self._planner.free_capacity,
+                policy,
                 now,
-                step.advice.is_approved,
-                self._is_expired(step, now),
-            )
-
-    def _plan_approved_gang(
-        self,
-        step: execution.Step,
-        members: list[execution.Task],
-        policy: configuration.AdvicePolicy,
-        now: float,
-    ) -> bool:
-        """Plans a gang on approved workers, with preemption if need be.
-
-        Returns:
-          Whether all members fit there at once.
-        """
-        advice = step.advice
-        pairs = self._planner.plan_again(step, members, now, advice.is_approved)
-        if pairs:
-            workers = [worker for _, worker in pairs]
-            self._request_tickets(
-                step, workers, policy, now, advice.is_approved
-            )
-            return True
-        if self._is_expired(step, now):
-            return False
-        priority = self._shard.find_queue(step.submission).priority
-
-        def has_ticket(worker: fleet.Worker) -> bool:
-            valid_until = now + preemption.STOP_DURATION_S
-            return advice.find_ticket(worker.id, valid_until) is not None
-
-        def measure_reclaimable(worker: fleet.Worker) -> tuple[int, int, int]:
-            return preemption.measure_reclaimable(
-                worker, priority, self._find_priority
-            )
-
-        count = len(members)
-        vacated = self._planner.vacate(
-            step, count, now, has_ticket, measure_reclaimable
-        )
-        if vacated:
-            self._preempt(step, vacated)
-            return True
-        workers = self._planner.list_vacatable(
-            step, count, advice.is_approved, measure_reclaimable
-        )
-        if workers:
-            self._request_tickets(
-                step, workers, policy, now, advice.is_approved
             )
-        return bool(workers)
+        elif not step_advice.is_asking and now >= step_advice.retry_at:
+            self._ticket_requester.queue_prefetch(step, policy)
 
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
         """Reserves workers for waiting tasks, preempting runs if need be."""
         if count:
             reserved = self._planner.reserve(
-                step, count, now, allows, self._is_expired(step, now)
-            )
-            self._preempt(step, reserved)
-
-    def _preempt(self, step: execution.Step, reserved: list[fleet.Worker]):
-        """Preempts less urgent runs for a step that has waited for long."""
-        now = clock.read_clock()
-        if self._is_expired(step, now):
-            return
-        is_early = (
-            not step.spec.gang
-            and now - (step.ready_since or now) < preemption.PREEMPTION_DELAY_S
-        )
-        if is_early or not self._shard.may_start(now):
-            return
-        priority = self._shard.find_queue(step.submission).priority
-        for worker in dict.fromkeys(reserved):
-            if now - worker.preempted_at < preemption.MIN_PREEMPTION_INTERVAL_S:
-                continue
-            victims = preemption.choose_victims(
-                worker,
-                step.spec,
-                reserved.count(worker),
-                priority,
-                self._find_priority,
-            )
-            if not victims:
-                continue
-            worker.preempted_at = now
-            self._node.metrics.count("preemptions", len(victims))
-            self._node.log.write(
-                "runs_preempted",
-                step=step.name,
-                worker=worker.id,
-                runs=len(victims),
-                waited_s=now - step.ready_since,
-                priority=priority,
+                step, count, now, allows, self._ranking.is_expired(step, now)
             )
-            for run in victims:
-                self._shard.stop_run(run, "preempted")
-
-    def _find_priority(self, run: execution.Run) -> int:
-        return self._shard.find_queue(run.task.step.submission).priority
+            self._preemptor.preempt(step, reserved)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -141,7 +141,7 @@
         policy,
         free_capacity: placement.FreeCapacity,
     ):
-        """Asks about more workers for a gang if too few are approved.
+        """Asks about more workers for a gang that doesn't fit on approved ones.
 
         Args:
           step: the step of the gang.
@@ -156,6 +156,7 @@
             self._list_candidates(step),
             self._good_shares.get(queue, INITIAL_GOOD_SHARE),
             free_capacity,
+            not step.advice.is_asking,
         )
         for targets in batches:
             if not self._start_call(
@@ -172,6 +173,25 @@
             and step.advice.may_run_on(worker)
         ]
 
+    def request_start(
+        self, step, candidates, planned, free_capacity, policy, now
+    ):
+        """Requests the tickets that planned tasks lack to start.
+
+        Nothing is requested while a call for the step is under way or has just
+        failed. The arguments are those of `request_tickets`.
+        """
+        if not step.advice.is_asking and now >= step.advice.retry_at:
+            self.request_tickets(
+                step,
+                candidates,
+                planned,
+                free_capacity,
+                policy,
+                now,
+                advisorcalls.Purpose.START,
+            )
+
     def request_tickets(
         self, step, candidates, planned, free_capacity, policy, now, purpose
     ) -> bool:
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import reservations
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 from tests.entry import fakes
@@ -125,7 +126,7 @@
         far.used_cpu = 15000
         spec = make_spec(cpu=14000)
         free_capacity = placement.FreeCapacity()
-        chosen = placement.choose_workers_to_reserve(
+        chosen = reservations.choose_workers_to_reserve(
             [far, near], spec, free_capacity
         )
         self.assertEqual(chosen, [near])
@@ -138,7 +139,9 @@
         free_capacity = placement.FreeCapacity()
         free_capacity.reserve(worker, spec)
         self.assertEqual(
-            placement.choose_workers_to_reserve([worker], spec, free_capacity),
+            reservations.choose_workers_to_reserve(
+                [worker], spec, free_capacity
+            ),
             [],
         )
 
@@ -148,7 +151,7 @@
         one.used_cpu = two.used_cpu = 16000
         spec = make_spec(cpu=8000, gang=True)
         free_capacity = placement.FreeCapacity()
-        chosen = placement.choose_workers_to_reserve(
+        chosen = reservations.choose_workers_to_reserve(
             [one, two], spec, free_capacity, 4
         )
         self.assertEqual(
@@ -164,7 +167,7 @@
         one, two = make_worker("one"), make_worker("two")
         spec = make_spec(cpu=8000, gang=True)
         free_capacity = placement.FreeCapacity()
-        chosen = placement.choose_workers_to_reserve(
+        chosen = reservations.choose_workers_to_reserve(
             [one, two], spec, free_capacity, 5
         )
         self.assertEqual(chosen, [])
@@ -172,10 +175,12 @@
     def test_reservation_is_interrupted(self):
         """A task behind a straggler would keep a worker from others forever."""
         self.assertTrue(
-            placement.is_reservation_active(placement.FULL_RESERVATION_S - 0.1)
+            reservations.is_reservation_active(
+                reservations.FULL_RESERVATION_S - 0.1
+            )
         )
         states = [
-            placement.is_reservation_active(10 + tenth / 10)
+            reservations.is_reservation_active(10 + tenth / 10)
             for tenth in range(30)
         ]
         self.assertIn(True, states)
--- a/tests/entry/test_stepplanner.py
+++ b/tests/entry/test_stepplanner.py
@@ -4,6 +4,7 @@
 
 from persimmonpath_entry.decisions import advisorcalls
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import reservations
 from persimmonpath_entry.decisions import stepplanner
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.state import execution
@@ -55,7 +56,7 @@
 
     def test_reservations_end_at_a_share_of_the_scarcest_resource(self):
         reserved = sum(len(workers) for workers in self.reserve(12))
-        share = placement.compute_dominant_share(self.workers[0], MEMBER)
+        share = reservations.compute_dominant_share(self.workers[0], MEMBER)
         limit = stepplanner.MAX_RESERVED_SHARE * len(self.workers)
         self.assertGreater(reserved, 0)
         self.assertLess((reserved - MEMBER.count) * share, limit)
@@ -78,7 +79,7 @@
 
 class VacateTest(unittest.TestCase):
     def choose(self, workers, count, reclaimable):
-        return placement.choose_workers_to_vacate(
+        return reservations.choose_workers_to_vacate(
             workers,
             MEMBER,
             placement.FreeCapacity(),
@@ -112,7 +113,7 @@
         self.workers = make_workers(200)
         self.advice = execution.StepAdvice()
 
-    def choose(self, count=20):
+    def choose(self, count=20, is_stuck=False):
         return advisorcalls.choose_batches_to_explore(
             self.advice,
             MEMBER,
@@ -120,6 +121,7 @@
             self.workers,
             self.GOOD_SHARE,
             placement.FreeCapacity(),
+            is_stuck,
         )
 
     def test_calls_for_all_members_are_made_at_once(self):
@@ -148,3 +150,18 @@
         self.advice.asked = set(self.advice.good)
         (batch,) = self.choose()
         self.assertEqual(len(batch), advisorcalls.MIN_EXPLORED_WORKERS)
+
+    def test_a_gang_that_doesn_t_fit_learns_of_further_free_workers(self):
+        """It waited for half of six approved workers to be free together.
+
+        Others were free all the while (trouble-1 of large, photo-match).
+        """
+        self.advice.good = {worker.id for worker in self.workers[:40]}
+        self.advice.asked = set(self.advice.good)
+        for worker in self.workers[:190]:
+            worker.used_memory_mb = 32000
+        free = {worker.id for worker in self.workers[190:]}
+        (batch,) = self.choose(is_stuck=True)
+        self.assertEqual(set(batch), free)
+        self.advice.asked |= free
+        self.assertEqual(self.choose(is_stuck=True), [])
