--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/reservations.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/reservations.py
@@ -203,9 +203,9 @@
     less if none is missing.
     """
     registration = worker.registration
-    shares = [(spec.memory_mb - memory_mb) / registration.memory_mb]
+    shares = [(spec.memory_mb - memory_mb) / max(1, registration.memory_mb)]
     if not spec.is_filler:
-        shares.append((spec.cpu - cpu) / registration.cpu)
+        shares.append((spec.cpu - cpu) / max(1, registration.cpu))
     if spec.gpu:
         shares.append((spec.gpu - gpu) / max(1, registration.gpu))
     return max(shares)
--- a/tests/entry/test_stepplanner.py
+++ b/tests/entry/test_stepplanner.py
@@ -103,6 +103,11 @@
         busy.used_memory_mb = 32000
         self.assertEqual(self.choose([busy, free], 1, (0, 20000, 0)), [free])
 
+    def test_a_worker_without_memory_breaks_nothing(self):
+        """A registration may leave out a capacity of 0."""
+        worker = fleet.Worker(fakes.make_registration("w0", memory_mb=0))
+        self.assertEqual(self.choose([worker], 1, (0, 0, 0)), [])
+
 
 class ExploreTest(unittest.TestCase):
     """Covers a gang of twenty of which three in ten workers are allowed."""
