--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 test: lint
 	$(BIN)/nose2 --verbose
 
-# MODULES limits it to some of placement, jobs, requests, tuning, membership, cells, capacity.
+# MODULES limits it to some of placement, scheduling, jobs, requests, tuning,
+# membership, cells, capacity.
 measure: install
 	$(BIN)/python -m bench.measure $(MODULES)
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -7,7 +7,7 @@
 
 # These measure virtual time, which concurrent processes don't distort.
 VIRTUAL_MODULES = ("jobs", "requests", "tuning", "membership")
-REAL_MODULES = ("placement", "cells", "capacity")
+REAL_MODULES = ("placement", "scheduling", "cells", "capacity")
 
 
 def run_side_by_side(names):
