End backfilling with the time of its pass

Cause: reading the change: backfilling planned every preemptible waiting step, without a bound in time; thousands of them would hold up renewals of leases. Change: a pass and its backfilling together end after 60 starts or 30 ms. Result: test_backfilling_ends_with_the_time_of_the_pass fails before, passes now.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -170,7 +170,7 @@
         budget = backfilling.compute_budget(self._shard.pool.list_workers())
         held = self._planner.begin_backfill()
         for step in candidates:
-            if budget <= 0 or self._started >= STARTS_PER_PASS:
+            if budget <= 0 or self._is_pass_over(now):
                 break
             limit = budget // max(1, step.spec.cpu)
             started = self._started
@@ -199,14 +199,18 @@
         self._started = 0
         for step in steps:
             self._handle_step_safely(step, now)
-            if (
-                self._started >= STARTS_PER_PASS
-                or clock.read_clock() - now >= MAX_PASS_S
-            ):
+            if self._is_pass_over(now):
                 self._shard.request_schedule()
                 return False
         return True
 
+    def _is_pass_over(self, began_at: float) -> bool:
+        """Returns whether a pass has started enough or taken long enough."""
+        return (
+            self._started >= STARTS_PER_PASS
+            or clock.read_clock() - began_at >= MAX_PASS_S
+        )
+
     def _handle_step_safely(
         self,
         step: execution.Step,
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -168,6 +168,18 @@
         self.scheduler._place_changed(clock.read_clock())
         self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
 
+    async def test_backfilling_ends_with_the_time_of_the_pass(self):
+        """Planning thousands of waiting steps would delay renewals of leases."""
+        large_step = self.add_step(LARGE_ID, LARGE_SPEC)
+        large_step.advice.is_asking = True
+        self.scheduler._run_pass(clock.read_clock())
+        step = self.add_step(SMALL_ID, CHECKPOINTING_SPEC, queue="batch")
+        self.scheduler._backfilled_at = -1.0
+        self.scheduler._backfill(
+            [step], clock.read_clock() - taskscheduler.MAX_PASS_S
+        )
+        self.assertEqual(self.commands.started, [])
+
     async def test_backfilling_leaves_room_for_urgent_tasks(self):
         """A quote that comes next would wait until a batch task ends."""
         large_step = self.add_step(LARGE_ID, LARGE_SPEC)
