--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -168,8 +168,8 @@
         self.scheduler._place_changed(clock.read_clock())
         self.assertEqual(self.commands.started, [f"{SMALL_ID}.0.0.0"])
 
-    async def test_backfilling_ends_with_the_time_of_the_pass(self):
-        """Planning thousands of waiting steps would delay renewals of leases."""
+    async def test_backfilling_ends_with_its_pass(self):
+        """Planning thousands of steps would delay renewals of leases."""
         large_step = self.add_step(LARGE_ID, LARGE_SPEC)
         large_step.advice.is_asking = True
         self.scheduler._run_pass(clock.read_clock())
