Order maintenance only while the lease of the coordinator holds

Cause: found while looking for the failures of similar systems (a hand-over, a paused process): the VM that coordinates maintenance waves checked its ownership once, then listed the machines and ordered without looking at its lease again. A VM that had been paused in between ordered beside its successor; where the platform doesn't check fencing tokens, both orders were carried out. Change: the lease is checked before each order, the order carries the end of the permission up to the send, and a refused token isn't used again. Result: three new tests of test_machinemaintenance fail before, pass now.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -9,6 +9,7 @@
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import operatorfeed
 from persimmonpath_entry.engine import ownership as owners
+from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import machines as machine_calls
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
@@ -44,6 +45,8 @@
         ] = {}
         self._started_at: dict[tuple[str, str], float] = {}
         self._stored: dict[str, bool] = {}
+        # Newest fencing token that the platform has refused as outdated.
+        self._refused_fence = -1
 
     async def run(self):
         """Processes open waves until cancelled, on the coordinating VM only."""
@@ -53,13 +56,26 @@
             if shard is None:
                 self._stored.clear()
                 continue
+            if not self._may_order(shard):
+                continue
             open_waves = {
                 key: wave
                 for key, wave in self._operator_feed.waves.items()
                 if not self._stored.get(key)
             }
             if open_waves:
-                await self._process_waves(open_waves, shard.fence)
+                await self._process_waves(open_waves, shard)
+
+    def _may_order(self, shard: shards.Shard) -> bool:
+        """Returns whether this VM may order maintenance as the coordinator.
+
+        Not after its lease, nor with a token that the platform has refused
+        since a newer owner used a higher one.
+        """
+        return (
+            shard.may_start(clock.read_clock())
+            and shard.fence > self._refused_fence
+        )
 
     def _find_coordinating_shard(self):
         """Returns the shard whose owner coordinates the waves, None elsewhere.
@@ -71,17 +87,17 @@
             return None
         return self._ownership.find_shard(min(current.services))
 
-    async def _process_waves(self, open_waves, fence: int):
+    async def _process_waves(self, open_waves, shard: shards.Shard):
         rows = await self._client.list_machines()
         if rows is None:
             return
         listed = {row.machine: row for row in rows}
         for key, wave in open_waves.items():
             await self._store_status(key, wave.wave, completed=False)
-            await self._advance(key, wave, listed, fence)
+            await self._advance(key, wave, listed, shard)
 
     async def _advance(
-        self, key, wave: messages.MaintenanceWave, listed, fence
+        self, key, wave: messages.MaintenanceWave, listed, shard: shards.Shard
     ):
         progress = self._progress.setdefault(key, {})
         now = clock.read_clock()
@@ -103,10 +119,12 @@
             if machine.evacuating_since is None:
                 machine.evacuating_since = now
             await self._evacuate(machine, listed[name])
+            if not self._may_order(shard):
+                return
             if maintenancewaves.may_begin_maintenance(
                 machine, limit_s, clock.read_clock()
             ):
-                await self._start_maintenance(key, name, machine, wave, fence)
+                await self._start_maintenance(key, name, machine, wave, shard)
         if maintenancewaves.is_complete(progress):
             await self._store_status(key, wave.wave, completed=True)
 
@@ -139,18 +157,20 @@
             return None
         return msgspec.json.decode(outcome.body, type=execution.WorkerLoad)
 
-    async def _start_maintenance(self, key, name, machine, wave, fence: int):
+    async def _start_maintenance(self, key, name, machine, wave, shard):
         result = await self._client.start_maintenance(
-            name, wave.wave, self._node.name, fence
+            name, wave.wave, self._node.name, shard.fence, shard.lease_until
         )
         self._node.log.warn(
             "upkeep_ordered",
             machine=name,
             wave=wave.wave,
-            fence=fence,
+            fence=shard.fence,
             runs=machine.runs,
             outcome="done" if result.is_done else result.reason,
         )
+        if result.reason == machine_calls.STALE_FENCE:
+            self._refused_fence = shard.fence
         # Without an answer the maintenance may have begun, so the machine
         # counts as down. The order is repeated later, which is safe.
         if result.is_done or result.reason == machine_calls.UNKNOWN:
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
@@ -12,6 +12,8 @@
 UP = "up"
 # Reason of a call whose outcome is unknown: the request may have been read.
 UNKNOWN = "unknown"
+# Reason of a refusal: another holder has used a higher fencing token.
+STALE_FENCE = "fence"
 TIMEOUT_S = 1.5
 
 
@@ -82,7 +84,7 @@
                 return rows
 
     async def start_maintenance(
-        self, machine: str, wave: int, holder: str, fence: int
+        self, machine: str, wave: int, holder: str, fence: int, send_by: float
     ) -> MaintenanceResult:
         """Starts the maintenance of a machine, which ends every run on it.
 
@@ -91,6 +93,7 @@
           wave: number of the maintenance wave that the machine belongs to.
           holder: name of the entry VM that makes the call as the owner.
           fence: the owner's fencing token.
+          send_by: end of the permission to order; monotonic time in seconds.
         """
         headers = f"X-Lease-Holder: {holder}\r\nX-Fencing-Token: {fence}\r\n"
         outcome = await self._client.call(
@@ -99,6 +102,7 @@
             msgspec.json.encode({"machine": machine, "wave": wave}),
             headers,
             timeout_s=TIMEOUT_S,
+            send_by=send_by,
         )
         if isinstance(outcome, httpclient.NoResponse):
             return MaintenanceResult(
--- a/tests/entry/test_machinemaintenance.py
+++ b/tests/entry/test_machinemaintenance.py
@@ -28,8 +28,9 @@
     async def list_machines(self):
         return self.rows
 
-    async def start_maintenance(self, machine, wave, holder, fence):
+    async def start_maintenance(self, machine, wave, holder, fence, send_by):
         self.orders.append((machine, wave, holder, fence))
+        self.send_by = send_by
         return self.result
 
 
@@ -78,7 +79,7 @@
 
     async def tick(self, maintenance):
         await maintenance._process_waves(
-            dict(maintenance._operator_feed.waves), 77
+            dict(maintenance._operator_feed.waves), self.shard
         )
 
     async def test_no_more_than_allowed_are_down_at_once(self):
@@ -86,7 +87,40 @@
         maintenance = self.make()
         await self.tick(maintenance)
         await self.tick(maintenance)
-        self.assertEqual(self.client.orders, [("m0", 1, "vm-1", 77)])
+        self.assertEqual(self.client.orders, [("m0", 1, "vm-1", 5)])
+
+    async def test_a_paused_coordinator_orders_nothing_after_its_lease(self):
+        """Two VMs ordered maintenance in turn after a takeover.
+
+        The first one had been paused while it listed the machines.
+        """
+        maintenance = self.make()
+        list_machines = self.client.list_machines
+
+        async def list_slowly():
+            self.shard.lease_until = clock.read_clock() - 1
+            return await list_machines()
+
+        self.client.list_machines = list_slowly
+        await self.tick(maintenance)
+        self.assertEqual(self.client.orders, [])
+
+    async def test_an_order_carries_the_end_of_its_permission(self):
+        maintenance = self.make()
+        await self.tick(maintenance)
+        self.assertEqual(self.client.send_by, self.shard.lease_until)
+
+    async def test_a_refused_fencing_token_isn_t_used_again(self):
+        """A newer coordinator has used a higher one."""
+        maintenance = self.make(
+            machines.MaintenanceResult(False, machines.STALE_FENCE)
+        )
+        for _ in range(3):
+            await self.tick(maintenance)
+        self.assertEqual(len(self.client.orders), 1)
+        self.shard.fence += 1
+        await self.tick(maintenance)
+        self.assertEqual(len(self.client.orders), 2)
 
     async def test_the_next_machine_follows_when_the_first_is_up_again(self):
         maintenance = self.make()
