Remove the rows of VMs that are lost for good

Cause (docs/guarantees.md, sixth failure): a VM lost without notice left its row in the table of VMs for ever, and every VM called it again every 2 s. Change: the owner of the first service probes each VM once a minute, in turn, and removes the row of one that has been silent for 45 s while others of its zone answer, or for 15 minutes. The removal expects the version of the row, and a VM that was only cut off registers again once it reads that its row is gone. decisions/memberexpiry decides.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -52,7 +52,7 @@
         """Processes open waves until cancelled, on the coordinating VM only."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            shard = self._find_coordinating_shard()
+            shard = self._ownership.find_coordinating_shard()
             if shard is None:
                 self._stored.clear()
                 continue
@@ -77,16 +77,6 @@
             and shard.fence > self._refused_fence
         )
 
-    def _find_coordinating_shard(self):
-        """Returns the shard whose owner coordinates the waves, None elsewhere.
-
-        It is the shard of the service whose name sorts first.
-        """
-        current = self._node.configuration
-        if current is None or not current.services:
-            return None
-        return self._ownership.find_shard(min(current.services))
-
     async def _process_waves(self, open_waves, shard: shards.Shard):
         rows = await self._client.list_machines()
         if rows is None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -46,6 +46,9 @@
     def __init__(self, node: context.Context):
         self._node = node
         self._records: dict[str, MemberRecord] = {}
+        # The versions of the rows, by the name of the VM.
+        self._row_versions: dict[str, int] = {}
+        self._is_registered = False
         self._clients: dict[str, httpclient.HttpClient] = {}
         self._avoided_until: dict[str, float] = {}
         self._version: int | None = None
@@ -56,12 +59,11 @@
 
     async def run(self):
         """Registers this VM and polls the rows of all VMs until cancelled."""
-        is_registered = False
         while True:
-            if not is_registered:
-                is_registered = await self._register()
+            if not self._is_registered and not self._node.is_stopping:
+                self._is_registered = await self._register()
             is_current = await self._refresh()
-            if is_registered and is_current:
+            if self._is_registered and is_current:
                 await asyncio.sleep(POLL_S)
             else:
                 await asyncio.sleep(RETRY_S)
@@ -96,8 +98,11 @@
             return False
         if self._version is None:
             self._records.clear()
+            self._row_versions.clear()
         for row in result.rows:
             self._apply_row(row)
+        if self._version is None and self._node.name not in self._records:
+            self._is_registered = False
         self._version = result.version
         return True
 
@@ -105,10 +110,48 @@
         """Records or removes a VM; an unreadable row is logged and skipped."""
         if row.is_deleted:
             self._records.pop(row.key, None)
+            if row.key == self._node.name:
+                # A peer took this VM for lost while it was cut off.
+                self._is_registered = False
             return
         record = rowcodec.decode_row(self._node, row, MemberRecord)
         if record is not None:
             self._records[row.key] = record
+            self._row_versions[row.key] = row.version
+
+    def list_peer_zones(self) -> dict[str, str]:
+        """Returns the zones of all other VMs, reachable or not, by name."""
+        return {
+            name: record.zone
+            for name, record in self._records.items()
+            if name != self._node.name
+        }
+
+    async def ask_for_boot(self, name: str) -> str | None:
+        """Asks a VM for the id of its incarnation; None without an answer."""
+        record = self._records.get(name)
+        if record is None:
+            return None
+        outcome = await self.call(
+            record.address, "GET", "/peer/boot", timeout_s=PEER_TIMEOUT_S
+        )
+        if not isinstance(outcome, httpclient.Response):
+            return None
+        return outcome.body.decode("latin-1")
+
+    async def remove_lost(self, name: str) -> bool:
+        """Removes the row of a lost VM, unless it has been written again.
+
+        Returns:
+          Whether the row was removed.
+        """
+        version = self._row_versions.get(name)
+        if version is None or name not in self._records:
+            return False
+        result = await self._node.store.commit(
+            "", [(VM_TABLE, name, version)], [], [(VM_TABLE, name)]
+        )
+        return isinstance(result, platform_store.Committed)
 
     def list_reachable_peers(self) -> list[str]:
         """Returns the addresses of the reachable peers, own zone first.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -9,6 +9,7 @@
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import machinemaintenance
+from persimmonpath_entry.engine import memberexpiry
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import operatorfeed
 from persimmonpath_entry.engine import overview
@@ -89,6 +90,9 @@
                 self.members,
                 machine_calls.MachineClient(settings.machines.address),
             )
+        self._member_expiry = memberexpiry.MemberExpiry(
+            self.context, self.members, self.ownership
+        )
         self._stop = asyncio.Event()
         self._servers: list[httpserver.HttpServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -122,6 +126,7 @@
             "ownership": self.ownership.run,
             "acceptance": self._acceptance.run,
             "connectivity": self.reach.run,
+            "member_expiry": self._member_expiry.run,
         }
         if self._upkeep is not None:
             components["machine_maintenance"] = self._upkeep.run
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -85,6 +85,16 @@
             return None
         return shard
 
+    def find_coordinating_shard(self) -> shards.Shard | None:
+        """Returns the shard whose owner acts for all services, None elsewhere.
+
+        It is the shard of the service whose name sorts first.
+        """
+        current = self._node.configuration
+        if current is None or not current.services:
+            return None
+        return self.find_shard(min(current.services))
+
     def list_owners(self) -> list[str]:
         """Returns the addresses of all owners."""
         return self._directory.list_owners()
