Keep what a gang has planned while its tickets arrive, and explore further with time

Each pass planned a gang anew, so that the tickets came a second later for workers out of its plan. A gang of 17 had 18 approved workers, which were never free at the same time, and asked about no others. Approved workers that long-running tasks occupy counted as explored and were reserved. An expired gang preempted and reserved nothing even beside idle workers. Change: the planned workers are kept while the call is under way, and only members whose worker is full move; with each 4 s of waiting a gang explores further, by calls that leave VMs free; workers count without what long-running tasks use; an expired step yields capacity only while less than half of the CPU is free. The owner reads new submissions every 0.25 s instead of 1 s, for VMs that don't reach it. The tests of test_stepplanner and test_taskscheduler fail before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
@@ -33,8 +33,12 @@
 # Share of the peers that long calls leave to short ones.
 SHORT_CALL_SHARE = 0.125
 # The advisor is asked for a gang until the workers that it approves could carry
-# this multiple of the members if they were empty.
+# this multiple of the members if nothing but long-running tasks ran there.
 EXPLORED_MULTIPLE = 2.0
+# A gang that has waited for this long, in seconds, asks about further workers,
+# since the approved ones are seldom free at the same time. The multiple rises
+# by 1 in each further such time.
+EXPLORE_FURTHER_AFTER_S = 4.0
 # Most calls in flight for one step.
 MAX_PARALLEL_CALLS = 6
 
@@ -115,6 +119,7 @@
     fitting: list[fleet.Worker],
     good_share: float,
     free_capacity: placement.FreeCapacity,
+    multiple: float = EXPLORED_MULTIPLE,
 ) -> list[list[str]]:
     """Returns the workers to ask about before a gang is planned.
 
@@ -129,16 +134,17 @@
       fitting: workers that could run its tasks when empty.
       good_share: the share of workers that the advisor usually approves.
       free_capacity: the capacity that is left in the current plan.
+      multiple: multiple of the members that the approved workers should carry.
 
     Returns:
       The ids to name in each of several calls at the same time; empty if
       enough workers are approved or expected to be.
     """
-    wanted = EXPLORED_MULTIPLE * count
+    wanted = multiple * count
     expected = 0.0
     unasked = []
     for worker in fitting:
-        slots = placement.count_fitting_when_empty(worker, spec)
+        slots = placement.count_attainable(worker, spec)
         if worker.id in step_advice.good:
             wanted -= slots
         elif worker.id in step_advice.asking:
@@ -160,6 +166,16 @@
     ][:MAX_PARALLEL_CALLS]
 
 
+def choose_explored_multiple(waited_s: float) -> float:
+    """Returns the multiple of its members that a waiting gang explores.
+
+    Args:
+      waited_s: seconds for which it has waited.
+    """
+    further = int(waited_s / EXPLORE_FURTHER_AFTER_S)
+    return EXPLORED_MULTIPLE + further
+
+
 def choose_caller(
     own_address: str,
     peers: list[str],
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -156,17 +156,20 @@
     return max(0, min(counts, default=1))
 
 
-def count_fitting_when_empty(
-    worker: fleet.Worker, spec: submissions.StepSpec
-) -> int:
-    """Returns how many tasks of a step a worker could run by themselves."""
-    registration = worker.registration
+def count_attainable(worker: fleet.Worker, spec: submissions.StepSpec) -> int:
+    """Returns how many tasks of a step fit once other runs have ended.
+
+    Long-running tasks stay, so that a worker full of them never runs any.
+
+    Args:
+      worker: the worker.
+      spec: the step.
+    """
+    needs = (0 if spec.is_filler else spec.cpu, spec.memory_mb, spec.gpu)
     counts = [
-        available // needed
-        for available, needed in (
-            (registration.cpu, spec.cpu),
-            (registration.memory_mb, spec.memory_mb),
-            (registration.gpu, spec.gpu),
+        max(0, available // needed)
+        for available, needed in zip(
+            worker.list_attainable_capacity(), needs, strict=True
         )
         if needed
     ]
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/reservations.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/reservations.py
@@ -154,7 +154,7 @@
     heap = [
         (room.rank(spec), index)
         for index, room in enumerate(rooms)
-        if _fits_when_empty(room.worker, spec, 1)
+        if placement.count_attainable(room.worker, spec)
     ]
     heapq.heapify(heap)
     chosen: list[fleet.Worker] = []
@@ -165,7 +165,7 @@
         room = rooms[index]
         room.take(spec)
         chosen.append(room.worker)
-        if _fits_when_empty(room.worker, spec, room.chosen + 1):
+        if room.chosen < placement.count_attainable(room.worker, spec):
             heapq.heapreplace(heap, (room.rank(spec), index))
         else:
             heapq.heappop(heap)
@@ -184,18 +184,6 @@
     )
 
 
-def _fits_when_empty(worker, spec, count: int) -> bool:
-    """Returns whether an empty worker could run `count` tasks at once."""
-    registration = worker.registration
-    if spec.max_per_worker and count > spec.max_per_worker:
-        return False
-    return (
-        (spec.is_filler or count * spec.cpu <= registration.cpu)
-        and count * spec.memory_mb <= registration.memory_mb
-        and count * spec.gpu <= registration.gpu
-    )
-
-
 def _compute_shortfall(worker, spec, cpu, memory_mb, gpu) -> float:
     """Returns the missing capacity for a task, as a share of the worker.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -28,6 +28,8 @@
 RESERVATION_TTL_S = 0.2
 # Seconds for which the workers planned for a step without tickets are kept.
 PLAN_TTL_S = 0.1
+# Share of all CPU that is free in a service whose capacity isn't scarce.
+AMPLE_FREE_SHARE = 0.5
 # Seconds for which a gang keeps the workers on which runs were preempted for
 # it. No other task gets that capacity meanwhile.
 VACATED_TTL_S = 1.5
@@ -38,10 +40,21 @@
 
 @dataclasses.dataclass(slots=True)
 class _Choice:
-    """Workers chosen for a step, and when."""
+    """Workers chosen for a step.
+
+    Attributes:
+      workers: a worker for each task.
+      chosen_at: when they were chosen.
+      keep_until: until when they stay chosen at least.
+    """
 
     workers: list[fleet.Worker]
     chosen_at: float
+    keep_until: float = 0.0
+
+    def is_kept(self, now: float, ttl_s: float) -> bool:
+        """Returns whether the choice still holds, by its age or keep_until."""
+        return now < max(self.keep_until, self.chosen_at + ttl_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +75,8 @@
 
     Attributes:
       reservations: the steps for which workers are reserved, by worker id.
+      is_capacity_scarce: whether less than AMPLE_FREE_SHARE of the CPU was free
+        when the plan was begun.
     """
 
     def __init__(
@@ -88,6 +103,7 @@
         self._kept_plans: dict[execution.Step, _Choice] = {}
         self._vacated: dict[execution.Step, _Choice] = {}
         self._unplaceable = workerpool.UnplaceableSizes()
+        self.is_capacity_scarce = True
 
     @property
     def free_capacity(self) -> placement.FreeCapacity:
@@ -102,7 +118,12 @@
         self.reservations = {}
         self._reserved.clear()
         self._unplaceable = workerpool.UnplaceableSizes()
-        _drop_older(self._kept_plans, now - PLAN_TTL_S)
+        self.is_capacity_scarce = (
+            self._pool.measure_free_share() < AMPLE_FREE_SHARE
+        )
+        for step, kept in list(self._kept_plans.items()):
+            if not kept.is_kept(now, PLAN_TTL_S):
+                del self._kept_plans[step]
         _drop_older(self._kept_reservations, now - RESERVATION_TTL_S)
         _drop_older(self._vacated, now - VACATED_TTL_S)
 
@@ -296,32 +317,67 @@
         Returns:
           Pairs of task and worker, as of `plan`.
         """
-        pairs = self._repeat_plan(step, waiting, now)
-        if not pairs:
-            pairs = self.plan(step, waiting, now, allows)
-            workers = [worker for _, worker in pairs]
-            self._kept_plans[step] = _Choice(workers, now)
-        return pairs
+        workers = self._repeat_plan(step, waiting, now)
+        if len(workers) == len(waiting):
+            return list(zip(waiting, workers, strict=True))
+        if workers and not step.spec.gang:
+            return list(zip(waiting, workers, strict=False))
+        # The members of a gang whose workers still fit stay there.
+        others = self.plan(step, waiting[len(workers) :], now, allows)
+        if workers and not others:
+            self.release(step)
+            return []
+        former = self._kept_plans.get(step)
+        workers += [worker for _, worker in others]
+        self._kept_plans[step] = _Choice(
+            workers, now, former.keep_until if former else 0.0
+        )
+        return list(zip(waiting, workers, strict=False))
+
+    def keep_plan(self, step: execution.Step, until: float):
+        """Keeps the planned workers of a gang while it waits for tickets.
+
+        If they changed meanwhile, each answer of the advisor would come for
+        workers on which the gang isn't planned any more.
+
+        Args:
+          step: the step of the gang.
+          until: monotonic time in seconds.
+        """
+        kept = self._kept_plans.get(step)
+        if kept is not None:
+            kept.keep_until = max(kept.keep_until, until)
 
     def _repeat_plan(
         self, step: execution.Step, waiting: list[execution.Task], now: float
-    ) -> list[Placement]:
+    ) -> list[fleet.Worker]:
+        """Holds the workers of a step's last plan again, if it isn't too old.
+
+        Returns:
+          The workers. Those that don't fit any more are left out for a gang
+          without limits for its racks and workers; any other step gets none.
+        """
         kept = self._kept_plans.get(step)
-        if kept is None or now - kept.chosen_at >= PLAN_TTL_S:
+        if kept is None or not kept.is_kept(now, PLAN_TTL_S):
             return []
-        workers = kept.workers
-        if len(workers) > len(waiting):
+        spec = step.spec
+        if len(kept.workers) > len(waiting):
             return []
-        if step.spec.gang and len(workers) != len(waiting):
+        if spec.gang and len(kept.workers) != len(waiting):
             return []
-        for worker in workers:
-            if not self._is_usable(worker, now) or not placement.fits(
-                worker, step.spec, self.free_capacity
+        fitting = []
+        for worker in kept.workers:
+            if self._is_usable(worker, now) and placement.fits(
+                worker, spec, self.free_capacity
             ):
-                self.release(step)
-                return []
-            self._hold(step, worker, 1)
-        return list(zip(waiting, workers, strict=False))
+                self._hold(step, worker, 1)
+                fitting.append(worker)
+        is_whole = len(fitting) == len(kept.workers)
+        is_limited = spec.same_rack or spec.max_per_worker
+        if not is_whole and (not spec.gang or is_limited):
+            self.release(step)
+            return []
+        return fitting
 
     def _plan_gang(self, step, waiting, workers, now: float, choose):
         def choose_member(_, counts):
@@ -455,7 +511,7 @@
         count: int,
         now: float,
         allows: workerpool.Allows | None,
-        is_expired: bool = False,
+        yields: bool = False,
     ) -> list[fleet.Worker]:
         """Reserves the workers that lack the least capacity for waiting tasks.
 
@@ -468,13 +524,13 @@
           count: number of its tasks that wait.
           now: the monotonic clock, in seconds.
           allows: returns whether a worker may run the step, None if all may.
-          is_expired: whether the result will be too late to be of use. Such a
-            step reserves workers only if no other one does.
+          yields: whether the step leaves scarce capacity to others, as its
+            result will be too late. It reserves workers only if no other does.
 
         Returns:
           A worker for each task that has a reservation.
         """
-        if not self._may_reserve() or (is_expired and self._reserved):
+        if not self._may_reserve() or (yields and self._reserved):
             return []
         waited_s = now - (step.ready_since or now)
         if not reservations.is_reservation_active(waited_s):
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -61,6 +61,13 @@
         """Returns all workers of the pool."""
         return [entry.worker for entry in self._entries.values()]
 
+    def measure_free_share(self) -> float:
+        """Returns the share of the CPU of all workers that runs don't use."""
+        workers = self.list_workers()
+        capacity = sum(worker.registration.cpu for worker in workers)
+        free = sum(max(0, worker.free_cpu) for worker in workers)
+        return free / capacity if capacity else 0.0
+
     def replace(self, workers: Iterable[fleet.Worker]):
         """Sets the workers of the pool; those that stay are kept as indexed."""
         usable = {worker.id: worker for worker in workers}
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
@@ -9,6 +9,9 @@
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 
+# Time in seconds beyond the advisor's own for a call on its way and back.
+ANSWER_SLACK_S = 0.3
+
 
 class GangPreparer:
     """Prepares the start of gangs whose queue has an advice policy."""
@@ -43,20 +46,20 @@
           policy: the advice policy of its queue.
           now: the monotonic clock, in seconds.
         """
-        is_expired = self._ranking.is_expired(step, now)
-        if self._plan_approved(step, members, policy, now, is_expired):
+        yields = self._ranking.yields_capacity(step, now)
+        if self._plan_approved(step, members, policy, now, yields):
             return
         if now >= step.advice.retry_at:
             self._ticket_requester.explore(
-                step, policy, self._planner.free_capacity
+                step, policy, self._planner.free_capacity, now
             )
         if not step.advice.is_asking:
             self._planner.reserve(
-                step, len(members), now, step.advice.is_approved, is_expired
+                step, len(members), now, step.advice.is_approved, yields
             )
 
     def _plan_approved(
-        self, step, members, policy, now: float, is_expired: bool
+        self, step, members, policy, now: float, yields: bool
     ) -> bool:
         """Plans a gang on approved workers, with preemption if need be.
 
@@ -68,8 +71,12 @@
         if pairs:
             workers = [worker for _, worker in pairs]
             self._request_tickets(step, workers, policy, now)
+            if step.advice.is_asking:
+                self._planner.keep_plan(
+                    step, now + _estimate_call(policy, len(workers))
+                )
             return True
-        if is_expired:
+        if yields:
             return False
         return self._vacate(step, len(members), policy, now)
 
@@ -106,3 +113,9 @@
             policy,
             now,
         )
+
+
+def _estimate_call(policy: configuration.AdvicePolicy, count: int) -> float:
+    """Returns the most seconds until the answer to a call has been used."""
+    call_s = (policy.decide_ms + policy.each_ms * count) / 1000
+    return call_s + ANSWER_SLACK_S
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
@@ -3,19 +3,17 @@
 from persimmonpath_entry.decisions import preemption
 from persimmonpath_entry.decisions import reservations
 from persimmonpath_entry.engine import shard as shards
-from persimmonpath_entry.engine import stepranking
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
 
 
 class Preemptor:
-    """Preempts runs of a shard. An expired step preempts nothing."""
+    """Preempts runs of a shard."""
 
-    def __init__(self, shard: shards.Shard, ranking: stepranking.StepRanking):
+    def __init__(self, shard: shards.Shard):
         self._shard = shard
         self._node = shard.node
-        self._ranking = ranking
 
     def preempt(self, step: execution.Step, reserved: list[fleet.Worker]):
         """Preempts runs on the workers reserved for a step.
@@ -28,8 +26,6 @@
           reserved: a worker for each of its tasks.
         """
         now = clock.read_clock()
-        if self._ranking.is_expired(step, now):
-            return
         is_early = (
             not step.spec.gang
             and now - (step.ready_since or now) < preemption.PREEMPTION_DELAY_S
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -16,7 +16,8 @@
 from persimmonpath_entry.transport import clock
 
 CHECK_INTERVAL_S = 0.2
-SUBMISSION_POLL_S = 1.0
+# Submissions are announced by peers, unless these don't reach the owner.
+SUBMISSION_POLL_S = 0.25
 REMOVAL_INTERVAL_S = 20.0
 # Seconds for which rows of ended submissions are kept beyond the time in which
 # clients may query them.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -1,15 +1,17 @@
 """Ranks the waiting steps of a shard."""
 
 from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import stepplanner
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.state import execution
 
 
 class StepRanking:
-    """Ranks steps by the configuration of their queues."""
+    """Ranks steps by the configuration of their queues and by the plan."""
 
-    def __init__(self, shard: shards.Shard):
+    def __init__(self, shard: shards.Shard, planner: stepplanner.StepPlanner):
         self._shard = shard
+        self._planner = planner
 
     def rank(
         self, step: execution.Step, now: float
@@ -28,6 +30,11 @@
             ordering.find_rank_change(*arguments),
         )
 
-    def is_expired(self, step: execution.Step, now: float) -> bool:
-        """Returns whether a step's result will be too late to be of use."""
-        return self.rank(step, now)[0].is_expired
+    def yields_capacity(self, step: execution.Step, now: float) -> bool:
+        """Returns whether a step leaves capacity that it lacks to others.
+
+        It does if its result will be too late to be of use and capacity is
+        scarce. It must start one day, at the latest when there is enough.
+        """
+        is_expired = self.rank(step, now)[0].is_expired
+        return is_expired and self._planner.is_capacity_scarce
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -56,8 +56,8 @@
         self._poller = poller
         self._ticket_requester = ticketrequests.TicketRequester(shard, advisor)
         self._planner = stepplanner.StepPlanner(shard.pool, self._is_usable)
-        self._ranking = stepranking.StepRanking(shard)
-        self._preemptor = preemptor.Preemptor(shard, self._ranking)
+        self._ranking = stepranking.StepRanking(shard, self._planner)
+        self._preemptor = preemptor.Preemptor(shard)
         self._gangs = gangpreparation.GangPreparer(
             self._planner,
             self._ticket_requester,
@@ -418,7 +418,7 @@
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
         """Reserves workers for waiting tasks, preempting runs if need be."""
         if count:
-            reserved = self._planner.reserve(
-                step, count, now, allows, self._ranking.is_expired(step, now)
-            )
-            self._preemptor.preempt(step, reserved)
+            yields = self._ranking.yields_capacity(step, now)
+            reserved = self._planner.reserve(step, count, now, allows, yields)
+            if not yields:
+                self._preemptor.preempt(step, reserved)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -140,6 +140,7 @@
         step: execution.Step,
         policy,
         free_capacity: placement.FreeCapacity,
+        now: float,
     ):
         """Asks about more workers for a gang if too few are approved.
 
@@ -147,21 +148,36 @@
           step: the step of the gang.
           policy: the advice policy of its queue.
           free_capacity: the capacity that is left in the current plan.
+          now: the monotonic clock, in seconds.
         """
+        purpose = advisorcalls.Purpose.START
+        batches = self._choose_batches(
+            step, free_capacity, advisorcalls.EXPLORED_MULTIPLE
+        )
+        if not batches and not step.advice.is_asking:
+            # The calls of other steps are more likely to lead to a start.
+            purpose = advisorcalls.Purpose.PREFETCH
+            multiple = advisorcalls.choose_explored_multiple(
+                now - (step.ready_since or now)
+            )
+            batches = self._choose_batches(step, free_capacity, multiple)[:1]
+        for targets in batches:
+            if not self._start_call(step, targets, policy, purpose):
+                return
+
+    def _choose_batches(
+        self, step, free_capacity, multiple: float
+    ) -> list[list[str]]:
         queue = step.submission.record.queue
-        batches = advisorcalls.choose_batches_to_explore(
+        return advisorcalls.choose_batches_to_explore(
             step.advice,
             step.spec,
             step.remaining,
             self._list_candidates(step),
             self._good_shares.get(queue, INITIAL_GOOD_SHARE),
             free_capacity,
+            multiple,
         )
-        for targets in batches:
-            if not self._start_call(
-                step, targets, policy, advisorcalls.Purpose.START
-            ):
-                return
 
     def _list_candidates(self, step: execution.Step):
         """Returns the workers of the pool that may run a step."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -56,6 +56,8 @@
       used_memory_mb: memory of its runs in MB.
       used_gpu: number of accelerators of its runs.
       filler_cpu: CPU claimed by its fillers, in thousandths of a core.
+      long_running_usage: CPU, memory and accelerators of its long-running
+        tasks, which don't end by themselves; in the same units.
       latency_sensitive_runs: number of runs with a latency target.
       filler_runs: number of runs that are fillers.
       recent_failures: number of failed or stalled runs since the last success.
@@ -96,6 +98,7 @@
         self.used_memory_mb = 0
         self.used_gpu = 0
         self.filler_cpu = 0
+        self.long_running_usage = [0, 0, 0]
         self.latency_sensitive_runs = 0
         self.filler_runs = 0
         self.recent_failures = 0
@@ -177,6 +180,26 @@
             self.latency_sensitive_runs += sign
         self.used_memory_mb += sign * spec.memory_mb
         self.used_gpu += sign * spec.gpu
+        if spec.long_running:
+            usage = self.long_running_usage
+            usage[0] += 0 if spec.is_filler else sign * spec.cpu
+            usage[1] += sign * spec.memory_mb
+            usage[2] += sign * spec.gpu
+
+    def list_attainable_capacity(self) -> tuple[int, int, int]:
+        """Returns the capacity that is free once its other runs have ended.
+
+        Returns:
+          CPU in thousandths of a core, memory in MB and accelerators, without
+          what long-running tasks use.
+        """
+        cpu, memory_mb, gpu = self.long_running_usage
+        capacity = self.registration
+        return (
+            capacity.cpu - cpu,
+            capacity.memory_mb - memory_mb,
+            capacity.gpu - gpu,
+        )
 
     def record_answer(self, sent_at: float, now: float):
         """Records that the worker has answered a call sent at `sent_at`."""
--- a/tests/entry/test_stepplanner.py
+++ b/tests/entry/test_stepplanner.py
@@ -63,7 +63,7 @@
 
     def test_an_expired_gang_reserves_only_if_no_other_step_does(self):
         """Its result is of no use, but it must start one day."""
-        first, second = self.reserve(2, is_expired=True)
+        first, second = self.reserve(2, yields=True)
         self.assertEqual(len(first), 3)
         self.assertEqual(second, [])
 
@@ -77,6 +77,123 @@
         self.assertEqual(len(self.planner.reserve(steps[-1], 3, NOW, None)), 3)
 
 
+class KeepPlanTest(unittest.TestCase):
+    """Covers gangs whose tickets take a second to arrive.
+
+    Each pass planned them on other workers, so that the tickets came for
+    workers out of the plan (LOST in slow-workers of the grown tender).
+    """
+
+    def setUp(self):
+        self.workers = make_workers(12)
+        self.pool = workerpool.WorkerPool()
+        self.pool.replace(self.workers)
+        self.planner = stepplanner.StepPlanner(
+            self.pool, lambda worker, now: True
+        )
+        self.step = make_gang(1)
+        self.now = NOW
+
+    def plan(self):
+        self.now += 2 * stepplanner.PLAN_TTL_S
+        self.planner.begin_plan(self.now)
+        pairs = self.planner.plan_again(
+            self.step, self.step.tasks, self.now, None
+        )
+        return [worker for _, worker in pairs]
+
+    def use(self, worker, cpu):
+        """Changes what other tasks use of a worker."""
+        worker.used_cpu = cpu
+        self.pool.update(worker)
+
+    def use_partly(self, planned):
+        """Makes all other workers the better choice for a member."""
+        for worker in self.workers:
+            if worker not in planned:
+                self.use(worker, 8000)
+
+    def test_a_gang_that_waits_for_tickets_keeps_its_workers(self):
+        planned = self.plan()
+        self.planner.keep_plan(self.step, self.now + 10)
+        self.use_partly(planned)
+        self.assertEqual(self.plan(), planned)
+
+    def test_an_old_plan_is_replaced_by_a_better_one(self):
+        planned = self.plan()
+        self.use_partly(planned)
+        self.assertTrue(set(planned).isdisjoint(self.plan()))
+
+    def test_only_members_whose_worker_is_full_move(self):
+        """The tickets of the others remain of use."""
+        planned = self.plan()
+        self.planner.keep_plan(self.step, self.now + 10)
+        self.use(planned[0], 16000)
+        found = self.plan()
+        self.assertEqual(found[:2], planned[1:])
+        self.assertNotIn(planned[0], found)
+        self.assertEqual(self.plan(), found)
+
+    def test_a_gang_that_doesn_t_fit_any_more_holds_nothing(self):
+        planned = self.plan()
+        self.planner.keep_plan(self.step, self.now + 10)
+        for worker in self.workers[2:]:
+            self.use(worker, 16000)
+        self.use(planned[0], 16000)
+        self.assertEqual(self.plan(), [])
+        self.assertFalse(self.planner.holds_capacity)
+
+
+class LongRunningTest(unittest.TestCase):
+    """Covers workers that long-running tasks occupy for good.
+
+    Gangs waited for them though others were free (LOST in trouble-2 of large).
+    """
+
+    def setUp(self):
+        self.workers = make_workers(4)
+        spec = submissions.StepSpec(
+            count=1, cpu=100, memory_mb=30000, long_running=True
+        )
+        for worker in self.workers[:2]:
+            worker._adjust_usage(spec, 1)
+
+    def test_no_such_worker_is_reserved_or_vacated(self):
+        chosen = reservations.choose_workers_to_reserve(
+            self.workers, MEMBER, placement.FreeCapacity(), 2
+        )
+        self.assertEqual(set(chosen), set(self.workers[2:]))
+        self.assertEqual(
+            reservations.choose_workers_to_reserve(
+                self.workers[:2], MEMBER, placement.FreeCapacity()
+            ),
+            [],
+        )
+
+    def test_such_approved_workers_don_t_count_as_explored(self):
+        advice = execution.StepAdvice()
+        advice.good = {worker.id for worker in self.workers[:2]}
+        advice.asked = set(advice.good)
+        (batch,) = advisorcalls.choose_batches_to_explore(
+            advice, MEMBER, 1, self.workers, 1.0, placement.FreeCapacity()
+        )
+        self.assertEqual(set(batch), {w.id for w in self.workers[2:]})
+
+
+class AmpleCapacityTest(unittest.TestCase):
+    def test_capacity_is_scarce_unless_half_of_it_is_free(self):
+        workers = make_workers(4)
+        pool = workerpool.WorkerPool()
+        pool.replace(workers)
+        planner = stepplanner.StepPlanner(pool, lambda worker, now: True)
+        for used, is_scarce in ((0, False), (7900, False), (8100, True)):
+            with self.subTest(used=used):
+                for worker in workers:
+                    worker.used_cpu = used
+                planner.begin_plan(NOW)
+                self.assertEqual(planner.is_capacity_scarce, is_scarce)
+
+
 class VacateTest(unittest.TestCase):
     def choose(self, workers, count, reclaimable):
         return reservations.choose_workers_to_vacate(
@@ -118,7 +235,7 @@
         self.workers = make_workers(200)
         self.advice = execution.StepAdvice()
 
-    def choose(self, count=20):
+    def choose(self, count=20, waited_s=0.0):
         return advisorcalls.choose_batches_to_explore(
             self.advice,
             MEMBER,
@@ -126,8 +243,21 @@
             self.workers,
             self.GOOD_SHARE,
             placement.FreeCapacity(),
+            advisorcalls.choose_explored_multiple(waited_s),
         )
 
+    def test_a_gang_that_has_waited_for_long_explores_further(self):
+        """Its approved workers were never free at the same time.
+
+        A gang of 17 waited for 48 s (LOST in slow-workers of the grown tender).
+        """
+        self.advice.good = {worker.id for worker in self.workers[:40]}
+        self.advice.asked = set(self.advice.good)
+        wait_s = advisorcalls.EXPLORE_FURTHER_AFTER_S
+        self.assertEqual(self.choose(waited_s=wait_s - 0.1), [])
+        named = [i for batch in self.choose(waited_s=wait_s) for i in batch]
+        self.assertGreaterEqual(len(named) * self.GOOD_SHARE, 20)
+
     def test_calls_for_all_members_are_made_at_once(self):
         batches = self.choose()
         named = [worker_id for batch in batches for worker_id in batch]
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -233,14 +233,7 @@
 
     async def test_runs_are_preempted_once_the_whole_gang_can_start(self):
         """Room made for a part of the gang would stay idle."""
-        fill = submissions.StepSpec(
-            count=2 * self.WORKERS, cpu=8000, memory_mb=100, checkpointing=True
-        )
-        batch = self.add_step(SMALL_ID, fill, queue="batch")
-        workers = list(self.shard.workers.values())
-        for number, task in enumerate(batch.tasks):
-            run = fakes.start_run(self.shard, task, workers[number // 2])
-            run.phase = execution.Phase.RUNNING
+        self.fill_workers(list(self.shard.workers.values()))
         self.add_gang()
         self.scheduler._run_pass(clock.read_clock())
         self.assertEqual(self.shard.stopped, [])
@@ -254,3 +247,41 @@
         self.scheduler._run_pass(clock.read_clock())
         gang = [n for n in self.commands.started if n.startswith(LARGE_ID)]
         self.assertEqual(len(gang), self.MEMBERS)
+
+    def fill_workers(self, workers):
+        """Runs two preemptible tasks of half a worker on each worker."""
+        fill = submissions.StepSpec(
+            count=2 * len(workers), cpu=8000, memory_mb=100, checkpointing=True
+        )
+        batch = self.add_step(SMALL_ID, fill, queue="batch")
+        for number, task in enumerate(batch.tasks):
+            run = fakes.start_run(self.shard, task, workers[number // 2])
+            run.phase = execution.Phase.RUNNING
+
+    async def run_expired_gang(self, filled):
+        """Runs passes over an expired gang beside full workers.
+
+        Returns:
+          The number of runs that are preempted for it.
+        """
+        step = self.add_gang()
+        step.submission.known_since -= 1000
+        self.scheduler._run_pass(clock.read_clock())
+        await self.settle_calls()
+        self.fill_workers(filled)
+        self.scheduler._run_pass(clock.read_clock())
+        return len(self.shard.stopped)
+
+    async def test_an_expired_gang_preempts_while_capacity_is_ample(self):
+        """It waited to the end of the day beside idle workers.
+
+        Less urgent runs occupied the workers that it may use, and could have
+        gone on elsewhere (LOST in trouble-3 of the grown tender).
+        """
+        workers = self.shard.workers
+        approved = [workers[i] for i in sorted(self.advisor.approved)]
+        self.assertEqual(await self.run_expired_gang(approved), self.MEMBERS)
+
+    async def test_an_expired_gang_preempts_nothing_if_capacity_is_scarce(self):
+        workers = list(self.shard.workers.values())
+        self.assertEqual(await self.run_expired_gang(workers), 0)
