Refuse at once what a backlog makes useless, and rank steps by the remaining path

Cause: under a burst, work was accepted behind a backlog that it couldn't pass before its result was of no use; callers learned so only from their own deadline. Retry-After was a constant. A step was ranked by its own duration, so the first step of a long submission seemed to have time left; every occurrence but the first of a recurring submission counted as expired, since its age counted from the acceptance (found by reading). Change: decisions/admission estimates how long new tasks of each priority wait, from what waits and the capacity that long-running tasks leave; engine/backlog measures it twice a second, and the owner row, which every VM reads, carries it. A repeat of a stored submission isn't refused, as that says that it never runs. Ranks count the path from a step on, and an occurrence counts from when it was due.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -26,8 +26,8 @@
       is_expired: whether the result will be too late to be of use.
       priority: the priority of the queue, 0 for the most urgent.
       is_late: whether the latency objective can't be met any more.
-      due_s: the end of the latency objective, in seconds of the monotonic
-        clock.
+      due_s: when the step must be done for the latency objective to be met, in
+        seconds of the monotonic clock.
     """
 
     is_expired: bool
@@ -47,6 +47,28 @@
     return max(ends_ms, default=0.0)
 
 
+def estimate_remaining_path_ms(steps: list, number: int) -> float:
+    """Returns the estimated duration of the longest path from a step on, in ms.
+
+    Args:
+      steps: the steps of a submission.
+      number: the number of the step, which is counted too.
+    """
+    if number >= len(steps):
+        # The details of an ended submission have been dropped.
+        return 0.0
+    ends_ms = {number: steps[number].estimated_ms}
+    for later in range(number + 1, len(steps)):
+        starts_ms = [
+            ends_ms[dependency]
+            for dependency in steps[later].after
+            if dependency in ends_ms
+        ]
+        if starts_ms:
+            ends_ms[later] = max(starts_ms) + steps[later].estimated_ms
+    return max(ends_ms.values())
+
+
 def rank_step(
     step: execution.Step,
     queue: configuration.Queue,
@@ -59,15 +81,16 @@
     Args:
       step: the step.
       queue: its queue.
-      age_s: seconds since its submission was accepted.
+      age_s: seconds since its latency objective counts.
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
     """
     objective_s = compute_objective_s(queue, critical_path_ms)
-    due_s = now - age_s + objective_s
     if step.spec.long_running:
-        return Rank(False, queue.priority, False, due_s)
-    finish_s = age_s + step.spec.estimated_ms / 1000
+        return Rank(False, queue.priority, False, now - age_s + objective_s)
+    finish_s = age_s + _estimate_remaining_s(step)
+    later_s = _estimate_remaining_s(step) - step.spec.estimated_ms / 1000
+    due_s = now - age_s + objective_s - later_s
     return Rank(
         finish_s > EXPIRY_FACTOR * objective_s,
         queue.priority,
@@ -76,6 +99,11 @@
     )
 
 
+def _estimate_remaining_s(step: execution.Step) -> float:
+    steps = step.submission.record.steps
+    return estimate_remaining_path_ms(steps, step.number) / 1000
+
+
 def compute_objective_s(
     queue: configuration.Queue, critical_path_ms: float
 ) -> float:
@@ -95,7 +123,7 @@
     Args:
       step: the step.
       queue: its queue.
-      age_s: seconds since its submission was accepted.
+      age_s: seconds since its latency objective counts.
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
 
@@ -105,7 +133,7 @@
     if step.spec.long_running:
         return math.inf
     objective_s = compute_objective_s(queue, critical_path_ms)
-    finish_s = age_s + step.spec.estimated_ms / 1000
+    finish_s = age_s + _estimate_remaining_s(step)
     for limit_s in (objective_s, EXPIRY_FACTOR * objective_s):
         if finish_s <= limit_s:
             return now + limit_s - finish_s
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
@@ -0,0 +1,54 @@
+"""Measures how long new work of a shard waits, and tells the other VMs."""
+
+import asyncio
+
+from persimmonpath_entry.decisions import admission
+from persimmonpath_entry.engine import shard as shards
+from persimmonpath_entry.engine import stepranking
+from persimmonpath_entry.transport import clock
+
+INTERVAL_S = 0.5
+
+
+class BacklogMeter:
+    """Sets the expected waits of a shard, which its owner row carries."""
+
+    def __init__(self, shard: shards.Shard, ranking: stepranking.StepRanking):
+        self._shard = shard
+        self._ranking = ranking
+
+    async def run(self):
+        """Measures every INTERVAL_S until the shard is closed."""
+        shard = self._shard
+        while shard.is_open:
+            shard.waits = admission.estimate_waits(
+                shard.pool.list_workers(),
+                list(self._list_waiting(clock.read_clock())),
+            )
+            shard.node.metrics.set(
+                f'expected_wait{{service="{shard.service}"}}',
+                max(shard.waits.values(), default=0.0),
+            )
+            await asyncio.sleep(INTERVAL_S)
+
+    def _list_waiting(self, now: float):
+        """Yields the work that waits and can still be of use.
+
+        Args:
+          now: the monotonic clock, in seconds.
+        """
+        shard = self._shard
+        for step in shard.ready_steps:
+            count = len(step.list_waiting())
+            if not count or step.spec.long_running:
+                continue
+            if self._ranking.rank(step, now)[0].is_expired:
+                continue
+            queue = shard.find_queue(step.submission)
+            typical_s = shard.run_end_handler.find_typical_duration(queue.name)
+            yield admission.WaitingWork(
+                step.spec,
+                count,
+                typical_s or step.spec.estimated_ms / 1000,
+                queue.priority,
+            )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -1,10 +1,13 @@
 """HTTP API for callers: submits, reads, cancels and counts submissions."""
 
 import asyncio
+import random
 import re
 
 import msgspec
 
+from persimmonpath_entry.decisions import admission
+from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.engine import acceptance
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
@@ -29,6 +32,11 @@
 RETRY_AFTER_S = 2
 
 
+def _runs_for_good(record: submissions.SubmissionRecord) -> bool:
+    """Returns whether a submission has tasks that run until it is cancelled."""
+    return any(step.long_running for step in record.steps)
+
+
 def make_error(status: int, reason: str, retry_after_s: int | None = None):
     """Returns the response to a rejected request.
 
@@ -152,6 +160,9 @@
             return make_error(400, record)
         if not self._reach.can_use_store():
             return make_error(503, "store unreachable", RETRY_AFTER_S)
+        refusal = await self._refuse_overload(queue, submission_id, record)
+        if refusal is not None:
+            return refusal
         outcome, version = await self._acceptance.store(
             submission_id, record, deadline
         )
@@ -172,6 +183,45 @@
             self._notify_owner(submission_id, record, version)
         return httpserver.Response(200)
 
+    async def _refuse_overload(
+        self, queue, submission_id, record
+    ) -> httpserver.Response | None:
+        """Refuses a submission that would end too late to be of use.
+
+        A repeat of a stored submission isn't refused, since it will run.
+
+        Returns:
+          The response, None if the submission is accepted.
+        """
+        wait_s = self._ownership.find_wait(queue.service, queue.priority)
+        if not wait_s or record.occurrences or _runs_for_good(record):
+            return None
+        path_ms = ordering.estimate_critical_path_ms(record.steps)
+        decision = admission.decide(
+            wait_s,
+            path_ms / 1000,
+            ordering.compute_objective_s(queue, path_ms),
+            random.random(),
+        )
+        if decision.is_accepted:
+            return None
+        stored = await self._node.store.read_row(
+            persistence.SUBMISSION_TABLE,
+            persistence.find_partition(submission_id),
+            submission_id,
+        )
+        if not isinstance(stored, platform_store.Rows) or stored.rows:
+            return None
+        self._node.log.write(
+            "submission_refused",
+            id=submission_id,
+            queue=queue.name,
+            wait_s=wait_s,
+            path_ms=path_ms,
+            retry_after_s=decision.retry_after_s,
+        )
+        return make_error(503, "overloaded", decision.retry_after_s)
+
     def _notify_owner(self, submission_id, record, version: int):
         """Passes a stored submission to the owner of its service.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -1,5 +1,6 @@
 """Tracks the owner of each service and detects failed owners."""
 
+from persimmonpath_entry.decisions import admission
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownerrows
@@ -81,6 +82,25 @@
             if observed.record.owner
         ]
 
+    def find_wait(self, service: str, priority: int) -> float:
+        """Returns the expected wait of new tasks, in seconds.
+
+        The owner has worked off a part since the row was written. An old row
+        says nothing.
+
+        Args:
+          service: the service.
+          priority: the priority of their queue.
+        """
+        observed = self.observed_owners.get(service)
+        if observed is None:
+            return 0.0
+        age_s = clock.read_clock() - observed.renewed_at
+        if age_s > admission.MAX_WAIT_AGE_S:
+            return 0.0
+        wait_s = admission.find_wait(observed.record.waits, priority)
+        return max(0.0, wait_s - age_s)
+
     def mark_exited(self, service: str) -> bool:
         """Marks the process of an owner as exited.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -43,6 +43,8 @@
         started, None if unknown.
       renewed_ms: upper bound of the store's clock at this renewal, in
         milliseconds, 0 if unknown.
+      waits: expected waits of new tasks in seconds, by the priority of their
+        queue; short ones are left out.
     """
 
     owner: str = ""
@@ -51,6 +53,7 @@
     sequence: int = 0
     horizon: int | None = None
     renewed_ms: int = 0
+    waits: dict[int, float] = {}
 
 
 class WorkersRecord(msgspec.Struct, omit_defaults=True):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from persimmonpath_entry.decisions import admission
 from persimmonpath_entry.decisions import ownerselection
 from persimmonpath_entry.engine import advicebalancer
+from persimmonpath_entry.engine import backlog
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import freshness
 from persimmonpath_entry.engine import listings
@@ -78,6 +80,18 @@
         """Returns the address of a service's owner, or None."""
         return self._directory.find_owner(service)
 
+    def find_wait(self, service: str, priority: int) -> float:
+        """Returns the expected wait of new tasks, in seconds.
+
+        Args:
+          service: the service.
+          priority: the priority of their queue.
+        """
+        shard = self.find_shard(service)
+        if shard is not None:
+            return admission.find_wait(shard.waits, priority)
+        return self._directory.find_wait(service, priority)
+
     def find_shard(self, service: str) -> shards.Shard | None:
         """Returns the shard if this VM owns the service, or None."""
         shard = self.shards.get(service)
@@ -446,6 +460,7 @@
             ("follow_submissions", shard_maintenance.follow_submissions),
             ("shard_maintenance", shard_maintenance.run),
             ("scheduler", scheduler.run),
+            ("backlog", backlog.BacklogMeter(shard, scheduler.ranking).run),
         ):
             shard.spawn(supervision.keep_running(self._node, name, run))
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -77,6 +77,8 @@
       refresh_submission: coroutine function that brings a submission up to
         date before its state is shown.
       queues: last known configuration of each queue in use, by name.
+      waits: expected waits of new tasks in seconds, by the priority of their
+        queue.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.on_worker_restarted = None
         self.refresh_submission = None
         self.queues: dict[str, configuration.Queue] = {}
+        self.waits: dict[int, float] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def spawn(self, coroutine: Coroutine) -> asyncio.Task:
@@ -314,6 +317,10 @@
     ):
         now = clock.read_clock()
         for step in submission.add_occurrence(occurrence, now):
+            if submission.record.occurrences:
+                step.counted_since = now - _measure_lateness(
+                    submission.record, occurrence
+                )
             if not step.is_done and submission.is_ready(step):
                 self.make_ready(step)
         if submission.is_complete():
@@ -488,3 +495,12 @@
         if state != submissions.ACTIVE and submission.stored_at is None:
             submission.stored_at = now
             self.forget_details_if_ended(submission)
+
+
+def _measure_lateness(
+    record: submissions.SubmissionRecord, occurrence: int
+) -> float:
+    """Returns the seconds since an occurrence was due, by the time of day."""
+    due_ms = record.start_ms + occurrence * record.interval_ms
+    late_s = time.time() - due_ms / 1000
+    return min(max(0.0, late_s), MAX_SUBMISSION_AGE_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -21,7 +21,7 @@
         arguments = (
             step,
             self._shard.find_queue(submission),
-            now - submission.known_since,
+            now - step.counted_since,
             ordering.estimate_critical_path_ms(submission.record.steps),
             now,
         )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -41,6 +41,9 @@
 
     A pass plans all waiting steps anew, the most urgent first. Between two
     passes only the steps are planned that have become ready or got tickets.
+
+    Attributes:
+      ranking: ranks the steps.
     """
 
     def __init__(
@@ -56,13 +59,13 @@
         self._poller = poller
         self._ticket_requester = ticketrequests.TicketRequester(shard, advisor)
         self._planner = stepplanner.StepPlanner(shard.pool, self._is_usable)
-        self._ranking = stepranking.StepRanking(shard, self._planner)
+        self.ranking = stepranking.StepRanking(shard, self._planner)
         self._preemptor = preemptor.Preemptor(shard)
         self._gangs = gangpreparation.GangPreparer(
             self._planner,
             self._ticket_requester,
             self._preemptor,
-            self._ranking,
+            self.ranking,
         )
         self._started = 0
         self._pacer = passpacing.PassPacer()
@@ -189,7 +192,7 @@
         if not steps:
             return
         self._refresh_pool(now)
-        steps.sort(key=lambda step: self._ranking.rank(step, now)[0])
+        steps.sort(key=lambda step: self.ranking.rank(step, now)[0])
         for step in steps:
             self._planner.release(step)
         self._handle_steps(steps, now)
@@ -282,7 +285,7 @@
             self._ranked_configuration = self._node.configuration
             self._shard.ready_steps.rerank()
         return self._shard.ready_steps.list_ranked(
-            now, lambda step: self._ranking.rank(step, now)
+            now, lambda step: self.ranking.rank(step, now)
         )
 
     def _find_advice_policy(
@@ -418,7 +421,7 @@
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
         """Reserves workers for waiting tasks, preempting runs if need be."""
         if count:
-            yields = self._ranking.yields_capacity(step, now)
+            yields = self.ranking.yields_capacity(step, now)
             reserved = self._planner.reserve(step, count, now, allows, yields)
             if not yields:
                 self._preemptor.preempt(step, reserved)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -176,6 +176,9 @@
       key: the name within the submission, "occurrence.step".
       tasks: the tasks by index.
       remaining: number of tasks that aren't done.
+      counted_since: since when its latency objective counts, in seconds of the
+        monotonic clock: when the submission was accepted, or its occurrence
+        was due.
       ready_since: since when its tasks may start, in seconds of the monotonic
         clock; None if earlier steps aren't done.
       became_ready_here: whether this owner saw the end of the last task before
@@ -198,6 +201,7 @@
         self.key = f"{occurrence}.{number}"
         self.tasks = [Task(self, index, now) for index in range(spec.count)]
         self.remaining = spec.count
+        self.counted_since = submission.known_since
         self.ready_since: float | None = None
         self.became_ready_here = False
         self.advice = StepAdvice()
--- a/tests/entry/test_decisions.py
+++ b/tests/entry/test_decisions.py
@@ -55,6 +55,45 @@
             submissions.StepSpec(count=1, estimated_ms=50, after=[0, 1]),
         ]
         self.assertEqual(ordering.estimate_critical_path_ms(specs), 350)
+        remaining = [
+            ordering.estimate_remaining_path_ms(specs, number)
+            for number in range(3)
+        ]
+        self.assertEqual(remaining, [150, 350, 50])
+
+    def test_a_step_counts_what_comes_after_it(self):
+        """The first step of a long submission seemed to have time left.
+
+        The second one then started when its result was of no use any more.
+        """
+        specs = [
+            submissions.StepSpec(count=1, estimated_ms=400),
+            submissions.StepSpec(count=1, estimated_ms=900, after=[0]),
+        ]
+        submission = execution.Submission(
+            "00000000000000aa", fakes.make_record(*specs), None, False, NOW
+        )
+        first, second = submission.add_occurrence(0, NOW)
+        # The objective is 300 ms and one and a half times the path of 1300 ms.
+        queue = fakes.make_queue()
+        rank = ordering.rank_step(first, queue, 1.0, 1300, NOW)
+        self.assertTrue(rank.is_late)
+        self.assertAlmostEqual(rank.due_s, NOW - 1.0 + 2.25 - 0.9)
+        rank = ordering.rank_step(second, queue, 1.0, 1300, NOW)
+        self.assertFalse(rank.is_late)
+        self.assertAlmostEqual(rank.due_s, NOW - 1.0 + 2.25)
+        change = ordering.find_rank_change(first, queue, 0.5, 1300, NOW)
+        self.assertAlmostEqual(change, NOW + 2.25 - 1.3 - 0.5)
+
+    def test_a_step_of_an_ended_submission_can_be_ranked(self):
+        """Its details are dropped while it may still be listed once more."""
+        step = make_step()
+        step.submission.forget_details()
+        self.assertFalse(
+            ordering.rank_step(
+                step, fakes.make_queue(), 0.0, 400, NOW
+            ).is_expired
+        )
 
 
 class ChooseCallerTest(unittest.TestCase):
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -1,5 +1,6 @@
 """Tests of the state changes of a shard, its run ends and its workers."""
 
+import time
 import unittest
 
 from persimmonpath_entry.state import submissions
@@ -336,3 +337,27 @@
         self.assertTrue(shard.may_start(now))
         shard.is_leaving = True
         self.assertFalse(shard.may_start(now))
+
+
+class OccurrenceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_objective_of_an_occurrence_counts_from_its_due_time(
+        self,
+    ):
+        """Counted from the acceptance, all but the first ones were expired.
+
+        They were then placed after everything else.
+        """
+        shard = fakes.make_shard()
+        now_ms = time.time() * 1000
+        record = fakes.make_record(
+            accepted_ms=int(now_ms - 500_000),
+            start_ms=int(now_ms - 400_000),
+            interval_ms=398_000,
+            occurrences=3,
+        )
+        shard.apply_submission(ID, record)
+        steps = shard.submissions[ID].steps
+        self.assertEqual(set(steps), {"0.0", "1.0"})
+        now = clock.read_clock()
+        self.assertAlmostEqual(now - steps["0.0"].counted_since, 400, delta=1)
+        self.assertAlmostEqual(now - steps["1.0"].counted_since, 2, delta=1)
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -265,7 +265,7 @@
           The number of runs that are preempted for it.
         """
         step = self.add_gang()
-        step.submission.known_since -= 1000
+        step.counted_since -= 1000
         self.scheduler._run_pass(clock.read_clock())
         await self.settle_calls()
         self.fill_workers(filled)
--- a/tests/entry/test_workerpool.py
+++ b/tests/entry/test_workerpool.py
@@ -243,7 +243,7 @@
         queue = fakes.make_queue()
 
         def rank_step(step):
-            arguments = (step, queue, now - step.submission.known_since, 500.0)
+            arguments = (step, queue, now - step.counted_since, 500.0)
             return (
                 ordering.rank_step(*arguments, now),
                 ordering.find_rank_change(*arguments, now),
@@ -256,7 +256,7 @@
         generator = random.Random(3)
         ready = readysteps.ReadySteps()
         for step in steps:
-            step.submission.known_since = generator.uniform(-6.0, 0.0)
+            step.counted_since = generator.uniform(-6.0, 0.0)
             ready.add(step)
         for moment in range(0, 60, 2):
             now = moment / 10
