Spread the peers that a VM asks to relay its calls to the store

Change: decisions/peerorder orders the peers differently for each VM, of all zones in turn, and an attempt that finds no relay turns to the next ones. The advisor's calls use the same order.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/advicebalancer.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/advicebalancer.py
@@ -1,11 +1,11 @@
 """Calls to the placement advisor, spread over several VMs."""
 
 import collections
-import zlib
 
 import msgspec
 
 from persimmonpath_entry.decisions import advisorcalls
+from persimmonpath_entry.decisions import peerorder
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.platform import advice as advice_calls
@@ -98,9 +98,7 @@
         peers = [
             a for a in self._peers.list_reachable_peers() if a not in owners
         ]
-        own = self._node.peer_address
-        peers.sort(key=lambda address: zlib.crc32(f"{own}/{address}".encode()))
-        return peers
+        return peerorder.sort_peers(self._node.peer_address, peers)
 
     async def ask(
         self,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -61,6 +61,8 @@
         self._peers = peers
         self._check_requested = asyncio.Event()
         self._relay_peer: str | None = None
+        # Number of probes of peers since one last reached the store.
+        self._failed_probes = 0
         self.reach = Reach.STORE
         node.store.on_failure = self._check_requested.set
 
@@ -113,7 +115,9 @@
 
     async def _probe_peers(self):
         """Asks peers whether they reach the store and updates the reach."""
-        addresses = self._peers.list_probe_targets(MAX_PROBED_PEERS)
+        addresses = self._peers.list_probe_targets(
+            MAX_PROBED_PEERS, self._failed_probes
+        )
         outcomes = await asyncio.gather(
             *(
                 self._peers.call(
@@ -128,6 +132,7 @@
             if isinstance(outcome, httpclient.Response)
         ]
         relay_peers = [address for address, status in answers if status == 200]
+        self._failed_probes = 0 if relay_peers else self._failed_probes + 1
         unanswered_s = clock.read_clock() - self._node.store.last_answer
         if self.reaches_store_directly():
             self._set_reach(Reach.STORE, None)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from persimmonpath_entry.decisions import ownerselection
+from persimmonpath_entry.decisions import peerorder
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import store as platform_store
@@ -205,24 +206,21 @@
             isinstance(outcome, httpclient.Response) and outcome.status == 200
         )
 
-    def list_probe_targets(self, count: int) -> list[str]:
+    def list_probe_targets(self, count: int, attempt: int) -> list[str]:
         """Returns peers of other zones to probe, spread over many zones.
 
         Args:
           count: the maximum number of addresses.
+          attempt: number of the attempt; each one turns to the next peers.
         """
-        addresses_by_zone: dict[str, list[str]] = {}
-        for _name, record in sorted(self._records.items()):
+        peers_by_zone: dict[str, list[str]] = {}
+        for record in self._records.values():
             if record.zone != self._node.settings.zone:
-                addresses_by_zone.setdefault(record.zone, []).append(
-                    record.address
-                )
-        rows = [
-            (index, address)
-            for addresses in addresses_by_zone.values()
-            for index, address in enumerate(addresses)
-        ]
-        return [address for _, address in sorted(rows)][:count]
+                peers = peers_by_zone.setdefault(record.zone, [])
+                peers.append(record.address)
+        return peerorder.choose_probe_targets(
+            self._node.peer_address, peers_by_zone, count, attempt
+        )
 
     async def call(
         self,
--- a/tests/entry/test_connectivity.py
+++ b/tests/entry/test_connectivity.py
@@ -1,8 +1,10 @@
 """Tests of how a VM detects and survives a slow or unreachable store."""
 
 import asyncio
+import collections
 import unittest
 
+from persimmonpath_entry.decisions import peerorder
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.platform import store as platform_store
@@ -147,3 +149,47 @@
         self.assertGreaterEqual(len(parts) * 200 / 50, 60)
         found = {persistence.find_partition(f"{n:016x}") for n in range(256)}
         self.assertEqual(found, set(parts))
+
+
+class ProbeTargetTest(unittest.TestCase):
+    """The store turns away 40 of 97 VMs at the same time."""
+
+    PEERS = {
+        f"z{zone}": [f"10.{zone}.0.{n}:7000" for n in range(20)]
+        for zone in range(1, 5)
+    }
+
+    def choose(self, own_address, attempt=0):
+        return peerorder.choose_probe_targets(
+            own_address, self.PEERS, connectivity.MAX_PROBED_PEERS, attempt
+        )
+
+    def test_vms_that_are_turned_away_use_different_peers(self):
+        """All of them relayed their calls through the same peer.
+
+        It carried none in time, and two owners lost their leases (trouble-1 of
+        large).
+        """
+        first = collections.Counter(
+            self.choose(f"10.9.0.{n}:7000")[0] for n in range(40)
+        )
+        self.assertGreater(len(first), 20)
+        self.assertLessEqual(max(first.values()), 5)
+
+    def test_the_peers_are_of_different_zones(self):
+        chosen = self.choose("10.9.0.1:7000")
+        self.assertEqual(len({a.split(".")[1] for a in chosen}), 4)
+
+    def test_each_attempt_turns_to_other_peers(self):
+        """The first ones may be turned away as well."""
+        chosen = [
+            address
+            for attempt in range(20)
+            for address in self.choose("10.9.0.1:7000", attempt)
+        ]
+        self.assertEqual(len(set(chosen)), 80)
+
+    def test_a_vm_keeps_to_its_peers(self):
+        self.assertEqual(
+            self.choose("10.9.0.1:7000"), self.choose("10.9.0.1:7000")
+        )
