Have every waiting gang examined, and continue a full feed from its last row

A feed response is full at 500 rows; whether its version is that of its last row isn't said, and changes between the two would be lost: a possible cause of DRAIN, not confirmed. Change: a gang looks only at the workers that the advisor has approved, examines all others only if it lacks approved ones, and for 0.1 s not at all once no VM was free to call; what a pass leaves out has its turn in every second one; a full response is continued from its last row. New tests in test_taskscheduler and test_connectivity.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
@@ -6,6 +6,8 @@
 flight, and prefetching leaves VMs free.
 """
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 
 from persimmonpath_entry.decisions import placement
@@ -116,7 +118,7 @@
     step_advice: execution.StepAdvice,
     spec: submissions.StepSpec,
     count: int,
-    fitting: list[fleet.Worker],
+    workers: Mapping[str, fleet.Worker],
     good_share: float,
     free_capacity: placement.FreeCapacity,
     multiple: float = EXPLORED_MULTIPLE,
@@ -131,7 +133,7 @@
       step_advice: the advisor's answers for the step so far.
       spec: the step.
       count: the number of members.
-      fitting: workers that could run its tasks when empty.
+      workers: the workers that may get tasks, by id.
       good_share: the share of workers that the advisor usually approves.
       free_capacity: the capacity that is left in the current plan.
       multiple: multiple of the members that the approved workers should carry.
@@ -140,21 +142,21 @@
       The ids to name in each of several calls at the same time; empty if
       enough workers are approved or expected to be.
     """
-    wanted = multiple * count
-    expected = 0.0
+    wanted = multiple * count - _count_slots(step_advice.good, spec, workers)
+    expected = good_share * _count_slots(
+        step_advice.asking - step_advice.good, spec, workers
+    )
+    if expected >= wanted:
+        return []
     unasked = []
-    for worker in fitting:
-        slots = placement.count_attainable(worker, spec)
-        if worker.id in step_advice.good:
-            wanted -= slots
-        elif worker.id in step_advice.asking:
-            expected += slots * good_share
-        elif worker.id not in step_advice.asked:
-            unasked.append((worker, slots))
+    for worker_id, worker in workers.items():
+        is_open = worker_id not in step_advice.asked
+        if is_open and worker_id not in step_advice.asking:
+            slots = _count_allowed_slots(worker, spec)
+            if slots:
+                unasked.append((worker, slots))
     unasked.sort(key=lambda entry: -free_capacity.get_free(entry[0])[0])
     chosen = []
-    if expected >= wanted:
-        return []
     for worker, slots in unasked:
         if expected >= wanted and len(chosen) >= MIN_EXPLORED_WORKERS:
             break
@@ -166,6 +168,27 @@
     ][:MAX_PARALLEL_CALLS]
 
 
+def _count_slots(
+    ids: Iterable[str],
+    spec: submissions.StepSpec,
+    workers: Mapping[str, fleet.Worker],
+) -> int:
+    """Returns how many tasks the given workers could run together."""
+    return sum(
+        _count_allowed_slots(workers[worker_id], spec)
+        for worker_id in ids
+        if worker_id in workers
+    )
+
+
+def _count_allowed_slots(
+    worker: fleet.Worker, spec: submissions.StepSpec
+) -> int:
+    if not placement.can_ever_fit(worker, spec):
+        return 0
+    return placement.count_attainable(worker, spec)
+
+
 def choose_explored_multiple(waited_s: float) -> float:
     """Returns the multiple of its members that a waiting gang explores.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -205,17 +205,26 @@
         return self._unplaceable.covers(step.spec, count)
 
     def list_ever_fitting(
-        self, step: execution.Step, allows: workerpool.Allows | None
+        self,
+        step: execution.Step,
+        allows: workerpool.Allows | None,
+        ids: Iterable[str] | None = None,
     ) -> list[fleet.Worker]:
         """Returns the workers that could run a task if they ran nothing else.
 
         Args:
           step: the step.
           allows: returns whether a worker may run the step, None if all may.
+          ids: ids of the workers to examine, None for all. An advisor approves
+            few of them.
         """
+        if ids is None:
+            workers = self._pool.list_workers()
+        else:
+            workers = self._pool.find_workers(ids)
         return [
             worker
-            for worker in self._pool.list_workers()
+            for worker in workers
             if placement.can_ever_fit(worker, step.spec)
             and (allows is None or allows(worker))
         ]
@@ -498,7 +507,7 @@
     ) -> list[fleet.Worker]:
         """Returns the workers that `vacate` would choose; holds nothing."""
         return reservations.choose_workers_to_vacate(
-            self.list_ever_fitting(step, allows),
+            self.list_ever_fitting(step, allows, step.advice.good),
             step.spec,
             self.free_capacity,
             count,
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -34,6 +34,7 @@
     """The workers that may get tasks, indexed by the capacity left in a plan.
 
     Attributes:
+      workers: the workers by id; not to be changed.
       free_capacity: the capacity that is left in the current plan.
     """
 
@@ -41,6 +42,7 @@
         """Creates an empty pool."""
         self._index = fitindex.FitIndex()
         self._entries: dict[str, _PooledWorker] = {}
+        self.workers: dict[str, fleet.Worker] = {}
         self._racks: dict[str, dict[str, fleet.Worker]] = {}
         self.free_capacity = placement.FreeCapacity(self.update)
 
@@ -59,7 +61,11 @@
 
     def list_workers(self) -> list[fleet.Worker]:
         """Returns all workers of the pool."""
-        return [entry.worker for entry in self._entries.values()]
+        return list(self.workers.values())
+
+    def find_workers(self, ids: Iterable[str]) -> list[fleet.Worker]:
+        """Returns those of the given workers that are in the pool."""
+        return [self.workers[i] for i in ids if i in self.workers]
 
     def measure_free_share(self) -> float:
         """Returns the share of the CPU of all workers that runs don't use."""
@@ -93,6 +99,7 @@
             worker=worker, capacity=capacity, free=self._measure_free(worker)
         )
         self._entries[worker.id] = entry
+        self.workers[worker.id] = worker
         self._index.add(entry)
         rack = self._racks.setdefault(registration.rack, {})
         rack[worker.id] = worker
@@ -103,6 +110,7 @@
         if entry is None:
             return
         self._index.remove(entry)
+        del self.workers[worker.id]
         for rack in self._racks.values():
             rack.pop(worker.id, None)
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
@@ -107,7 +107,7 @@
     def _request_tickets(self, step, workers, policy, now: float):
         self._ticket_requester.request_start(
             step,
-            self._planner.list_ever_fitting(step, step.advice.is_approved),
+            self._planner.list_ever_fitting(step, None, step.advice.good),
             workers,
             self._planner.free_capacity,
             policy,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -1,6 +1,7 @@
 """Places the waiting tasks of a shard on its workers."""
 
 import asyncio
+import collections
 
 from persimmonpath_entry.decisions import backfilling
 from persimmonpath_entry.decisions import health
@@ -39,8 +40,11 @@
 class TaskScheduler:
     """Places the waiting tasks of a shard.
 
-    A pass plans all waiting steps anew, the most urgent first. Between two
-    passes only the steps are planned that have become ready or got tickets.
+    A pass plans all waiting steps anew, the most urgent first. What a pass
+    leaves out when its time is over has its turn in every second one: the most
+    urgent steps get freed capacity soon, and the others are examined too.
+    Between two passes only the steps are planned that have become ready or got
+    tickets.
 
     Attributes:
       ranking: ranks the steps.
@@ -68,6 +72,9 @@
             self.ranking,
         )
         self._started = 0
+        # Steps for which a pass had no time, and whether they are next.
+        self._left_out: collections.deque[execution.Step] = collections.deque()
+        self._are_left_out_next = False
         self._pacer = passpacing.PassPacer()
         self._backfilled_at = -backfilling.MIN_INTERVAL_S
         self._unresponsive_zones: set[str] = set()
@@ -102,7 +109,6 @@
             self._place_changed(now)
             return
         shard.is_pass_requested = False
-        shard.changed_steps.clear()
         self._run_pass(now)
         ended_at = clock.read_clock()
         self._pacer.record_pass(now, ended_at)
@@ -139,20 +145,55 @@
         )
 
     def _run_pass(self, now: float):
-        """Plans all waiting steps anew and starts what fits."""
+        """Plans waiting steps and starts what fits, as far as time allows."""
         self._refresh_pool(now)
+        if self._left_out and self._are_left_out_next:
+            self._are_left_out_next = False
+            is_complete = self._handle_until_over(self._left_out, now)
+        else:
+            is_complete = self._plan_anew(now)
+        if not is_complete:
+            self._shard.request_schedule()
+            return
+        self._backfill(self._list_ranked(now), now)
+        free_capacity = self._planner.free_capacity
+        self._ticket_requester.prefetch_queued(free_capacity, now)
+        self._ticket_requester.prefetch_for_next_steps(free_capacity, now)
+
+    def _plan_anew(self, now: float) -> bool:
+        """Plans the most urgent steps first; returns whether it got to all."""
+        self._shard.changed_steps.clear()
         self._planner.begin_plan(now)
         self._ticket_requester.begin_pass()
         for step, until in list(self._broken_until.items()):
             if until <= now:
                 del self._broken_until[step]
-        steps = self._list_ranked(now)
-        if not self._handle_steps(steps, now):
-            return
-        self._backfill(steps, now)
-        free_capacity = self._planner.free_capacity
-        self._ticket_requester.prefetch_queued(free_capacity, now)
-        self._ticket_requester.prefetch_for_next_steps(free_capacity, now)
+        steps = collections.deque(self._list_ranked(now))
+        if self._handle_until_over(steps, now):
+            self._left_out.clear()
+            return True
+        self._are_left_out_next = True
+        if not self._left_out:
+            self._left_out = steps
+        return False
+
+    def _handle_until_over(
+        self, steps: collections.deque[execution.Step], now: float
+    ) -> bool:
+        """Places steps in order and removes them, until the pass is over.
+
+        Returns:
+          Whether all of them were handled.
+        """
+        self._started = 0
+        while steps:
+            step = steps.popleft()
+            if step in self._shard.ready_steps:
+                self._planner.release(step)
+                self._handle_step_safely(step, now)
+            if steps and self._is_pass_over(now):
+                return False
+        return True
 
     def _backfill(self, steps: list[execution.Step], now: float):
         """Lets preemptible tasks run where other steps only hold capacity."""
@@ -193,19 +234,8 @@
             return
         self._refresh_pool(now)
         steps.sort(key=lambda step: self.ranking.rank(step, now)[0])
-        for step in steps:
-            self._planner.release(step)
-        self._handle_steps(steps, now)
-
-    def _handle_steps(self, steps: list[execution.Step], now: float) -> bool:
-        """Places steps in order; returns whether all of them were examined."""
-        self._started = 0
-        for step in steps:
-            self._handle_step_safely(step, now)
-            if self._is_pass_over(now):
-                self._shard.request_schedule()
-                return False
-        return True
+        if not self._handle_until_over(collections.deque(steps), now):
+            self._shard.request_schedule()
 
     def _is_pass_over(self, began_at: float) -> bool:
         """Returns whether a pass has started enough or taken long enough."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -12,6 +12,9 @@
 # Share of workers that the advisor approves for a queue of which nothing is
 # known yet, and the weight of the newest answer in the moving average.
 INITIAL_GOOD_SHARE = 0.5
+# Seconds for which gangs look for no workers to ask about after no VM was free
+# to call: choosing them examines every worker.
+NO_CALLER_PAUSE_S = 0.1
 GOOD_SHARE_WEIGHT = 0.2
 
 
@@ -28,6 +31,8 @@
         self._prefetch_queue: list[tuple] = []
         # Share of the workers that the advisor has approved lately, by queue.
         self._good_shares: dict[str, float] = {}
+        # When gangs may ask about further workers again.
+        self._explore_at = 0.0
 
     def begin_pass(self):
         """Clears the prefetch queue at the start of a scheduling pass."""
@@ -150,11 +155,14 @@
           free_capacity: the capacity that is left in the current plan.
           now: the monotonic clock, in seconds.
         """
+        advice = step.advice
+        if now < self._explore_at:
+            return
         purpose = advisorcalls.Purpose.START
         batches = self._choose_batches(
             step, free_capacity, advisorcalls.EXPLORED_MULTIPLE
         )
-        if not batches and not step.advice.is_asking:
+        if not batches and not advice.is_asking:
             # The calls of other steps are more likely to lead to a start.
             purpose = advisorcalls.Purpose.PREFETCH
             multiple = advisorcalls.choose_explored_multiple(
@@ -163,6 +171,7 @@
             batches = self._choose_batches(step, free_capacity, multiple)[:1]
         for targets in batches:
             if not self._start_call(step, targets, policy, purpose):
+                self._explore_at = now + NO_CALLER_PAUSE_S
                 return
 
     def _choose_batches(
@@ -173,7 +182,7 @@
             step.advice,
             step.spec,
             step.remaining,
-            self._list_candidates(step),
+            self._shard.pool.workers,
             self._good_shares.get(queue, INITIAL_GOOD_SHARE),
             free_capacity,
             multiple,
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -439,7 +439,13 @@
             timeout_s = wait_s + min(MAX_POLL_SLACK_S, slack_s)
         else:
             timeout_s = self.choose_timeout()
-        return await self._read("feed", "/api/rows-feed", query, timeout_s)
+        result = await self._read("feed", "/api/rows-feed", query, timeout_s)
+        if isinstance(result, Rows) and len(result.rows) >= ROWS_PER_CALL:
+            # The response is full, and its version may be newer than that of
+            # the changes left out, which would never be read.
+            newest = max(row.version for row in result.rows)
+            return Rows(result.rows, min(newest, result.version), True)
+        return result
 
     def _decode_response(
         self, response: httpclient.Response, sent_at: float
--- a/tests/entry/test_connectivity.py
+++ b/tests/entry/test_connectivity.py
@@ -193,3 +193,32 @@
         self.assertEqual(
             self.choose("10.9.0.1:7000"), self.choose("10.9.0.1:7000")
         )
+
+
+class FullFeedTest(unittest.IsolatedAsyncioTestCase):
+    """Covers thousands of workers that register or drain at the same time."""
+
+    def make_response(self, count):
+        rows = ",".join(
+            f'{{"table":"servers","part":"","key":"w{n}","ver":{100 + n}}}'
+            for n in range(count)
+        )
+        return httpclient.Response(
+            200, f'{{"rows":[{rows}],"ver":9000}}'.encode()
+        )
+
+    async def test_a_full_response_is_continued_from_its_last_row(self):
+        """Its version may be that of changes which it leaves out.
+
+        An owner would never learn that such a worker drains.
+        """
+        store = make_store(self.make_response(platform_store.ROWS_PER_CALL))
+        result = await store.follow("servers", 1, 0)
+        self.assertEqual(result.version, 99 + platform_store.ROWS_PER_CALL)
+        self.assertTrue(result.has_more)
+
+    async def test_any_other_response_is_continued_from_its_version(self):
+        store = make_store(self.make_response(3))
+        result = await store.follow("servers", 1, 0)
+        self.assertEqual(result.version, 9000)
+        self.assertFalse(result.has_more)
--- a/tests/entry/test_stepplanner.py
+++ b/tests/entry/test_stepplanner.py
@@ -175,7 +175,12 @@
         advice.good = {worker.id for worker in self.workers[:2]}
         advice.asked = set(advice.good)
         (batch,) = advisorcalls.choose_batches_to_explore(
-            advice, MEMBER, 1, self.workers, 1.0, placement.FreeCapacity()
+            advice,
+            MEMBER,
+            1,
+            {worker.id: worker for worker in self.workers},
+            1.0,
+            placement.FreeCapacity(),
         )
         self.assertEqual(set(batch), {w.id for w in self.workers[2:]})
 
@@ -240,7 +245,7 @@
             self.advice,
             MEMBER,
             count,
-            self.workers,
+            {worker.id: worker for worker in self.workers},
             self.GOOD_SHARE,
             placement.FreeCapacity(),
             advisorcalls.choose_explored_multiple(waited_s),
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -285,3 +285,54 @@
     async def test_an_expired_gang_preempts_nothing_if_capacity_is_scarce(self):
         workers = list(self.shard.workers.values())
         self.assertEqual(await self.run_expired_gang(workers), 0)
+
+
+class LongPassTest(SchedulerTestCase):
+    """Covers hundreds of waiting gangs at hundreds of workers.
+
+    A pass ends after a time. Each one began with the same gangs, for which no
+    VM was free to call the advisor, and never came to the last ones (LOST in
+    the sweep at 300 VMs).
+    """
+
+    GANGS = 40
+
+    def setUp(self):
+        super().setUp()
+        self.handled = []
+        self.scheduler._handle_step_safely = self.handle
+        for number in range(self.GANGS):
+            self.add_step(f"{number:016x}", LARGE_SPEC)
+
+    def handle(self, step, now, backfill_limit=None):
+        if backfill_limit is None:
+            self.handled.append(step)
+
+    def is_over(self, began_at):
+        return len(self.handled) % 4 == 0
+
+    async def test_the_last_steps_have_their_turn(self):
+        self.scheduler._is_pass_over = self.is_over
+        for _ in range(self.GANGS):
+            self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(len(set(self.handled)), self.GANGS)
+
+    async def test_the_most_urgent_steps_come_first_in_every_second_pass(self):
+        """Freed capacity must not go to less urgent steps meanwhile."""
+        self.scheduler._is_pass_over = self.is_over
+        for _ in range(8):
+            self.scheduler._run_pass(clock.read_clock())
+        counts = [self.handled.count(step) for step in self.handled[:4]]
+        self.assertEqual(counts, [4, 4, 4, 4])
+
+    async def test_an_unfinished_pass_asks_for_the_next_one(self):
+        self.scheduler._is_pass_over = self.is_over
+        self.shard.is_pass_requested = False
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertTrue(self.shard.is_pass_requested)
+
+    async def test_a_pass_with_enough_time_leaves_nothing_out(self):
+        self.scheduler._is_pass_over = lambda began_at: False
+        self.scheduler._run_pass(clock.read_clock())
+        self.assertEqual(len(self.handled), self.GANGS)
+        self.assertFalse(self.scheduler._left_out)
