--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -50,6 +50,12 @@
         self._resume_events: dict[str, asyncio.Event] = {}
         self.on_stored = asyncio.Event()
 
+    def announce_stored(self):
+        """Wakes those that wait for the next stored write of the shard."""
+        event = self.on_stored
+        self.on_stored = asyncio.Event()
+        event.set()
+
     def start_polling(self, worker: fleet.Worker):
         """Polls a worker until the shard removes it."""
         self._resume_events[worker.id] = asyncio.Event()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -8,20 +8,14 @@
 from persimmonpath_entry.decisions import admission
 from persimmonpath_entry.decisions import ownerselection
 from persimmonpath_entry.engine import advicebalancer
-from persimmonpath_entry.engine import backlog
 from persimmonpath_entry.engine import context
-from persimmonpath_entry.engine import freshness
-from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownerdirectory
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import ownerwatch
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import shard as shards
-from persimmonpath_entry.engine import shardmaintenance
-from persimmonpath_entry.engine import supervision
-from persimmonpath_entry.engine import taskscheduler
-from persimmonpath_entry.engine import workercommands
+from persimmonpath_entry.engine import shardassembly
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 
@@ -339,28 +333,9 @@
         former = (
             ownerrows.OwnerRecord() if observed is None else observed.record
         )
-        sent_at = clock.read_clock()
-        record = ownerrows.OwnerRecord(
-            self._node.name,
-            self._node.boot,
-            self._node.peer_address,
-            horizon=former.horizon,
-            renewed_ms=ownerrows.bound_store_ms(
-                self._node.store.clock, sent_at
-            ),
-        )
         version = 0 if observed is None else observed.version
-        result = await self._node.store.commit(
-            service,
-            [(ownerrows.OWNER_TABLE, ownerrows.OWNER_KEY, version)],
-            [
-                (
-                    ownerrows.OWNER_TABLE,
-                    ownerrows.OWNER_KEY,
-                    msgspec.json.encode(record),
-                )
-            ],
-        )
+        sent_at = clock.read_clock()
+        result = await self._commit_takeover(service, version, former, sent_at)
         if not isinstance(result, platform_store.Committed):
             self._node.log.write(
                 "takeover_failed",
@@ -380,6 +355,34 @@
         if self._node.is_stopping:
             await self._release(service, self.shards[service])
 
+    async def _commit_takeover(
+        self,
+        service: str,
+        version: int,
+        former: ownerrows.OwnerRecord,
+        sent_at: float,
+    ):
+        """Writes this VM into the owner row if that has the given version.
+
+        Returns:
+          The result of the transaction.
+        """
+        record = ownerrows.OwnerRecord(
+            self._node.name,
+            self._node.boot,
+            self._node.peer_address,
+            horizon=former.horizon,
+            renewed_ms=ownerrows.bound_store_ms(
+                self._node.store.clock, sent_at
+            ),
+        )
+        row = (ownerrows.OWNER_TABLE, ownerrows.OWNER_KEY)
+        return await self._node.store.commit(
+            service,
+            [(*row, version)],
+            [(*row, msgspec.json.encode(record))],
+        )
+
     def _start_shard(
         self, service, fence, former, workers, observed, sent_at: float
     ):
@@ -405,64 +408,17 @@
             workers=len(lease_deadlines),
         )
         self._node.metrics.count("takeovers")
-        shard = shards.Shard(self._node, service, fence, lease_deadlines)
-        shard.former_horizon = former.horizon
-        shard.newest_version = shard.stored_horizon = former.horizon or 0
-        shard.frozen_leases = set(workers.lease_ends)
-        shard.unsettled_tasks = {
-            worker_id: set(names)
-            for worker_id, names in workers.unresponsive.items()
-        }
-        worker_listings = listings.ListingPoller(shard)
-        commands = workercommands.WorkerCommands(
-            shard, worker_listings.schedule_listing
-        )
-        worker_listings.commands = commands
-
-        def announce_stored():
-            event = worker_listings.on_stored
-            worker_listings.on_stored = asyncio.Event()
-            event.set()
-
-        shard_writer = persistence.ShardWriter(shard, fence, announce_stored)
-        shard_writer.extend_lease(sent_at)
-        shard_maintenance = shardmaintenance.ShardMaintenance(shard, commands)
-        shard.stop_run = commands.stop
-        shard.on_worker_added = worker_listings.start_polling
-        shard.on_worker_restarted = worker_listings.schedule_listing
-        shard.refresh_submission = freshness.SubmissionRefresher(
-            shard, worker_listings, shard_writer
-        ).refresh
-        self.shards[service] = shard
-        self._shard_writers[service] = shard_writer
-        scheduler = taskscheduler.TaskScheduler(
-            shard, commands, worker_listings, self._advisor
+        parts = shardassembly.assemble(
+            self._node,
+            shards.Shard(self._node, service, fence, lease_deadlines),
+            former,
+            workers,
+            self._advisor,
         )
-        shard.spawn(
-            supervision.keep_running(
-                self._node, "shard_writer", shard_writer.run
-            )
-        )
-        shard.spawn(self._serve(shard, shard_maintenance, scheduler))
-
-    async def _serve(self, shard, shard_maintenance, scheduler):
-        """Loads the rows of a shard, retrying, and starts its other tasks."""
-        while not await shard_maintenance.load():
-            await asyncio.sleep(RETRY_S)
-        shard.is_loaded = True
-        self._node.log.warn(
-            "shard_loaded",
-            service=shard.service,
-            submissions=len(shard.submissions),
-        )
-        for name, run in (
-            ("follow_workers", shard_maintenance.follow_workers),
-            ("follow_submissions", shard_maintenance.follow_submissions),
-            ("shard_maintenance", shard_maintenance.run),
-            ("scheduler", scheduler.run),
-            ("backlog", backlog.BacklogMeter(shard, scheduler.ranking).run),
-        ):
-            shard.spawn(supervision.keep_running(self._node, name, run))
+        parts.writer.extend_lease(sent_at)
+        self.shards[service] = parts.shard
+        self._shard_writers[service] = parts.writer
+        parts.start(self._node)
 
     async def release_all(self):
         """Stores the remaining progress of every service and releases it."""
