Bound what planning a waiting step examines at hundreds of workers

Cause (profile at 840 workers, 23 steps a second that need advice, half of them gangs): the owner was busy for 81% of the time. The usable workers were collected anew every 10 ms, gangs were planned by a search through all workers for the few approved ones, all unasked workers were examined for each call, and the workers to ask about were collected while a call was under way. Change: they are collected every 50 ms (each chosen worker is checked again at its start), a gang is planned among its approved workers, at most 240 workers are examined for a call, and nothing is collected for a step whose call is under way.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/advisorcalls.py
@@ -7,8 +7,10 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import enum
+import itertools
 
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.state import execution
@@ -41,6 +43,9 @@
 # since the approved ones are seldom free at the same time. The multiple rises
 # by 1 in each further such time.
 EXPLORE_FURTHER_AFTER_S = 4.0
+# Most workers that are examined to choose those to ask about, so that the time
+# for it doesn't grow with the number of workers.
+MAX_EXAMINED_WORKERS = 240
 # Most calls in flight for one step.
 MAX_PARALLEL_CALLS = 6
 
@@ -122,6 +127,7 @@
     good_share: float,
     free_capacity: placement.FreeCapacity,
     multiple: float = EXPLORED_MULTIPLE,
+    start: int = 0,
 ) -> list[list[str]]:
     """Returns the workers to ask about before a gang is planned.
 
@@ -137,6 +143,8 @@
       good_share: the share of workers that the advisor usually approves.
       free_capacity: the capacity that is left in the current plan.
       multiple: multiple of the members that the approved workers should carry.
+      start: a number that differs by step, so that steps examine different
+        workers of a large pool first.
 
     Returns:
       The ids to name in each of several calls at the same time; empty if
@@ -149,12 +157,14 @@
     if expected >= wanted:
         return []
     unasked = []
-    for worker_id, worker in workers.items():
-        is_open = worker_id not in step_advice.asked
-        if is_open and worker_id not in step_advice.asking:
-            slots = _count_allowed_slots(worker, spec)
-            if slots:
-                unasked.append((worker, slots))
+    for worker_id, worker in _rotate(workers, start):
+        if worker_id in step_advice.asked or worker_id in step_advice.asking:
+            continue
+        slots = _count_allowed_slots(worker, spec)
+        if slots:
+            unasked.append((worker, slots))
+            if len(unasked) >= MAX_EXAMINED_WORKERS:
+                break
     unasked.sort(key=lambda entry: -free_capacity.get_free(entry[0])[0])
     chosen = []
     for worker, slots in unasked:
@@ -168,6 +178,17 @@
     ][:MAX_PARALLEL_CALLS]
 
 
+def _rotate(
+    workers: Mapping[str, fleet.Worker], start: int
+) -> Iterator[tuple[str, fleet.Worker]]:
+    """Yields the entries of a mapping from a position on, all of them once."""
+    position = start % len(workers) if workers else 0
+    return itertools.chain(
+        itertools.islice(workers.items(), position, None),
+        itertools.islice(workers.items(), position),
+    )
+
+
 def _count_slots(
     ids: Iterable[str],
     spec: submissions.StepSpec,
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -235,6 +235,7 @@
         waiting: list[execution.Task],
         now: float,
         allows: workerpool.Allows | None = None,
+        ids: Iterable[str] | None = None,
     ) -> list[Placement]:
         """Chooses workers of the pool for tasks and holds their capacity.
 
@@ -243,6 +244,7 @@
           waiting: the tasks; the members of a gang all together.
           now: the monotonic clock, in seconds.
           allows: returns whether a worker may run the step, None if all may.
+          ids: ids of the only workers that may run the step, None for no limit.
 
         Returns:
           Pairs of task and worker. A gang is planned whole or not at all; for
@@ -252,6 +254,9 @@
         count = len(waiting) if spec.gang else 1
         if self._unplaceable.covers(spec, count):
             return []
+        if ids is not None:
+            workers = self.list_ever_fitting(step, allows, ids)
+            return self.plan_among(step, waiting, workers, now)
         if spec.gang and not self._pool.may_fit(spec, count):
             self._unplaceable.add(spec, count)
             return []
@@ -314,6 +319,7 @@
         waiting: list[execution.Task],
         now: float,
         allows: workerpool.Allows | None,
+        ids: Iterable[str] | None = None,
     ) -> list[Placement]:
         """Plans a step that waits for tickets, on the same workers if possible.
 
@@ -322,6 +328,7 @@
           waiting: its tasks without a ticket.
           now: the monotonic clock, in seconds.
           allows: returns whether a worker may run the step, None if all may.
+          ids: ids of the only workers that may run the step, None for no limit.
 
         Returns:
           Pairs of task and worker, as of `plan`.
@@ -332,7 +339,7 @@
         if workers and not step.spec.gang:
             return list(zip(waiting, workers, strict=False))
         # The members of a gang whose workers still fit stay there.
-        others = self.plan(step, waiting[len(workers) :], now, allows)
+        others = self.plan(step, waiting[len(workers) :], now, allows, ids)
         if workers and not others:
             self.release(step)
             return []
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/gangpreparation.py
@@ -67,7 +67,7 @@
           Whether all members fit there at once.
         """
         advice = step.advice
-        pairs = self._planner.plan_again(step, members, now, advice.is_approved)
+        pairs = self._planner.plan_again(step, members, now, None, advice.good)
         if pairs:
             workers = [worker for _, worker in pairs]
             self._request_tickets(step, workers, policy, now)
@@ -105,6 +105,8 @@
         return bool(workers)
 
     def _request_tickets(self, step, workers, policy, now: float):
+        if step.advice.is_asking or now < step.advice.retry_at:
+            return
         self._ticket_requester.request_start(
             step,
             self._planner.list_ever_fitting(step, None, step.advice.good),
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -29,9 +29,10 @@
 # in seconds. Answers of workers are read before the next one.
 STARTS_PER_PASS = 60
 MAX_PASS_S = 0.03
-# Shortest time in seconds between two collections of the usable workers. Each
-# chosen worker is checked again before a task is started there.
-POOL_REFRESH_S = 0.01
+# Shortest time in seconds between two collections of the usable workers, which
+# examine all of them. Each chosen worker is checked again before a task is
+# started there.
+POOL_REFRESH_S = 0.05
 # Seconds for which a step that can't be handled because of an unexpected error
 # is left out.
 BROKEN_STEP_PAUSE_S = 5.0
@@ -435,6 +436,8 @@
         pairs = self._planner.plan_again(step, remaining, now, allows)
         if may_reserve:
             self._reserve(step, len(remaining) - len(pairs), now, allows)
+        if step_advice.is_asking or now < step_advice.retry_at:
+            return
         if pairs:
             workers = [worker for _, worker in pairs]
             self._ticket_requester.request_start(
@@ -445,7 +448,7 @@
                 policy,
                 now,
             )
-        elif not step_advice.is_asking and now >= step_advice.retry_at:
+        else:
             self._ticket_requester.queue_prefetch(step, policy)
 
     def _reserve(self, step: execution.Step, count: int, now: float, allows):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ticketrequests.py
@@ -1,5 +1,7 @@
 """Requests the tickets that steps need from the placement advisor."""
 
+import zlib
+
 from persimmonpath_entry.decisions import advisorcalls
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.engine import advicebalancer
@@ -186,6 +188,7 @@
             self._good_shares.get(queue, INITIAL_GOOD_SHARE),
             free_capacity,
             multiple,
+            zlib.crc32(step.name.encode()),
         )
 
     def _list_candidates(self, step: execution.Step):
--- a/tests/entry/test_stepplanner.py
+++ b/tests/entry/test_stepplanner.py
@@ -263,6 +263,31 @@
         named = [i for batch in self.choose(waited_s=wait_s) for i in batch]
         self.assertGreaterEqual(len(named) * self.GOOD_SHARE, 20)
 
+    def test_a_bounded_number_of_workers_is_examined(self):
+        """Examining 840 workers for each of 60 gangs took the owner's time.
+
+        Each gang begins at another worker, so that not all ask about the same.
+        """
+        workers = {worker.id: worker for worker in make_workers(900)}
+        found = []
+        for start in (0, 450):
+            batches = advisorcalls.choose_batches_to_explore(
+                self.advice,
+                MEMBER,
+                20,
+                workers,
+                self.GOOD_SHARE,
+                placement.FreeCapacity(),
+                advisorcalls.EXPLORED_MULTIPLE,
+                start,
+            )
+            found.append({i for batch in batches for i in batch})
+        self.assertTrue(found[0].isdisjoint(found[1]))
+        names = list(workers)
+        limit = advisorcalls.MAX_EXAMINED_WORKERS
+        self.assertLessEqual(found[0], set(names[:limit]))
+        self.assertLessEqual(found[1], set(names[450 : 450 + limit]))
+
     def test_calls_for_all_members_are_made_at_once(self):
         batches = self.choose()
         named = [worker_id for batch in batches for worker_id in batch]
