Count all workers in service, and no work that can never run, for expected waits

Cause (read again before the landing): after a takeover a few workers have answered, so that the wait for them alone would have had submissions refused; tasks that fit no worker would have counted as a backlog for ever. Change: workers in service count whether they answer now or not; work that no worker can run delays nothing. Result: the two new tests of test_admission fail before, pass now.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
@@ -12,6 +12,7 @@
 import math
 
 from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 
@@ -63,10 +64,12 @@
 
     The work of a priority and of the more urgent ones is worked off by all the
     capacity that long-running tasks leave. The scarcest resource counts. Limits
-    by label, rack or advice are left out, so the wait may be longer.
+    by rack or advice are left out, so the wait may be longer. Work that no
+    worker can ever run delays nothing.
 
     Args:
-      workers: the workers that may get tasks.
+      workers: the workers in service. Those that don't answer for a moment are
+        among them: after a takeover all but a few haven't answered yet.
       waiting: the work that waits and can still be of use.
 
     Returns:
@@ -83,6 +86,8 @@
     needs_by_priority: dict[int, list[float]] = {}
     for work in waiting:
         spec = work.spec
+        if not any(placement.can_ever_fit(worker, spec) for worker in workers):
+            continue
         needs = needs_by_priority.setdefault(work.priority, [0.0, 0.0, 0.0])
         sizes = (0 if spec.is_filler else spec.cpu, spec.memory_mb, spec.gpu)
         for index, size in enumerate(sizes):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
@@ -5,6 +5,7 @@
 from persimmonpath_entry.decisions import admission
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.engine import stepranking
+from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
 
 INTERVAL_S = 0.5
@@ -22,8 +23,8 @@
         shard = self._shard
         while shard.is_open:
             shard.waits = admission.estimate_waits(
-                shard.pool.list_workers(),
-                list(self._list_waiting(clock.read_clock())),
+                self._list_workers(),
+                self._list_waiting(clock.read_clock()),
             )
             shard.node.metrics.set(
                 f'expected_wait{{service="{shard.service}"}}',
@@ -31,6 +32,14 @@
             )
             await asyncio.sleep(INTERVAL_S)
 
+    def _list_workers(self) -> list[fleet.Worker]:
+        """Returns the workers in service, whether they answer now or not."""
+        return [
+            worker
+            for worker in self._shard.workers.values()
+            if worker.is_listed and not worker.registration.is_draining
+        ]
+
     def _list_waiting(self, now: float):
         """Yields the work that waits and can still be of use.
 
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -56,8 +56,19 @@
             admission.estimate_waits(make_workers(), [make_work(30)]), {}
         )
 
+    def test_work_that_can_never_run_delays_nothing(self):
+        """It waits for good, and everything behind it would be refused."""
+        for spec in (
+            msgspec.structs.replace(SPEC, cpu=64000),
+            msgspec.structs.replace(SPEC, gpu=1),
+            msgspec.structs.replace(SPEC, label="none"),
+        ):
+            waits = admission.estimate_waits(
+                make_workers(), [make_work(500, spec=spec)]
+            )
+            self.assertEqual(waits, {})
+
     def test_without_workers_nothing_is_known(self):
-        """After a takeover no worker has answered yet; that takes a moment."""
         self.assertEqual(admission.estimate_waits([], [make_work(30)]), {})
 
 
@@ -235,8 +246,20 @@
         ranking = stepranking.StepRanking(shard, planner)
         meter = backlog.BacklogMeter(shard, ranking)
         waits = admission.estimate_waits(
-            [worker], meter._list_waiting(clock.read_clock())
+            meter._list_workers(), meter._list_waiting(clock.read_clock())
         )
         self.assertAlmostEqual(waits[0], 4.0)
         shard.submissions[ID].steps["0.0"].counted_since -= 1000
         self.assertEqual(list(meter._list_waiting(clock.read_clock())), [])
+
+    async def test_workers_that_have_not_answered_yet_count(self):
+        """Refusals followed each takeover: a few workers had answered first."""
+        shard = fakes.make_shard()
+        silent = fakes.add_worker(shard, "w1")
+        silent.is_fenced = False
+        fakes.add_worker(shard, "w2", is_draining=True)
+        planner = stepplanner.StepPlanner(shard.pool, lambda worker, now: True)
+        meter = backlog.BacklogMeter(
+            shard, stepranking.StepRanking(shard, planner)
+        )
+        self.assertEqual(meter._list_workers(), [silent])
