Estimate the remaining path once for a rank, and forget versions of removed rows

Found on the last reading: a rank walked the steps of its submission twice, and the map of row versions kept an entry for each VM that a process had ever seen.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -88,8 +88,9 @@
     objective_s = compute_objective_s(queue, critical_path_ms)
     if step.spec.long_running:
         return Rank(False, queue.priority, False, now - age_s + objective_s)
-    finish_s = age_s + _estimate_remaining_s(step)
-    later_s = _estimate_remaining_s(step) - step.spec.estimated_ms / 1000
+    remaining_s = _estimate_remaining_s(step)
+    finish_s = age_s + remaining_s
+    later_s = remaining_s - step.spec.estimated_ms / 1000
     due_s = now - age_s + objective_s - later_s
     return Rank(
         finish_s > EXPIRY_FACTOR * objective_s,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -111,6 +111,7 @@
         """Records or removes a VM; an unreadable row is logged and skipped."""
         if row.is_deleted:
             self._records.pop(row.key, None)
+            self._row_versions.pop(row.key, None)
             if row.key == self._node.name:
                 # A peer took this VM for lost while it was cut off.
                 self._is_registered = False
@@ -147,7 +148,7 @@
           Whether the row was removed.
         """
         version = self._row_versions.get(name)
-        if version is None or name not in self._records:
+        if version is None:
             return False
         result = await self._node.store.commit(
             "", [(VM_TABLE, name, version)], [], [(VM_TABLE, name)]
