--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Hands in a scheduled submission whose progress outgrows a row of the store."""
+"""Hands in a schedule whose progress outgrows a row of the store."""
 
 import asyncio
 import random
