--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Hands in a schedule whose progress outgrows a row of the store."""
+"""Cancels submissions of which the store has not answered the transaction."""
 
 import asyncio
 import random
@@ -6,141 +6,108 @@
 
 from review.common import harness
 
-SCHEDULED_PREFIX = "/scheduled/"
-SLIP_PREFIX = "/slips/"
-# Without the disruption the same schedule has fewer occurrences.
-OCCURRENCES = 1400
-FEW_OCCURRENCES = 200
-INTERVAL_MS = 40
-STEPS = 5
-SLIP_PAUSE_S = 0.5
-TRAFFIC_S = 80.0
-# finish_s, and the time for which a submission may have nothing running.
-FINISH_S = 14.0
-IDLE_S = 3.0
-TASK_S = 0.05
-WORKER_CPU = 16000
+PREFIX = "/sync/"
+SUBMISSIONS = 80
+PAUSE_S = 0.05
+# The store's fault, with the largest dose of the site file.
+FAULT_S = 4.5
+LATE_SHARE = 0.35
+LATE_S = (1.0, 6.0)
+CONTACT_S = 3.0
+CANCEL_S = 3.0
+STOP_S = 0.4
+ROUTE = {
+    "name": "sync",
+    "hostname": harness.HOST,
+    "pathPrefix": PREFIX,
+    "service": "ledger",
+    "maxAttempts": 4,
+    "stretch": 2.2,
+    "targetLatencyMs": 2500,
+    "priority": 1,
+}
+BODY = {
+    "spec": "standing sync",
+    "steps": [
+        {"count": 1, "cpu": 100, "memMb": 100, "longRunning": True},
+    ],
+}
 
 
-def make_route(name, prefix, priority):
-    """Returns a route of the desired state."""
-    return {
-        "name": name,
-        "hostname": harness.HOST,
-        "pathPrefix": prefix,
-        "service": "ledger",
-        "maxAttempts": 4,
-        "stretch": 4.0,
-        "targetLatencyMs": 3000,
-        "priority": priority,
-    }
-
-
-async def hand_in(deployment, number, slips):
-    """Hands a slip in, until it is accepted."""
-    path = f"{SLIP_PREFIX}{random.Random(number).getrandbits(64):016x}"
-    body = {
-        "spec": "slip",
-        "steps": [
-            {"count": 1, "cpu": 500, "memMb": 100, "estimatedMs": 50},
-            {
-                "count": 1,
-                "cpu": 500,
-                "memMb": 100,
-                "estimatedMs": 50,
-                "after": [0],
-            },
-        ],
-    }
-    for attempt in range(5):
+async def cancel(deployment, number, path):
+    """Cancels a submission, at each VM in turn; returns the final answer."""
+    for attempt in range(6):
         vm = deployment.vms[(number + attempt) % len(deployment.vms)]
-        status, _ = await deployment.call(vm, "POST", path, body)
-        if status == 200:
-            slips[path] = time.monotonic()
-            return
-        await asyncio.sleep(0.3)
+        status, _ = await deployment.call(vm, "DELETE", path)
+        if status in (200, 410):
+            return status
+        await asyncio.sleep(0.2)
+    return 0
 
 
-async def watch_load(deployment, loads):
-    """Records the share of the service's capacity that is in use."""
-    while True:
-        used = sum(len(w.running) for w in deployment.workers.values()) * 500
-        total = WORKER_CPU * len(deployment.workers)
-        loads.append((time.monotonic(), used / total))
-        await asyncio.sleep(0.05)
+async def use(deployment, number, submission_id, answers):
+    """Hands a submission in and cancels it once that call is over."""
+    path = PREFIX + submission_id
+    vm = deployment.vms[number % len(deployment.vms)]
+    posted, _ = await deployment.call(vm, "POST", path, BODY)
+    cancelled = await cancel(deployment, number + 1, path)
+    answers[submission_id] = (posted, cancelled, time.monotonic())
 
 
 async def play(deployment):
     """Plays the case; returns the texts of what was broken."""
-    for number in range(4):
+    for number in range(3):
         deployment.add_worker(
             f"w{number}",
             "ledger",
-            {"cpu": WORKER_CPU, "memMb": 32768, "gpu": 0},
+            {"cpu": 16000, "memMb": 32768, "gpu": 0},
             ["a", f"r{number}"],
-            lambda worker, command: (TASK_S, "done"),
+            lambda worker, command: None,
         )
-    routes = [
-        make_route("scheduled", SCHEDULED_PREFIX, 2),
-        make_route("slips", SLIP_PREFIX, 0),
-    ]
-    await deployment.configure(1, routes, ["ledger"])
+    await deployment.configure(1, [ROUTE], ["ledger"])
     await deployment.start()
-    loads = []
-    watching = asyncio.create_task(watch_load(deployment, loads))
-    step = {"count": 1, "cpu": 100, "memMb": 50, "estimatedMs": 50}
-    body = {
-        "spec": "every 40 ms",
-        "steps": [step] * STEPS,
-        "startTimeMs": int(time.time() * 1000),
-        "intervalMs": INTERVAL_MS,
-        "runCount": OCCURRENCES if harness.is_troubled() else FEW_OCCURRENCES,
-    }
-    scheduled = f"{SCHEDULED_PREFIX}00000000000000aa"
-    status, _ = await deployment.call(
-        deployment.vms[0], "POST", scheduled, body
-    )
-    if status != 200:
-        raise RuntimeError(f"the scheduled submission got {status}")
-    slips, calls = {}, []
-    deadline = time.monotonic() + TRAFFIC_S
-    while time.monotonic() < deadline:
+    store = deployment.store
+    if harness.is_troubled():
+        store.late_share, store.late_s = LATE_SHARE, LATE_S
+    answers = {}
+    calls = []
+    faulty_until = time.monotonic() + FAULT_S
+    draw = random.Random(24)
+    for number in range(SUBMISSIONS):
+        submission_id = f"{draw.getrandbits(64):016x}"
         calls.append(
-            asyncio.create_task(hand_in(deployment, len(calls), slips))
+            asyncio.create_task(use(deployment, number, submission_id, answers))
         )
-        await asyncio.sleep(SLIP_PAUSE_S)
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.sleep(max(0.0, faulty_until - time.monotonic()))
+    store.late_share = 0.0
+    deployment.log.write("the store answers again")
     await asyncio.gather(*calls)
-    await asyncio.sleep(FINISH_S)
-    watching.cancel()
-    return await judge(deployment, slips, loads)
+    # The last late transaction, and contactMs after it, are over by then.
+    await asyncio.sleep(LATE_S[1] + 2 * CONTACT_S + CANCEL_S + STOP_S)
+    return await judge(deployment, answers)
 
 
-async def judge(deployment, slips, loads):
-    """Returns the accepted slips that are lost, by the rule LOST."""
+async def judge(deployment, answers):
+    """Returns what runs of submissions whose cancel was acknowledged."""
     broken = []
-    unfinished = 0
-    for path, accepted_at in slips.items():
-        submission_id = path.removeprefix(SLIP_PREFIX)
-        starts = deployment.log.starts.get(f"{submission_id}.0.0.0", [])
-        began_at = starts[0][0] if starts else time.monotonic()
-        waited_s = began_at - accepted_at
-        used = max(
-            (u for at, u in loads if accepted_at <= at <= began_at), default=0.0
-        )
-        if waited_s > IDLE_S and used < 0.5:
+    now = time.monotonic()
+    for worker in deployment.workers.values():
+        for task, run in worker.running:
+            submission_id = task.partition(".")[0]
+            posted, cancelled, at = answers[submission_id]
+            if not cancelled or now - at < CANCEL_S + STOP_S:
+                continue
+            state = await deployment.get_state(PREFIX + submission_id)
             broken.append(
-                f"LOST: {submission_id} had nothing running for {waited_s:.1f} "
-                f"s after its 2xx while {used:.2f} of the capacity was in use "
-                f"at most; {len(starts)} starts of its first task"
+                f"UNASKED: {task} run {run} is at work at {worker.id} "
+                f"{now - at:.1f} s after its cancel was answered {cancelled} "
+                f"(POST: {posted or 'no answer'}); its state is {state}"
             )
-        state = await deployment.get_state(path)
-        unfinished += state != "completed"
-    deployment.log.write("slips", len(slips), "not completed", unfinished)
     deployment.log.write(
-        "refused by the store", len(deployment.store.refused_rows)
+        "POST and DELETE answers",
+        sorted({(p, c) for p, c, _ in answers.values()}),
     )
-    for text in deployment.store.refused_rows[:3]:
-        deployment.log.write("refused by the store", text)
     return broken
 
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -21,6 +21,7 @@
 HOST = "ledger.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 READY_LIMIT_S = 20.0
+CASE_LIMIT_S = 115.0
 # Settings of a small deployment, as DEPLOY.md shows them.
 SETTINGS = """nodeName = "{name}"
 role = "entry"
@@ -334,8 +335,12 @@
     async def run():
         deployment = Deployment(folder, vms)
         deployment.log.write("trouble", is_troubled())
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
-            broken = await play(deployment)
+            async with asyncio.timeout(CASE_LIMIT_S):
+                broken = await play(deployment)
             for text in broken:
                 deployment.log.write("BROKEN", text)
             if not broken:
@@ -348,7 +353,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         print(f"not run: {type(error).__name__}: {error}")
         sys.exit(NOT_RUN)
     for text in broken[:10]:
