--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -36,7 +36,7 @@
         self.startup_s = 0.3
         self.refused_status = None
         self.refused = 0
-        self.registered = None
+        self.is_down = False
         self._begin()
 
     def _begin(self):
@@ -58,6 +58,7 @@
     def crash(self):
         """Ends the process: all runs and all connections are lost."""
         port = int(self.address.rpartition(":")[2])
+        self.is_down = True
         self.stop()
         self._checker.cancel()
         for task, run in list(self.running):
@@ -71,7 +72,7 @@
         self.capacity = capacity or self.capacity
         self.labels = labels or self.labels
         self._begin()
-        self.server.is_closing = False
+        self.is_down = False
         await self.listen(port)
         self._checker = asyncio.create_task(self._check())
         self.log.write("worker starts", self.id, self.capacity, self.labels)
@@ -100,6 +101,9 @@
 
     async def handle(self, request):
         """Carries out a command or lists the runs."""
+        if self.is_down:
+            # Requests that a process has read are lost with it.
+            await asyncio.sleep(platform.FOREVER_S)
         if request.headers.get("x-target-instance") != self.id:
             return platform.respond(421)
         command = json.loads(request.body)
