--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -121,7 +121,7 @@
 
     def start(self, worker, command):
         """Records a start that a worker carries out."""
-        task, run = command["task"], command["run"]
+        task = command["task"]
         self.write("start", worker.id, json.dumps(command))
         if self.on_start is not None:
             self.on_start(worker, command)
