--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/completionchecks.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/completionchecks.py
@@ -21,7 +21,8 @@
     The list is empty if a task has no run yet, if an unfinished step is
     long-running, or if more than MAX_QUERIED_WORKERS would have to be queried.
     """
-    occurrence_count = max(1, submission.record.occurrences)
+    finished_count = submission.progress.finished.bit_count()
+    occurrence_count = max(1, submission.record.occurrences) - finished_count
     if len(submission.steps) < occurrence_count * len(submission.record.steps):
         return []
     queried: dict[str, fleet.Worker] = {}
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -16,7 +16,9 @@
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 
-ROWS_PER_COMMIT = 90
+# The store takes 100 entries in a transaction. Each submission has two of them:
+# its row and the expectation that there is none.
+ROWS_PER_COMMIT = 48
 BYTES_PER_COMMIT = 500_000
 RETRY_S = 0.15
 # Submissions that may wait for each partition; further ones are refused.
@@ -30,12 +32,14 @@
     REPEATED: the store held a submission of this id already.
     REFUSED: it is not stored and never will be by this call: no write was sent,
       or the store refused each one.
+    TOO_LARGE: as REFUSED, and the store would refuse it again.
     UNKNOWN: a write was not answered, so it may be stored now or later.
     """
 
     ACCEPTED = "accepted"
     REPEATED = "repeated"
     REFUSED = "refused"
+    TOO_LARGE = "too_large"
     UNKNOWN = "unknown"
 
 
@@ -61,6 +65,8 @@
       deadline: monotonic time in seconds by which its caller needs a result.
       future: receives the AcceptanceResult.
       may_be_stored: whether a write of it was not answered.
+      is_suspect: whether the store has refused a transaction with it for good,
+        so that it is written in one of its own.
     """
 
     submission_id: str
@@ -68,6 +74,7 @@
     deadline: float
     future: asyncio.Future
     may_be_stored: bool = False
+    is_suspect: bool = False
 
 
 class Acceptance:
@@ -153,6 +160,10 @@
             # the same id waits for the next one.
             if pending.submission_id in batch:
                 continue
+            if pending.is_suspect:
+                if batch:
+                    continue
+                return [pending]
             size += len(pending.value)
             if batch and size > BYTES_PER_COMMIT:
                 break
@@ -197,7 +208,24 @@
         if isinstance(result, platform_store.Unknown):
             for pending in batch:
                 pending.may_be_stored = True
-        return False
+            return False
+        return result.is_final and self._isolate(batch)
+
+    def _isolate(self, batch: list[_Pending]) -> bool:
+        """Writes the submissions of a refused transaction one at a time.
+
+        Otherwise one that the store refuses would keep the others from being
+        stored.
+        """
+        if len(batch) > 1:
+            for pending in batch:
+                pending.is_suspect = True
+            return True
+        outcome = Outcome.TOO_LARGE
+        if batch[0].may_be_stored:
+            outcome = Outcome.UNKNOWN
+        self._resolve(batch[0], AcceptanceResult(outcome))
+        return True
 
     def _resolve(self, pending: _Pending, result: AcceptanceResult):
         self._pending.remove(pending)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -158,6 +158,11 @@
         )
         if isinstance(record, str):
             return make_error(400, record)
+        problem = submissions.check_size(
+            record, self._node.settings.store.row_bytes
+        )
+        if problem is not None:
+            return make_error(413, problem)
         if not self._reach.can_use_store():
             return make_error(503, "store unreachable", RETRY_AFTER_S)
         refusal = await self._refuse_overload(queue, submission_id, record)
@@ -179,6 +184,8 @@
             return make_error(504, "the store has not answered")
         if outcome is acceptance.Outcome.REFUSED:
             return make_error(503, "store unavailable", RETRY_AFTER_S)
+        if outcome is acceptance.Outcome.TOO_LARGE:
+            return make_error(413, "the store refuses a row of this size")
         if outcome is acceptance.Outcome.ACCEPTED:
             self._notify_owner(submission_id, record, version)
         return httpserver.Response(200)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -43,6 +43,14 @@
         """The address, as ip:port, at which peers reach this process."""
         return f"{self.settings.ip}:{self.settings.internal_ports[0]}"
 
+    @property
+    def max_row_bytes(self) -> int:
+        """The bytes of a row that the store takes in any case.
+
+        Its base64 text is then within the store's limit as well.
+        """
+        return self.settings.store.row_bytes // 4 * 3
+
     @property
     def lease_ms(self) -> float:
         """The length of a task lease in milliseconds."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -300,7 +300,7 @@
             if run is not None:
                 self._shard.remove_run(run, end.how, end.saved)
                 continue
-            task = self._find_task(end.task)
+            task = self._shard.find_task(end.task)
             if task is not None:
                 self._shard.run_end_handler.handle_run_end(
                     task, end.run, end.how, end.saved, worker
@@ -326,11 +326,6 @@
             )
         return self._shard.submissions_read_at > worker.unidentified_since
 
-    def _find_task(self, name: str) -> execution.Task | None:
-        submission_id, _, key = name.partition(".")
-        submission = self._shard.submissions.get(submission_id)
-        return None if submission is None else submission.find_task(key)
-
     def _apply_running(
         self, worker: fleet.Worker, listing: worker_calls.Listing, now: float
     ):
@@ -369,7 +364,7 @@
             run.idle_since = now
 
     def _adopt_run(self, worker, row, now: float) -> execution.Run | None:
-        task = self._find_task(row.task)
+        task = self._shard.find_task(row.task)
         if task is None or task.is_done:
             return None
         if not task.step.submission.is_active:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -158,12 +158,25 @@
     return record
 
 
-def encode_workers(record: WorkersRecord) -> bytes:
-    """Encodes a workers row, without lists of tasks if it would be too long."""
+def encode_workers(
+    record: WorkersRecord, max_bytes: int = MAX_WORKERS_BYTES
+) -> bytes:
+    """Encodes a workers row, with less of its content if it would be too long.
+
+    The lists of tasks are left out first, then the lease ends. The next owner
+    waits longer without them.
+
+    Args:
+      record: the content; what is left out is removed from it.
+      max_bytes: longest row in bytes.
+    """
     value = msgspec.json.encode(record)
-    if len(value) > MAX_WORKERS_BYTES:
+    if len(value) > max_bytes:
         record.unresponsive = {}
         value = msgspec.json.encode(record)
+    if len(value) > max_bytes:
+        record.lease_ends = {}
+        value = msgspec.json.encode(record)
     return value
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
@@ -6,20 +6,21 @@
 
 import asyncio
 import dataclasses
-import itertools
 import time
 
 import msgspec
 
 from persimmonpath_entry.engine import ownerrows
+from persimmonpath_entry.engine import progressrows
+from persimmonpath_entry.engine import refusedrows
 from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 
-PROGRESS_TABLE = "progress"
 SUBMISSION_TABLE = "submission"
 # The store runs the transactions of a partition one after another. With 32
 # partitions a peak load of about 60 submissions a second is still accepted
@@ -40,7 +41,10 @@
 # Pause after a transaction, so that the next one covers several changes.
 WRITE_PAUSE_S = 0.03
 RETRY_S = 0.12
+# Limits of one transaction. The store takes 1 MB of base64 text and 100
+# entries, which count the rows of the owner and the expected version as well.
 ROWS_PER_COMMIT = 80
+BYTES_PER_COMMIT = 500_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,17 +52,13 @@
     """The content of a transaction, as of the moment at which it was built.
 
     Attributes:
-      batch: the submissions whose progress is written.
-      states: the states that are written for them, in the same order.
-      covers_all: whether all progress not yet stored is written.
+      progress: the rows of progress.
       processed_ends: start time of each worker's incarnation and number of its
         last processed run end, by worker id.
       recorded_workers: workers that may get tasks once the write is stored.
     """
 
-    batch: list[execution.Submission]
-    states: list[str]
-    covers_all: bool
+    progress: progressrows.ProgressBatch
     processed_ends: dict[str, tuple[int, int]]
     recorded_workers: list[fleet.Worker]
 
@@ -93,6 +93,10 @@
         self._flush_requested = asyncio.Event()
         self.release_done = asyncio.Event()
         self._failed_since: float | None = None
+        self._isolation = refusedrows.RefusalIsolation()
+        self._max_workers_bytes = min(
+            ownerrows.MAX_WORKERS_BYTES, shard.node.max_row_bytes
+        )
 
     def extend_lease(self, sent_at: float):
         """Extends the lease, counted from the sending of a renewal.
@@ -119,7 +123,9 @@
             stored = await self._write()
             if stored:
                 next_renewal = clock.read_clock() + RENEWAL_INTERVAL_S
-                if self._is_releasing and not shard.dirty:
+                if self._has_more():
+                    shard.store_requested.set()
+                elif self._is_releasing:
                     await self._release()
                     return
                 await self._pause()
@@ -127,6 +133,12 @@
                 shard.store_requested.set()
                 await asyncio.sleep(RETRY_S)
 
+    def _has_more(self) -> bool:
+        """Returns whether progress is left for a further transaction."""
+        return self._isolation.has_writable(
+            self._shard.dirty, clock.read_clock()
+        )
+
     def request_flush(self):
         """Skips the pause before the next write, as a caller waits for it."""
         self._flush_requested.set()
@@ -162,9 +174,9 @@
         self,
         owner: ownerrows.OwnerRecord,
         workers: ownerrows.WorkersRecord,
-        rows: list[tuple[str, str, bytes]],
+        progress: progressrows.ProgressBatch,
     ):
-        """Writes rows together with the owner row, and with a new workers row.
+        """Writes progress together with the owner row and a new workers row.
 
         The workers row is left out if the store holds it already. A write
         without an answer may have stored it, so that it is written again then.
@@ -172,25 +184,33 @@
         Returns:
           The result of the transaction.
         """
-        value = ownerrows.encode_workers(workers)
+        value = ownerrows.encode_workers(workers, self._max_workers_bytes)
+        table = progressrows.PROGRESS_TABLE
         rows = [
-            *rows,
+            *((table, key, row) for key, row in progress.put),
             (
                 ownerrows.OWNER_TABLE,
                 ownerrows.OWNER_KEY,
                 msgspec.json.encode(owner),
             ),
         ]
-        if value != self._stored_workers:
+        has_workers = value != self._stored_workers
+        if has_workers:
             self._stored_workers = None
             rows.append((ownerrows.WORKERS_TABLE, ownerrows.WORKERS_KEY, value))
+        progressrows.record_sent(progress)
         result = await self._node.store.commit(
             self._shard.service,
             [(ownerrows.OWNER_TABLE, ownerrows.OWNER_KEY, self._version)],
             rows,
+            [(table, key) for key in progress.remove],
         )
         if isinstance(result, platform_store.Committed):
             self._stored_workers = value
+            progressrows.record_stored(progress)
+            self._isolation.record_stored(progress)
+        elif isinstance(result, platform_store.Refused) and result.is_final:
+            self._handle_refusal(progress, result, has_workers)
         return result
 
     async def _write(self) -> bool:
@@ -202,19 +222,16 @@
         """
         shard = self._shard
         write = self._begin_write()
-        rows = [
-            (PROGRESS_TABLE, s.id, msgspec.json.encode(s.progress))
-            for s in write.batch
-        ]
+        progress = write.progress
         sent_at = clock.read_clock()
         owner = self._build_owner(self._node.name, sent_at)
-        workers = ownerrows.build_workers(shard, covers_all=write.covers_all)
+        workers = ownerrows.build_workers(shard, covers_all=progress.covers_all)
         # Even if no answer arrives the row may have been stored, and a new
         # owner relies on the lease ends in it.
         shard.frozen_leases |= workers.lease_ends.keys()
-        result = await self._commit(owner, workers, rows)
+        result = await self._commit(owner, workers, progress)
         if not self._handle_result(result, sent_at):
-            for submission in write.batch:
+            for submission in progress.submissions:
                 shard.dirty[submission.id] = submission
             return False
         shard.frozen_leases = set(workers.lease_ends)
@@ -226,14 +243,20 @@
     def _begin_write(self) -> "_Write":
         """Removes a batch from the dirty submissions and returns the write."""
         shard = self._shard
-        batch = list(itertools.islice(shard.dirty.values(), ROWS_PER_COMMIT))
-        covers_all = len(batch) == len(shard.dirty)
-        for submission in batch:
-            shard.dirty.pop(submission.id, None)
+        builder = progressrows.BatchBuilder(
+            self._node.max_row_bytes, ROWS_PER_COMMIT, BYTES_PER_COMMIT
+        )
+        for submission in self._isolation.choose(
+            shard.dirty, clock.read_clock()
+        ):
+            if not builder.add(submission):
+                break
+        progress = builder.batch
+        for submission in progress.submissions:
+            del shard.dirty[submission.id]
+        progress.covers_all = not shard.dirty
         return _Write(
-            batch,
-            [submission.progress.state for submission in batch],
-            covers_all,
+            progress,
             {w.id: (w.born, w.processed) for w in shard.workers.values()},
             [
                 w
@@ -250,13 +273,16 @@
         """
         shard = self._shard
         now = clock.read_clock()
-        for submission, state in zip(write.batch, write.states, strict=True):
+        progress = write.progress
+        for submission, state in zip(
+            progress.submissions, progress.states, strict=True
+        ):
             shard.record_stored_state(submission, state, now)
         for worker in write.recorded_workers:
             if not worker.is_recorded and ownerrows.is_responsive(worker):
                 worker.is_recorded = True
                 shard.request_schedule()
-        if not write.covers_all:
+        if not progress.covers_all:
             return
         for worker in shard.workers.values():
             born, processed = write.processed_ends.get(worker.id, (None, 0))
@@ -293,6 +319,40 @@
             )
         return False
 
+    def _handle_refusal(
+        self,
+        progress: progressrows.ProgressBatch,
+        refusal: platform_store.Refused,
+        has_workers: bool,
+    ):
+        """Finds out which row the store has refused and does without it."""
+        submission_id = self._isolation.record_refusal(progress, has_workers)
+        self._node.log.warn(
+            "rows_refused",
+            service=self._shard.service,
+            status=refusal.status,
+            rows=len(progress.put) + len(progress.remove),
+            id=submission_id or "",
+        )
+        submission = self._shard.submissions.get(submission_id)
+        if submission is not None:
+            self._give_up_rows(submission)
+        elif has_workers and not progress.ids:
+            self._max_workers_bytes //= 2
+
+    def _give_up_rows(self, submission: execution.Submission):
+        """Stores less of a submission whose rows the store has refused.
+
+        Its checkpoints are left out first. If they aren't the cause, it can't
+        be continued by another owner and fails.
+        """
+        if submission.stores_checkpoints and submission.progress.saved:
+            submission.stores_checkpoints = False
+        elif submission.is_active:
+            self._shard.end_submission(submission, submissions.FAILED)
+        else:
+            self._isolation.set_aside(submission.id, clock.read_clock())
+
     def _handle_conflict(self, conflict: platform_store.Conflict):
         """Adopts the version of an own late write, or closes the shard.
 
@@ -327,7 +387,7 @@
         result = await self._commit(
             self._build_owner("", clock.read_clock()),
             ownerrows.build_workers(self._shard, is_leaving=True),
-            [],
+            progressrows.ProgressBatch(),
         )
         self._node.log.warn(
             "ownership_released",
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
@@ -134,8 +134,7 @@
             return
         self._shard.ready_steps.discard(step)
         may_have_copies = any(
-            submission.steps[step_key].spec.allow_copies
-            for step_key in submission.steps
+            spec.allow_copies for spec in submission.record.steps
         )
         for dependent in submission.list_occurrence_steps(step.occurrence):
             if step.number not in dependent.spec.after or dependent.is_done:
@@ -148,8 +147,7 @@
                     task.is_accounted and not may_have_copies
                 )
                 self._shard.make_ready(dependent)
-        if submission.is_complete():
-            self._shard.end_submission(submission, submissions.COMPLETED)
+        self._shard.complete_if_done(submission, step.occurrence)
 
     def _record_failure(
         self, task: execution.Task, number: int, worker: fleet.Worker
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import time
 
 from persimmonpath_entry.decisions import readysteps
@@ -22,6 +23,8 @@
 # A submission older than this when its shard is loaded is taken as the result
 # of a wall-clock jump, and its age is ignored.
 MAX_SUBMISSION_AGE_S = 600.0
+# Longest number of an occurrence in the name of a task, in digits.
+MAX_DIGITS = 9
 
 
 class Shard:
@@ -256,6 +259,7 @@
         record: submissions.SubmissionRecord,
         progress: submissions.ProgressRecord | None = None,
         version: int = 0,
+        stored_blocks: Iterable[str] = (),
     ):
         """Adds a stored submission.
 
@@ -266,6 +270,7 @@
           record: the stored submission.
           progress: the stored progress, None if there is none.
           version: the version of the submission's row.
+          stored_blocks: keys of the rows of its progress beside the first one.
         """
         existing = self.submissions.get(submission_id)
         if existing is not None:
@@ -284,6 +289,10 @@
             now,
             version,
         )
+        submission.stored_blocks = dict.fromkeys(stored_blocks, 0)
+        submission.open_limit = submissions.count_open_limit(
+            record, self.node.max_row_bytes
+        )
         self.submissions[submission_id] = submission
         if version > self.newest_version:
             self.newest_version = version
@@ -303,15 +312,63 @@
             self._open_occurrence(submission, 0)
 
     def open_occurrences(self, submission: execution.Submission):
-        """Opens the due occurrences of a recurring submission."""
+        """Opens the due occurrences of a recurring submission.
+
+        While as many are open as the progress row can describe, further ones
+        wait.
+        """
         record = submission.record
         now_ms = time.time() * 1000
-        for occurrence in range(record.occurrences):
+        while submission.next_occurrence < record.occurrences:
+            occurrence = submission.next_occurrence
             if record.start_ms + occurrence * record.interval_ms > now_ms:
-                break
-            if f"{occurrence}.0" not in submission.steps:
+                return
+            if submission.count_open() >= submission.open_limit:
+                self._log_postponement(submission)
+                return
+            submission.next_occurrence += 1
+            if not (
+                submission.is_finished(occurrence)
+                or submission.is_open(occurrence)
+            ):
                 self._open_occurrence(submission, occurrence)
 
+    def _log_postponement(self, submission: execution.Submission):
+        if submission.is_postponing:
+            return
+        submission.is_postponing = True
+        self.node.log.warn(
+            "occurrences_postponed",
+            id=submission.id,
+            next=submission.next_occurrence,
+            open=submission.count_open(),
+        )
+
+    def find_task(self, name: str) -> execution.Task | None:
+        """Returns the task that a worker names, None if there is none.
+
+        A former owner may have started tasks of an occurrence that this owner
+        hasn't opened yet; it is opened then.
+        """
+        submission_id, _, key = name.partition(".")
+        submission = self.submissions.get(submission_id)
+        if submission is None:
+            return None
+        occurrence = key.partition(".")[0]
+        if submission.is_active and _is_number(occurrence):
+            self._open_named_occurrence(submission, int(occurrence))
+        return submission.find_task(key)
+
+    def _open_named_occurrence(
+        self, submission: execution.Submission, occurrence: int
+    ):
+        if (
+            occurrence < submission.record.occurrences
+            and not submission.is_finished(occurrence)
+            and not submission.is_open(occurrence)
+        ):
+            self._open_occurrence(submission, occurrence)
+
     def _open_occurrence(
         self, submission: execution.Submission, occurrence: int
     ):
@@ -323,6 +380,15 @@
                 )
             if not step.is_done and submission.is_ready(step):
                 self.make_ready(step)
+        self.complete_if_done(submission, occurrence)
+
+    def complete_if_done(
+        self, submission: execution.Submission, occurrence: int
+    ):
+        """Closes an occurrence, and ends the submission, if all is done."""
+        for step in submission.finish_occurrence(occurrence):
+            self.next_steps.pop(step, None)
+            self.changed_steps.pop(step, None)
         if submission.is_complete():
             self.end_submission(submission, submissions.COMPLETED)
 
@@ -478,7 +544,7 @@
 
     def forget_details_if_ended(self, submission: execution.Submission):
         """Drops the details of an ended submission once it has no runs."""
-        if submission.steps and not submission.list_runs():
+        if not submission.list_runs():
             submission.forget_details()
 
     def record_stored_state(
@@ -497,6 +563,10 @@
             self.forget_details_if_ended(submission)
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def _measure_lateness(
     record: submissions.SubmissionRecord, occurrence: int
 ) -> float:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -5,6 +5,7 @@
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import pacing
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import progressrows
 from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.engine import workercommands
@@ -51,17 +52,11 @@
         if isinstance(rows, platform_store.Refused):
             return False
         progress = await store.read_all(
-            persistence.PROGRESS_TABLE, self._shard.service
+            progressrows.PROGRESS_TABLE, self._shard.service
         )
         if isinstance(progress, platform_store.Refused):
             return False
-        progress_by_id = {}
-        for row in progress.rows:
-            record = rowcodec.decode_row(
-                self._node, row, submissions.ProgressRecord
-            )
-            if record is not None:
-                progress_by_id[row.key] = record
+        progress_by_id = progressrows.decode_rows(self._node, progress.rows)
         for row in rows.rows:
             self._apply_submission_row(row, progress_by_id.get(row.key))
         self._submission_version = rows.version
@@ -83,14 +78,24 @@
             rows += page.rows
         return platform_store.Rows(rows, min(page.version for page in pages))
 
-    def _apply_submission_row(self, row, progress=None):
+    def _apply_submission_row(
+        self,
+        row: platform_store.Row,
+        progress: progressrows.StoredProgress | None = None,
+    ):
         if row.is_deleted:
             return
         record = rowcodec.decode_row(
             self._node, row, submissions.SubmissionRecord
         )
         if record is not None and record.service == self._shard.service:
-            self._shard.apply_submission(row.key, record, progress, row.version)
+            self._shard.apply_submission(
+                row.key,
+                record,
+                None if progress is None else progress.record,
+                row.version,
+                () if progress is None else progress.block_keys,
+            )
 
     async def follow_submissions(self):
         """Applies new submissions and cancellations not announced by peers."""
@@ -284,11 +289,18 @@
         )
         if not isinstance(result, platform_store.Committed):
             return
-        await self._node.store.commit(
-            self._shard.service,
-            [],
-            [],
-            [(persistence.PROGRESS_TABLE, i) for i in ids],
-        )
+        known = self._shard.submissions
+        keys = list(ids)
         for submission_id in ids:
-            self._shard.submissions.pop(submission_id, None)
+            keys += known.pop(submission_id).stored_blocks
+        size = persistence.ROWS_PER_COMMIT
+        for first in range(0, len(keys), size):
+            await self._node.store.commit(
+                self._shard.service,
+                [],
+                [],
+                [
+                    (progressrows.PROGRESS_TABLE, key)
+                    for key in keys[first : first + size]
+                ],
+            )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import progressrows
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import submissions
@@ -127,7 +128,7 @@
             stored.rows[0].value, type=submissions.SubmissionRecord
         )
         progress = await self._node.store.read_row(
-            persistence.PROGRESS_TABLE, record.service, submission_id
+            progressrows.PROGRESS_TABLE, record.service, submission_id
         )
         if isinstance(progress, platform_store.Refused):
             return None
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -6,6 +6,8 @@
 import msgspec
 
 DEFAULT_METRICS_PORT = 9464
+# The rows of owners and VMs need this much.
+MIN_ROW_BYTES = 4096
 SETTINGS_VARIABLE = "PERSIMMONPATH_BOOT"
 
 
@@ -30,6 +32,7 @@
 
 class _Store(msgspec.Struct, rename="camel", frozen=True):
     address: str = ""
+    row_bytes: int = 65536
 
 
 class _Machines(msgspec.Struct, rename="camel", frozen=True):
@@ -48,7 +51,8 @@
         `listenAddrs` in the file.
       bounds: time limits of the platform.
       limits: CPU and network bandwidth of the VM.
-      store: address of the platform's store; `platform` in the file.
+      store: address of the platform's store and the largest row that it
+        takes, in bytes; `platform` in the file.
       machines: address of the API for machines; `cloudApi` in the file.
       advice: address of the placement advisor, or empty.
       metrics_port: port on which metrics are served; deploy/system.toml names
@@ -105,6 +109,8 @@
             errors.append(f"{name}: {address!r}; allowed: HOST:PORT")
     if not settings.internal_ports:
         errors.append("internalPorts: empty; allowed: first and last port")
+    if settings.store.row_bytes < MIN_ROW_BYTES:
+        errors.append(f"platform.rowBytes: below {MIN_ROW_BYTES}")
     if settings.bounds.hold_max_ms < 1000:
         errors.append("bounds.holdMaxMs: below 1000")
     return errors
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -83,6 +83,14 @@
 
     status: int
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the store would refuse the same call again.
+
+        It does so with a row or a transaction that is too large.
+        """
+        return 400 <= self.status < 500 and self.status != 429
+
 
 @dataclasses.dataclass(slots=True)
 class Unknown:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -10,6 +10,8 @@
 
 # CPU share in percent below which a long-running task counts as unavailable.
 AVAILABLE_PERCENT = 100
+# Stands in the place of an index in the key of a gang's failures.
+GANG_KEY = "gang"
 
 
 class WorkerLoad(msgspec.Struct):
@@ -149,7 +151,9 @@
     @property
     def failure_key(self) -> str:
         """The key of its failures; all tasks of a gang share one."""
-        return f"{self.step.key}.gang" if self.step.spec.gang else self.key
+        if self.step.spec.gang:
+            return f"{self.step.key}.{GANG_KEY}"
+        return self.key
 
     @property
     def failures(self) -> list[int]:
@@ -292,7 +296,14 @@
         has been adopted.
       stored_state: the state that the store holds; only this one may be shown
         to callers.
-      steps: the steps by key, "occurrence.step".
+      steps: the steps of the open occurrences by key, "occurrence.step".
+      open_limit: most occurrences that may be open at once.
+      next_occurrence: number of the next occurrence to be opened.
+      is_postponing: whether a due occurrence waits for an open one to finish.
+      stored_blocks: hashes of the blocks of progress that the store holds, by
+        row key; 0 if the content of the row isn't known.
+      stores_checkpoints: whether its checkpoints are stored. They are left out
+        once the store has refused a row with them.
       stored_at: when the store was first known to hold its final state, in
         seconds of the monotonic clock; None before.
     """
@@ -315,7 +326,11 @@
         self.has_started = False
         self.stored_state = self.progress.state
         self.steps: dict[str, Step] = {}
-        self.occurrences_left = 0
+        self.open_limit = submissions.MAX_OCCURRENCES
+        self.next_occurrence = 0
+        self.is_postponing = False
+        self.stored_blocks: dict[str, int] = {}
+        self.stores_checkpoints = True
         self.stored_at: float | None = None
 
     @property
@@ -389,10 +404,42 @@
             for run in task.runs
         ]
 
+    def is_finished(self, occurrence: int) -> bool:
+        """Returns whether an occurrence of a recurring submission is done."""
+        return bool(self.progress.finished >> occurrence & 1)
+
+    def is_open(self, occurrence: int) -> bool:
+        """Returns whether the steps of an occurrence have been created."""
+        return f"{occurrence}.0" in self.steps
+
+    def count_open(self) -> int:
+        """Returns the number of open occurrences."""
+        return len(self.steps) // max(1, len(self.record.steps))
+
+    def finish_occurrence(self, occurrence: int) -> list[Step]:
+        """Closes an occurrence of a recurring submission if it is done.
+
+        Returns:
+          Its former steps, empty if it isn't done.
+        """
+        steps = self.list_occurrence_steps(occurrence)
+        if not self.record.occurrences:
+            return []
+        if not all(step.is_done for step in steps):
+            return []
+        self.progress.finished |= 1 << occurrence
+        for step in steps:
+            del self.steps[step.key]
+            self.progress.done.pop(step.key, None)
+            self.progress.failures.pop(f"{step.key}.{GANG_KEY}", None)
+        return steps
+
     def is_complete(self) -> bool:
         """Returns whether every task of every occurrence is done."""
-        occurrence_count = max(1, self.record.occurrences)
-        if len(self.steps) < occurrence_count * len(self.record.steps):
+        if self.record.occurrences:
+            finished = self.progress.finished.bit_count()
+            return finished == self.record.occurrences
+        if len(self.steps) < len(self.record.steps):
             return False
         return all(step.is_done for step in self.steps.values())
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -81,6 +81,15 @@
     cancelled: bool = False
 
 
+def _make_masks() -> dict[str, int]:
+    """Returns an empty mapping that is stored nevertheless.
+
+    Readers of progress rows rely on the field, and msgspec leaves out the
+    default of a plain `dict`.
+    """
+    return {}
+
+
 class ProgressRecord(msgspec.Struct, omit_defaults=True):
     """The progress of a submission as the store keeps it.
 
@@ -88,6 +97,8 @@
       state: ACTIVE, COMPLETED, FAILED or CANCELLED.
       done: completed tasks by "occurrence.step", as a bit mask of their
         indexes.
+      finished: completed occurrences of a recurring submission, as a bit mask
+        of their numbers. They have no entry in the other fields.
       failures: numbers of the failed runs by "occurrence.step.index", or by
         "occurrence.step.gang". A plain count would be wrong: workers report
         the same run ends again to a new owner.
@@ -96,14 +107,36 @@
     """
 
     state: str = ACTIVE
-    done: dict[str, int] = {}
+    done: dict[str, int] = msgspec.field(default_factory=_make_masks)
+    finished: int = 0
     failures: dict[str, list[int]] = {}
     saved: dict[str, str] = {}
     ended_ms: int = 0
 
 
-# Most occurrences of a submission. All that are due are opened at once.
+class ProgressBlock(msgspec.Struct, omit_defaults=True):
+    """Part of the progress of a submission that doesn't fit into one row.
+
+    Attributes:
+      failures: as in ProgressRecord, for some of the tasks.
+      saved: as in ProgressRecord, for some of the tasks.
+    """
+
+    failures: dict[str, list[int]] = {}
+    saved: dict[str, str] = {}
+
+
+# Most occurrences of a submission.
 MAX_OCCURRENCES = 10_000
+# Most tasks of a recurring submission whose occurrences are open at once. Each
+# uses memory of the owner.
+MAX_OPEN_TASKS = 10_000
+# Decimal digits for each bit of a mask, rounded up.
+DIGITS_PER_BIT = 0.302
+# Bytes of a progress row beside its masks: names of the fields, state and time.
+PROGRESS_FIELDS_BYTES = 120
+# Quotes, separators and one digit more in an entry of ProgressRecord.done.
+MASK_FIELDS_BYTES = 6
 
 
 def check_schedule(record: SubmissionRecord) -> str | None:
@@ -115,6 +148,53 @@
     return None
 
 
+def count_open_limit(record: SubmissionRecord, max_bytes: int) -> int:
+    """Returns how many occurrences of a submission may be open at once.
+
+    The masks of their completed tasks then fit into one row, whatever tasks are
+    done.
+
+    Args:
+      record: the submission; one that runs once has one occurrence.
+      max_bytes: largest row in bytes.
+    """
+    fixed_bytes = PROGRESS_FIELDS_BYTES + record.occurrences * DIGITS_PER_BIT
+    occurrence_bytes = sum(
+        len(f"{record.occurrences}.{number}")
+        + MASK_FIELDS_BYTES
+        + step.count * DIGITS_PER_BIT
+        for number, step in enumerate(record.steps)
+    )
+    limit = int((max_bytes - fixed_bytes) / max(1.0, occurrence_bytes))
+    if not record.occurrences:
+        return limit
+    tasks = sum(step.count for step in record.steps)
+    return min(limit, max(1, MAX_OPEN_TASKS // max(1, tasks)))
+
+
+def check_size(record: SubmissionRecord, row_bytes: int) -> str | None:
+    """Returns why the store can't hold a submission, or None.
+
+    Args:
+      record: a submission with valid steps and a valid schedule.
+      row_bytes: largest row that the store takes, in bytes.
+    """
+    size = len(msgspec.json.encode(record))
+    if size > row_bytes:
+        return f"spec and steps: {size} bytes stored; allowed: {row_bytes}"
+    # The base64 text of the progress is kept within the limit, too.
+    limit = count_open_limit(record, row_bytes // 4 * 3)
+    if limit < 1:
+        return "steps: too many tasks for one row of the store"
+    runs_for_good = any(step.long_running for step in record.steps)
+    if runs_for_good and record.occurrences > limit:
+        return (
+            f"occurrences: {record.occurrences}; allowed: 0 to {limit}, as "
+            "long-running tasks keep all of them open"
+        )
+    return None
+
+
 def check_steps(steps: list[StepSpec]) -> str | None:
     """Returns the first error in the steps of a submission, or None."""
     if not steps:
