--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -12,6 +12,7 @@
 
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
@@ -61,7 +62,9 @@
 
     Attributes:
       submission_id: its id.
+      record: the submission.
       value: its row, encoded as JSON.
+      version: version of the row that it replaces, 0 for none.
       deadline: monotonic time in seconds by which its caller needs a result.
       future: receives the AcceptanceResult.
       may_be_stored: whether a write of it was not answered.
@@ -70,11 +73,13 @@
     """
 
     submission_id: str
+    record: submissions.SubmissionRecord
     value: bytes
     deadline: float
     future: asyncio.Future
     may_be_stored: bool = False
     is_suspect: bool = False
+    version: int = 0
 
 
 class Acceptance:
@@ -133,6 +138,7 @@
             return AcceptanceResult(Outcome.REFUSED)
         pending = _Pending(
             submission_id,
+            record,
             msgspec.json.encode(record),
             deadline,
             asyncio.get_running_loop().create_future(),
@@ -178,7 +184,11 @@
         result = await self._node.store.commit(
             self._partition,
             [
-                (persistence.SUBMISSION_TABLE, pending.submission_id, 0)
+                (
+                    persistence.SUBMISSION_TABLE,
+                    pending.submission_id,
+                    pending.version,
+                )
                 for pending in batch
             ],
             [
@@ -195,22 +205,48 @@
         )
         if isinstance(result, platform_store.Committed):
             for pending in batch:
-                self._resolve(
-                    pending, AcceptanceResult(Outcome.ACCEPTED, result.version)
-                )
+                accepted = AcceptanceResult(Outcome.ACCEPTED, result.version)
+                if pending.version:
+                    # It was cancelled before, and its tasks must not start.
+                    accepted = AcceptanceResult(Outcome.REPEATED)
+                self._resolve(pending, accepted)
             return True
         if isinstance(result, platform_store.Conflict):
-            known = {row.key for row in result.rows if row.version}
-            for pending in batch:
-                if pending.submission_id in known:
-                    self._resolve(pending, AcceptanceResult(Outcome.REPEATED))
-            return bool(known)
+            return self._handle_conflict(batch, result)
         if isinstance(result, platform_store.Unknown):
             for pending in batch:
                 pending.may_be_stored = True
             return False
         return result.is_final and self._isolate(batch)
 
+    def _handle_conflict(
+        self, batch: list[_Pending], conflict: platform_store.Conflict
+    ) -> bool:
+        """Resolves the submissions that are stored already.
+
+        One of which only a cancellation is stored takes that row's place, as a
+        cancelled submission.
+
+        Returns:
+          Whether the others can be stored at once.
+        """
+        found = {row.key: row for row in conflict.rows if row.version}
+        for pending in batch:
+            row = found.get(pending.submission_id)
+            if row is None:
+                continue
+            record = rowcodec.decode_row(
+                self._node, row, submissions.SubmissionRecord
+            )
+            if record is None or not record.is_tombstone:
+                self._resolve(pending, AcceptanceResult(Outcome.REPEATED))
+                continue
+            pending.version = row.version
+            pending.value = msgspec.json.encode(
+                submissions.make_cancelled(pending.record)
+            )
+        return bool(found)
+
     def _isolate(self, batch: list[_Pending]) -> bool:
         """Writes the submissions of a refused transaction one at a time.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -14,6 +14,7 @@
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import views
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
@@ -37,6 +38,15 @@
     return any(step.long_running for step in record.steps)
 
 
+def _confirm_cancel(
+    record: submissions.SubmissionRecord,
+) -> httpserver.Response:
+    """Returns the response to the cancellation of a row that is stored now."""
+    if record.is_tombstone:
+        return make_error(410, "no such submission")
+    return httpserver.Response(200)
+
+
 def make_error(status: int, reason: str, retry_after_s: int | None = None):
     """Returns the response to a rejected request.
 
@@ -145,7 +155,7 @@
         if request.method == "GET":
             return await self._answer_state(queue, submission_id)
         if request.method == "DELETE":
-            return await self._cancel(submission_id, deadline)
+            return await self._cancel(queue, submission_id, deadline)
         return make_error(405, "method; allowed: POST, GET, DELETE")
 
     # Submitting.
@@ -271,7 +281,13 @@
 
     # Cancelling.
 
-    async def _cancel(self, submission_id, deadline):
+    async def _cancel(self, queue, submission_id, deadline):
+        """Marks a submission as cancelled.
+
+        If there is none, a row without content takes its place before that is
+        answered: a transaction that was sent earlier, and that may be carried
+        out seconds later, can't store the submission any more then.
+        """
         may_be_cancelled = False
         while clock.read_clock() < deadline:
             stored = await self._node.store.read_row(
@@ -282,38 +298,58 @@
             if isinstance(stored, platform_store.Refused):
                 await asyncio.sleep(acceptance.RETRY_S)
                 continue
-            if not stored.rows:
-                return make_error(410, "no such submission")
-            record = msgspec.json.decode(
-                stored.rows[0].value, type=submissions.SubmissionRecord
+            record = None
+            if stored.rows:
+                record = rowcodec.decode_row(
+                    self._node, stored.rows[0], submissions.SubmissionRecord
+                )
+                if record is None:
+                    return make_error(500, "the stored row is unreadable")
+                if record.cancelled:
+                    return _confirm_cancel(record)
+            cancelled = (
+                submissions.make_tombstone(queue.name, queue.service)
+                if record is None
+                else submissions.make_cancelled(record)
             )
-            if record.cancelled:
-                return httpserver.Response(200)
-            record.cancelled = True
-            result = await self._node.store.commit(
-                persistence.find_partition(submission_id),
-                [
-                    (
-                        persistence.SUBMISSION_TABLE,
-                        submission_id,
-                        stored.rows[0].version,
-                    )
-                ],
-                [
-                    (
-                        persistence.SUBMISSION_TABLE,
-                        submission_id,
-                        msgspec.json.encode(record),
-                    )
-                ],
+            result = await self._store_cancelled(
+                submission_id, cancelled, stored.rows
             )
             if isinstance(result, platform_store.Committed):
-                self._node.log.write("submission_cancelled", id=submission_id)
-                self._notify_owner(submission_id, record, result.version)
-                return httpserver.Response(200)
+                self._node.log.write(
+                    "submission_cancelled",
+                    id=submission_id,
+                    was_stored=record is not None,
+                )
+                self._notify_owner(submission_id, cancelled, result.version)
+                return _confirm_cancel(cancelled)
             if isinstance(result, platform_store.Unknown):
                 may_be_cancelled = True
             await asyncio.sleep(0.02)
         if may_be_cancelled:
             return make_error(504, "the store has not answered")
         return make_error(503, "store unavailable", RETRY_AFTER_S)
+
+    async def _store_cancelled(
+        self,
+        submission_id: str,
+        cancelled: submissions.SubmissionRecord,
+        rows: list[platform_store.Row],
+    ):
+        """Writes a cancelled submission if its row is the one that was read.
+
+        Args:
+          submission_id: the id of the submission.
+          cancelled: the new row.
+          rows: the row that was read, empty if there was none.
+
+        Returns:
+          The result of the transaction.
+        """
+        table = persistence.SUBMISSION_TABLE
+        version = rows[0].version if rows else 0
+        return await self._node.store.commit(
+            persistence.find_partition(submission_id),
+            [(table, submission_id, version)],
+            [(table, submission_id, msgspec.json.encode(cancelled))],
+        )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -273,10 +273,12 @@
           stored_blocks: keys of the rows of its progress beside the first one.
         """
         existing = self.submissions.get(submission_id)
-        if existing is not None:
+        if existing is not None and not existing.record.is_tombstone:
             if record.cancelled:
                 self.cancel(existing)
             return
+        if record.is_tombstone:
+            progress = submissions.ProgressRecord(state=submissions.CANCELLED)
         now = clock.read_clock()
         age_s = time.time() - record.accepted_ms / 1000
         if 0 < age_s < MAX_SUBMISSION_AGE_S and not self.is_loaded:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
@@ -7,6 +7,7 @@
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import progressrows
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import submissions
@@ -84,7 +85,7 @@
         if shard is None or not shard.is_loaded:
             return None
         submission = shard.submissions.get(submission_id)
-        if submission is None:
+        if submission is None or submission.record.is_tombstone:
             return None
         await shard.refresh_submission(submission)
         # After the end of its lease the owner may have been replaced, and its
@@ -124,9 +125,13 @@
             return None
         if not stored.rows:
             return ABSENT
-        record = msgspec.json.decode(
-            stored.rows[0].value, type=submissions.SubmissionRecord
+        record = rowcodec.decode_row(
+            self._node, stored.rows[0], submissions.SubmissionRecord
         )
+        if record is None:
+            return None
+        if record.is_tombstone:
+            return ABSENT
         progress = await self._node.store.read_row(
             progressrows.PROGRESS_TABLE, record.service, submission_id
         )
@@ -134,9 +139,12 @@
             return None
         state = submissions.ACTIVE
         if progress.rows:
-            state = msgspec.json.decode(
-                progress.rows[0].value, type=submissions.ProgressRecord
-            ).state
+            progress_record = rowcodec.decode_row(
+                self._node, progress.rows[0], submissions.ProgressRecord
+            )
+            if progress_record is None:
+                return None
+            state = progress_record.state
         if record.cancelled and state == submissions.ACTIVE:
             state = submissions.CANCELLED
         return SubmissionView(state, bool(progress.rows))
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -67,7 +67,10 @@
       start_ms: time of the first occurrence in Unix milliseconds.
       interval_ms: milliseconds between occurrences.
       occurrences: number of occurrences, 0 for a submission that runs once.
-      cancelled: whether its caller has cancelled it.
+      cancelled: whether its caller has cancelled it. Its specification and its
+        steps aren't stored any longer then.
+      is_tombstone: whether only a cancellation was received for its id. The row
+        keeps an earlier transaction that is still under way from storing it.
     """
 
     queue: str
@@ -79,6 +82,7 @@
     interval_ms: int = 0
     occurrences: int = 0
     cancelled: bool = False
+    is_tombstone: bool = False
 
 
 def _make_masks() -> dict[str, int]:
@@ -126,6 +130,28 @@
     saved: dict[str, str] = {}
 
 
+def make_cancelled(record: SubmissionRecord) -> SubmissionRecord:
+    """Returns what the store keeps of a submission once it is cancelled.
+
+    It is never longer than the row of the submission.
+    """
+    return SubmissionRecord(
+        record.queue,
+        record.service,
+        "",
+        [],
+        accepted_ms=record.accepted_ms,
+        cancelled=True,
+    )
+
+
+def make_tombstone(queue: str, service: str) -> SubmissionRecord:
+    """Returns the row of an id that was cancelled before it was stored."""
+    return SubmissionRecord(
+        queue, service, "", [], cancelled=True, is_tombstone=True
+    )
+
+
 # Most occurrences of a submission.
 MAX_OCCURRENCES = 10_000
 # Most tasks of a recurring submission whose occurrences are open at once. Each
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -58,6 +58,65 @@
         return self.outcomes.pop(0)
 
 
+class VersionedStore(FakeStore):
+    """A store that keeps rows and checks the versions that are expected.
+
+    Attributes:
+      rows: version and value by table, partition and key.
+      version: the newest version.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+        self.version = 10
+
+    def choose_timeout(self):
+        """Returns the seconds for a call."""
+        return 1.0
+
+    async def commit(self, part, expect, put, remove=(), timeout_s=1.0):
+        """Applies a transaction if its expectations hold."""
+        await asyncio.sleep(0)
+        return self.apply(part, expect, put, remove)
+
+    def apply(self, part, expect, put, remove=()):
+        """Applies a transaction at once; see `commit`."""
+        found = [(t, k, *self.find(t, part, k)) for t, k, _ in expect]
+        if any(
+            row[2] != version
+            for row, (*_, version) in zip(found, expect, strict=True)
+        ):
+            return platform_store.Conflict(
+                [platform_store.Row(t, part, k, v, n) for t, k, n, v in found]
+            )
+        self.version += 1
+        for table, key, value in put:
+            self.rows[table, part, key] = (self.version, value)
+        for table, key in remove:
+            self.rows.pop((table, part, key), None)
+        return platform_store.Committed(self.version)
+
+    def find(self, table, part, key):
+        """Returns version and value of a row, 0 and empty if there is none."""
+        return self.rows.get((table, part, key), (0, b""))
+
+    async def read_row(self, table, part, key):
+        """Returns one row."""
+        version, value = self.find(table, part, key)
+        rows = [platform_store.Row(table, part, key, value, version)]
+        return platform_store.Rows(rows if version else [], self.version)
+
+    async def read_all(self, table, part):
+        """Returns the rows of a partition."""
+        found = [
+            platform_store.Row(table, part, key[2], value, version)
+            for key, (version, value) in sorted(self.rows.items())
+            if key[:2] == (table, part)
+        ]
+        return platform_store.Rows(found, self.version)
+
+
 def make_queue(**changes):
     """Returns a queue with some fields changed."""
     fields = {
--- a/tests/entry/test_rowlimits.py
+++ b/tests/entry/test_rowlimits.py
@@ -29,11 +29,10 @@
 MAX_WRITES = 400
 
 
-class LimitedStore(fakes.FakeStore):
-    """Keeps rows and refuses what is too large, or rows of chosen keys.
+class LimitedStore(fakes.VersionedStore):
+    """Refuses what is too large, or rows of chosen keys.
 
     Attributes:
-      rows: version and value by table, partition and key.
       refused_keys: keys of rows that are refused, whatever their size.
       refused: number of refused transactions.
     """
@@ -41,14 +40,9 @@
     def __init__(self, row_bytes=ROW_BYTES):
         super().__init__()
         self.row_bytes = row_bytes
-        self.rows = {}
-        self.version = 10
         self.refused_keys = set()
         self.refused = 0
 
-    def choose_timeout(self):
-        return 1.0
-
     def _exceeds_limits(self, expect, put, remove):
         values = [value for _, _, value in put]
         return (
@@ -59,24 +53,10 @@
         )
 
     async def commit(self, part, expect, put, remove=(), timeout_s=1.0):
-        await asyncio.sleep(0)
         if self._exceeds_limits(expect, put, remove):
             self.refused += 1
             return platform_store.Refused(400)
-        self.version += 1
-        for table, key, value in put:
-            self.rows[table, part, key] = (self.version, value)
-        for table, key in remove:
-            self.rows.pop((table, part, key), None)
-        return platform_store.Committed(self.version)
-
-    async def read_all(self, table, part):
-        found = [
-            platform_store.Row(table, part, key[2], value, version)
-            for key, (version, value) in sorted(self.rows.items())
-            if key[:2] == (table, part)
-        ]
-        return platform_store.Rows(found, self.version)
+        return await super().commit(part, expect, put, remove)
 
 
 def make_node(row_bytes=ROW_BYTES):
@@ -105,7 +85,7 @@
         self.store = node.store
         self.shard = fakes.make_shard(node)
         fakes.add_worker(self.shard)
-        self.writer = persistence.ShardWriter(self.shard, 10, lambda: None)
+        self.writer = persistence.ShardWriter(self.shard, 0, lambda: None)
 
     async def store_all(self):
         """Writes until nothing is left to be stored."""
@@ -309,7 +289,8 @@
             handler.handle_run_end(task, 9001, "failed", "c" * 16, worker)
         await self.store_all()
         self.shard = await self.load_successor()
-        self.writer = persistence.ShardWriter(self.shard, 10, lambda: None)
+        self.store.rows.pop(("owner", fakes.SERVICE, "owner"))
+        self.writer = persistence.ShardWriter(self.shard, 0, lambda: None)
         loaded = self.shard.submissions[ID]
         for task in loaded.steps["0.0"].tasks[1:]:
             finish_task(self.shard, loaded, task.key)
