--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -186,9 +186,9 @@
     ) -> configuration.Queue:
         """Returns the queue of a submission.
 
-        A queue that was removed from the configuration keeps its last known
-        settings. A queue that this owner has never seen gets defaults of the
-        lowest priority.
+        A queue that was removed from the configuration keeps the settings that
+        this owner has last seen, else those that are stored with the
+        submission.
         """
         name = submission.record.queue
         queue = self.node.find_queue(name)
@@ -198,9 +198,7 @@
         last_known = self.queues.get(name)
         if last_known is not None:
             return last_known
-        return configuration.Queue(
-            name, "", "", self.service, 9, 3, 4.0, 3000.0, 3000.0, None
-        )
+        return configuration.make_removed_queue(submission.record)
 
     def extend_horizon(self, version: int):
         """Records the horizon that the store holds for this owner."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -105,6 +105,7 @@
         start_ms=message.start_time_ms,
         interval_ms=message.interval_ms,
         occurrences=message.run_count,
+        policy=queue.describe_policy(),
     )
     return (
         submissions.check_steps(record.steps)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/configuration.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/configuration.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 
+from persimmonpath_entry.state import submissions
+
+DEFAULT_TIMEOUT_MS = 3000.0
+# For submissions whose rows hold no policy, with the lowest priority.
+UNKNOWN_POLICY = submissions.QueuePolicy(9, 3, 4.0, 3000.0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdvicePolicy:
@@ -47,6 +53,44 @@
     timeout_ms: float
     advice: AdvicePolicy | None
 
+    def describe_policy(self) -> submissions.QueuePolicy:
+        """Returns the settings that are stored with its submissions."""
+        advice = None
+        if self.advice is not None:
+            advice = dataclasses.astuple(self.advice)
+        return submissions.QueuePolicy(
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.target_latency_ms,
+            advice,
+        )
+
+
+def make_removed_queue(record: submissions.SubmissionRecord) -> Queue:
+    """Returns the queue of a submission as it was at its acceptance.
+
+    Args:
+      record: the submission. Without a stored policy the queue gets defaults of
+        the lowest priority.
+    """
+    policy = record.policy or UNKNOWN_POLICY
+    advice = None
+    if policy.advice is not None:
+        advice = AdvicePolicy(*policy.advice)
+    return Queue(
+        record.queue,
+        "",
+        "",
+        record.service,
+        policy.priority,
+        policy.max_attempts,
+        policy.stretch,
+        policy.target_latency_ms,
+        DEFAULT_TIMEOUT_MS,
+        advice,
+    )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -55,6 +55,25 @@
     may_miss: int = 0
 
 
+class QueuePolicy(msgspec.Struct, array_like=True, frozen=True):
+    """What an owner needs to know of a queue that was removed.
+
+    Attributes:
+      priority: as in configuration.Queue, like all others.
+      max_attempts: number of failed runs at which a submission fails.
+      stretch: factor on the critical path in the latency objective.
+      target_latency_ms: milliseconds added to that product.
+      advice: decide_ms, each_ms and valid_ms of the advisor's policy, None
+        without an advisor.
+    """
+
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_latency_ms: float
+    advice: tuple[float, float, float] | None = None
+
+
 class SubmissionRecord(msgspec.Struct, omit_defaults=True):
     """A submission as the store keeps it.
 
@@ -67,6 +86,8 @@
       start_ms: time of the first occurrence in Unix milliseconds.
       interval_ms: milliseconds between occurrences.
       occurrences: number of occurrences, 0 for a submission that runs once.
+      policy: the settings of its queue when it was accepted, None in rows of
+        former versions. They hold while the queue is removed.
       cancelled: whether its caller has cancelled it. Its specification and its
         steps aren't stored any longer then.
       is_tombstone: whether only a cancellation was received for its id. The row
@@ -81,6 +102,7 @@
     start_ms: int = 0
     interval_ms: int = 0
     occurrences: int = 0
+    policy: QueuePolicy | None = None
     cancelled: bool = False
     is_tombstone: bool = False
 
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -1,8 +1,13 @@
 """Tests of the state changes of a shard, its run ends and its workers."""
 
+import json
 import time
 import unittest
 
+import msgspec
+
+from persimmonpath_entry.platform import messages
+from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 from tests.entry import fakes
@@ -361,3 +366,75 @@
         now = clock.read_clock()
         self.assertAlmostEqual(now - steps["0.0"].counted_since, 400, delta=1)
         self.assertAlmostEqual(now - steps["1.0"].counted_since, 2, delta=1)
+
+
+class RemovedQueueTest(unittest.IsolatedAsyncioTestCase):
+    """A queue that is removed while its submissions run, and a new owner.
+
+    The new owner invented the settings of the queue: three attempts, no advice.
+    """
+
+    def accept(self, queue):
+        """Returns the record of a submission as the store keeps it."""
+        body = {"steps": [{"count": 1, "cpu": 100}]}
+        record = messages.decode_submission(
+            json.dumps(body).encode(), queue, accepted_ms=1
+        )
+        return msgspec.json.decode(
+            msgspec.json.encode(record), type=submissions.SubmissionRecord
+        )
+
+    def load(self, queue, configured=()):
+        """Returns the shard of an owner that has never seen the queue."""
+        other = fakes.make_queue(name="other")
+        shard = fakes.make_shard(fakes.make_context(None, [other, *configured]))
+        fakes.add_worker(shard)
+        shard.apply_submission(ID, self.accept(queue))
+        return shard
+
+    def fail_until_ended(self, shard):
+        """Returns after how many failed runs the submission has failed."""
+        submission = shard.submissions[ID]
+        task = submission.find_task("0.0.0")
+        for number in range(1, 100):
+            run = fakes.start_run(shard, task, shard.workers["w1"])
+            shard.remove_run(run, "failed", "")
+            if not submission.is_active:
+                return number
+        return None
+
+    async def test_the_attempts_are_those_of_the_acceptance(self):
+        """Work was given up after half of its attempts, or started too often.
+
+        A queue with a single attempt got starts beyond its budget.
+        """
+        for attempts in (1, 2, 6, 40):
+            with self.subTest(attempts=attempts):
+                shard = self.load(fakes.make_queue(max_attempts=attempts))
+                self.assertEqual(self.fail_until_ended(shard), attempts)
+
+    async def test_the_other_settings_are_those_of_the_acceptance(self):
+        """Without its advice policy tasks would start without a ticket."""
+        advice = configuration.AdvicePolicy(20.0, 0.1, 2000.0)
+        queue = fakes.make_queue(priority=2, stretch=7.0, advice=advice)
+        shard = self.load(queue)
+        found = shard.find_queue(shard.submissions[ID])
+        self.assertEqual(found.advice, advice)
+        self.assertEqual(found.describe_policy(), queue.describe_policy())
+        self.assertEqual(found.service, fakes.SERVICE)
+
+    async def test_a_configured_queue_goes_first(self):
+        """Also once it is back with other settings."""
+        shard = self.load(
+            fakes.make_queue(max_attempts=2), [fakes.make_queue(max_attempts=5)]
+        )
+        self.assertEqual(self.fail_until_ended(shard), 5)
+
+    async def test_a_row_without_settings_is_read(self):
+        """Rows of former versions have none."""
+        shard = fakes.make_shard(
+            fakes.make_context(None, [fakes.make_queue(name="other")])
+        )
+        shard.apply_submission(ID, fakes.make_record())
+        found = shard.find_queue(shard.submissions[ID])
+        self.assertEqual(found.max_attempts, 3)
