--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -298,10 +298,12 @@
             self._shard.store_requested.set()
             run = worker.runs.get((end.task, end.run))
             if run is not None:
+                run.task.step.submission.has_started = True
                 self._shard.remove_run(run, end.how, end.saved)
                 continue
             task = self._shard.find_task(end.task)
             if task is not None:
+                task.step.submission.has_started = True
                 self._shard.run_end_handler.handle_run_end(
                     task, end.run, end.how, end.saved, worker
                 )
@@ -339,6 +341,7 @@
                 unknown_runs[key] = worker.unknown_runs.get(key, now)
                 self._handle_unknown_run(worker, row, unknown_runs[key], now)
                 continue
+            run.task.step.submission.has_started = True
             run.confirmed_at = max(run.confirmed_at or 0.0, now)
             if run.phase is execution.Phase.STARTING:
                 run.phase = execution.Phase.RUNNING
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -505,7 +505,6 @@
         task.runs.append(run)
         worker.add_run(run)
         self.pool.update(worker)
-        task.step.submission.has_started = True
         return run
 
     def remove_run(self, run: execution.Run, how: str, saved: str):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -53,7 +53,6 @@
         if until_ms is None or not self._shard.may_start(now):
             self._shard.remove_run(run, "void", "")
             return
-        task.step.submission.has_started = True
         sent_at = clock.read_clock()
         result = await self._shard.clients[worker.id].start(
             task.name,
@@ -73,6 +72,8 @@
     def _handle_start_result(self, run: execution.Run, result, now: float):
         worker = run.worker
         elapsed_ms = (now - run.sent_at) * 1000
+        if isinstance(result, worker_calls.Accepted):
+            run.task.step.submission.has_started = True
         if (run.task.name, run.number) not in worker.runs:
             return
         if isinstance(result, worker_calls.Accepted):
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -292,8 +292,8 @@
       may_have_former_runs: whether a former owner may have started its tasks.
       known_since: when it was accepted or first read, in seconds of the
         monotonic clock.
-      has_started: whether a start of one of its tasks has been sent, or a run
-        has been adopted.
+      has_started: whether a worker has confirmed that one of its tasks runs or
+        has ended. A start that is only sent, or that was rejected, is none.
       stored_state: the state that the store holds; only this one may be shown
         to callers.
       steps: the steps of the open occurrences by key, "occurrence.step".
@@ -323,7 +323,7 @@
         self.progress = progress or submissions.ProgressRecord()
         self.may_have_former_runs = may_have_former_runs
         self.known_since = now
-        self.has_started = False
+        self.has_started = self.progress != submissions.ProgressRecord()
         self.stored_state = self.progress.state
         self.steps: dict[str, Step] = {}
         self.open_limit = submissions.MAX_OCCURRENCES
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -81,6 +81,22 @@
         )
         self.assertEqual(self.task.runs, [])
 
+    async def test_a_listed_run_or_end_shows_that_its_submission_started(self):
+        """A start without an answer may have been carried out."""
+        for rows in ({"running": True}, {"ended": True}):
+            with self.subTest(rows):
+                self.setUp()
+                run = self.shard.create_run(self.task, self.worker)
+                self.assertEqual(self.shard.count_waiting(fakes.QUEUE), 1)
+                self.apply_listing(
+                    make_listing([(NAME, run.number, "", 100, 500)])
+                    if "running" in rows
+                    else make_listing(
+                        ended=[(1, NAME, run.number, "failed", "")]
+                    )
+                )
+                self.assertEqual(self.shard.count_waiting(fakes.QUEUE), 0)
+
     async def test_a_repeated_end_is_counted_once(self):
         run = fakes.start_run(self.shard, self.task, self.worker)
         listing = make_listing(ended=[(1, NAME, run.number, "failed", "")])
--- a/tests/entry/test_workercommands.py
+++ b/tests/entry/test_workercommands.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
+from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import httpclient
 from tests.entry import fakes
 
@@ -32,7 +33,9 @@
         pass
 
 
-class StartTest(unittest.IsolatedAsyncioTestCase):
+class StartCase(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests with a shard, one worker and one submission."""
+
     def setUp(self):
         self.shard = fakes.make_shard()
         self.worker = fakes.add_worker(self.shard)
@@ -53,6 +56,8 @@
             await asyncio.sleep(0)
         return run, client
 
+
+class StartTest(StartCase):
     async def test_an_accepted_start_runs(self):
         run, _ = await self.start(worker_calls.Accepted(2000.0))
         self.assertIs(run.phase, execution.Phase.RUNNING)
@@ -123,3 +128,58 @@
         await self.start(worker_calls.Rejected(worker_calls.OTHER_INCARNATION))
         self.assertTrue(other.is_waiting)
         self.assertTrue(self.task.is_waiting)
+
+
+class HangingClient(ScriptedClient):
+    """Never answers a start."""
+
+    def __init__(self):
+        super().__init__(None)
+
+    async def start(self, task, run, *rest):
+        await asyncio.Future()
+
+
+class WaitingCountTest(StartCase):
+    """The number of waiting submissions, which callers scale and shed by.
+
+    A submission counted as started as soon as a start was about to be sent,
+    also when the worker rejected it: 0 was given for 20 that waited.
+    """
+
+    def count(self):
+        return self.shard.count_waiting(fakes.QUEUE)
+
+    async def test_a_start_that_was_not_confirmed_doesn_t_count(self):
+        reasons = ("room", "ticket", "late", "429", "503", "unreachable")
+        for reason in reasons:
+            with self.subTest(reason):
+                await self.start(worker_calls.Rejected(reason))
+                self.assertEqual(self.count(), 1)
+        stops = [worker_calls.Accepted(2000.0)]
+        await self.start(worker_calls.Uncertain("timeout"), stops)
+        self.assertEqual(self.count(), 1)
+
+    async def test_a_start_that_is_not_answered_yet_doesn_t_count(self):
+        self.shard.clients[self.worker.id] = HangingClient()
+        self.commands.start(self.shard.create_run(self.task, self.worker), "")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(self.count(), 1)
+
+    async def test_a_confirmed_start_counts(self):
+        await self.start(worker_calls.Accepted(2000.0))
+        self.assertEqual(self.count(), 0)
+
+    async def test_a_submission_with_progress_has_started(self):
+        """Also at a new owner, between two runs of its tasks."""
+        for number, progress in enumerate(
+            (
+                submissions.ProgressRecord(done={"0.0": 1}),
+                submissions.ProgressRecord(failures={"0.0.1": [3]}),
+            )
+        ):
+            self.shard.apply_submission(
+                f"{number:016x}", fakes.make_record(), progress
+            )
+        self.assertEqual(self.count(), 1)
