--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -83,8 +83,17 @@
             return
         listed = {row.machine: row for row in rows}
         for key, wave in open_waves.items():
-            await self._store_status(key, wave.wave, completed=False)
-            await self._advance(key, wave, listed, shard)
+            try:
+                await self._store_status(key, wave.wave, completed=False)
+                await self._advance(key, wave, listed, shard)
+            except Exception as error:  # noqa: BLE001
+                # The other waves must go on.
+                self._node.log.warn(
+                    "wave_broken",
+                    key=key,
+                    reason=f"{type(error).__name__}: {error}",
+                    where=context.find_raise_location(error),
+                )
 
     async def _advance(
         self, key, wave: messages.MaintenanceWave, listed, shard: shards.Shard
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -8,7 +8,9 @@
 from persimmonpath_entry.decisions import peerorder
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import rowcodec
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.state import numbers
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
 
@@ -34,7 +36,7 @@
     address: str
     zone: str
     boot: str
-    weight: float = 1.0
+    weight: numbers.Amount = 1.0
 
 
 class Members:
@@ -100,8 +102,7 @@
         if self._version is None:
             self._records.clear()
             self._row_versions.clear()
-        for row in result.rows:
-            self._apply_row(row)
+        rowcodec.apply_rows(self._node, result.rows, self._apply_row)
         if self._version is None and self._node.name not in self._records:
             self._is_registered = False
         self._version = result.version
@@ -117,6 +118,13 @@
                 self._is_registered = False
             return
         record = rowcodec.decode_row(self._node, row, MemberRecord)
+        if record is not None and not messages.is_address(record.address):
+            self._node.log.warn(
+                "row_unreadable",
+                row=f"{row.part}/{row.key}",
+                reason=f"address: {record.address!r}",
+            )
+            record = None
         if record is not None:
             self._records[row.key] = record
             self._row_versions[row.key] = row.version
@@ -244,6 +252,8 @@
           The answer, or why there is none.
         """
         client = self._clients.get(address)
+        if client is None and not messages.is_address(address):
+            return httpclient.NoResponse(sent=False, reason="refused")
         if client is None:
             client = httpclient.HttpClient(address, CONNECTIONS_PER_PEER)
             self._clients[address] = client
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
 
@@ -55,8 +56,7 @@
                 self._version = None
                 await asyncio.sleep(RETRY_S)
                 continue
-            for row in result.rows:
-                self._apply_row(row)
+            rowcodec.apply_rows(self._node, result.rows, self._apply_row)
             self._version = result.version
 
     def _apply_row(self, row: platform_store.Row):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -24,6 +24,9 @@
 OUTAGE_GRACE_S = 0.6
 # Lease renewals that an exited owner sent reach the workers within this time.
 IN_FLIGHT_GRACE_S = 0.5
+# Stands for the owner and for the workers that an unreadable row names.
+UNREADABLE_OWNER = "?"
+ANY_WORKER = "?"
 
 
 class ObservedOwner:
@@ -137,8 +140,9 @@
         if not self._is_current:
             self._current_since = now
         self._is_current = True
-        for row in result.rows:
-            self._apply_row(row, now)
+        rowcodec.apply_rows(
+            self._node, result.rows, lambda row: self._apply_row(row, now)
+        )
         self._version = result.version
         return True
 
@@ -176,7 +180,8 @@
             return
         record = rowcodec.decode_row(self._node, row, ownerrows.OwnerRecord)
         if record is None:
-            return
+            # The service is taken over like one whose owner doesn't answer.
+            record = ownerrows.OwnerRecord(owner=UNREADABLE_OWNER)
         previous = self.observed_owners.get(row.part)
         if previous is not None and previous.version >= row.version:
             return
@@ -223,6 +228,8 @@
             return True
         now = clock.read_clock()
         expiry_s = persistence.LEASE_S + persistence.TAKEOVER_SLACK_S
+        if observed.record.owner == UNREADABLE_OWNER:
+            return now - observed.renewed_at > expiry_s
         if now - observed.renewed_at > expiry_s:
             is_after_outage = now - self._current_since < OUTAGE_GRACE_S
             return not is_after_outage or await self._confirm_failure(
@@ -283,9 +290,13 @@
             return None
         if not result.rows:
             return ownerrows.WorkersRecord()
-        return rowcodec.decode_row(
+        record = rowcodec.decode_row(
             self._node, result.rows[0], ownerrows.WorkersRecord
         )
+        if record is None:
+            # Until every lease has ended, any task may run somewhere.
+            return ownerrows.WorkersRecord([ANY_WORKER])
+        return record
 
     def bound_lease_ends(
         self,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -13,6 +13,7 @@
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import numbers
 from persimmonpath_entry.transport import clock
 
 OWNER_TABLE = "owner"
@@ -51,8 +52,8 @@
     boot: str = ""
     address: str = ""
     sequence: int = 0
-    horizon: int | None = None
-    renewed_ms: int = 0
+    horizon: numbers.Count | None = None
+    renewed_ms: numbers.Count = 0
     waits: dict[int, float] = {}
 
 
@@ -73,7 +74,7 @@
 
     workers: list[str] = []
     unresponsive: dict[str, list[str]] = {}
-    lease_ends: dict[str, int] = {}
+    lease_ends: dict[str, numbers.Count] = {}
 
 
 class Horizon:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/rowcodec.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/rowcodec.py
@@ -1,5 +1,7 @@
 """Decodes the rows of the system's own tables."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import TypeVar
 
 import msgspec
@@ -30,3 +32,30 @@
             "row_unreadable", row=f"{row.part}/{row.key}", reason=error
         )
         return None
+
+
+def apply_rows(
+    node: context.Context,
+    rows: Iterable[platform_store.Row],
+    apply: Callable[[platform_store.Row], None],
+):
+    """Applies rows that others have written, each on its own.
+
+    A row that can't be applied is logged and skipped. Otherwise its reader
+    would end, begin again at the same row, and miss all others.
+
+    Args:
+      node: the context of the process, for the log.
+      rows: the rows.
+      apply: applies one row.
+    """
+    for row in rows:
+        try:
+            apply(row)
+        except Exception as error:  # noqa: BLE001
+            node.log.warn(
+                "row_broken",
+                row=f"{row.table}/{row.part}/{row.key}",
+                reason=f"{type(error).__name__}: {error}",
+                where=context.find_raise_location(error),
+            )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -57,8 +57,13 @@
         if isinstance(progress, platform_store.Refused):
             return False
         progress_by_id = progressrows.decode_rows(self._node, progress.rows)
-        for row in rows.rows:
-            self._apply_submission_row(row, progress_by_id.get(row.key))
+        rowcodec.apply_rows(
+            self._node,
+            rows.rows,
+            lambda row: self._apply_submission_row(
+                row, progress_by_id.get(row.key)
+            ),
+        )
         self._submission_version = rows.version
         self._shard.submissions_read_at = began_at
         return True
@@ -112,8 +117,9 @@
                 )
                 result = await self._read_submissions()
             if isinstance(result, platform_store.Rows):
-                for row in result.rows:
-                    self._apply_submission_row(row)
+                rowcodec.apply_rows(
+                    self._node, result.rows, self._apply_submission_row
+                )
                 self._submission_version = result.version
                 if result.has_more:
                     continue
@@ -136,8 +142,9 @@
                     self._mark_missing_unregistered(
                         {row.key for row in result.rows}
                     )
-                for row in result.rows:
-                    self._apply_worker_row(row)
+                rowcodec.apply_rows(
+                    self._node, result.rows, self._apply_worker_row
+                )
                 version = result.version
                 if result.has_more:
                     continue
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import numbers
 from persimmonpath_entry.state import submissions
 
 # What decoding an unreadable message raises. Deep nesting exhausts the stack.
@@ -14,11 +15,11 @@
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    count: numbers.Count = 0
+    cpu: numbers.Count = 0
+    mem_mb: numbers.Count = 0
+    gpu: numbers.Count = 0
+    estimated_ms: numbers.Amount = 0
     # Indices of the steps that have to complete first.
     after: list[int] = []
     gang: bool = False
@@ -29,25 +30,25 @@
     # Rack that holds the data of the step.
     affinity: str | list[str] = ""
     # Most tasks of the step on one worker, 0 for no limit.
-    anti_affinity: int = 0
+    anti_affinity: numbers.Count = 0
     # Whether speculative copies of a task may run.
     allow_duplicates: bool = False
     long_running: bool = False
     checkpointing: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: numbers.Amount = 0
     # Whether the tasks use only CPU capacity that other tasks leave idle.
     fills: bool = False
-    may_miss: int = 0
+    may_miss: numbers.Count = 0
 
 
 class _Submission(msgspec.Struct, rename="camel"):
     steps: list[_Step]
     spec: str = ""
-    start_time_ms: int = 0
-    interval_ms: int = 0
+    start_time_ms: numbers.SignedCount = 0
+    interval_ms: numbers.Count = 0
     # Number of occurrences of a periodic submission.
-    run_count: int = 0
+    run_count: numbers.Count = 0
 
 
 def _get_first(value: str | list[str]) -> str:
@@ -126,8 +127,8 @@
     hostname: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: numbers.SignedCount = 0
+    max_attempts: numbers.SignedCount = 1
     stretch: float = 1
     target_latency_ms: float = 0
     timeout_ms: float = 3000
@@ -140,11 +141,11 @@
 
 
 class _Limits(msgspec.Struct, rename="camel", frozen=True):
-    max_body_bytes: int = 262144
+    max_body_bytes: numbers.Count = 262144
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
+    version: numbers.Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -185,9 +186,9 @@
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: numbers.Count = 0
+    mem_mb: numbers.Count = 0
+    gpu: numbers.Count = 0
 
 
 class _Registration(msgspec.Struct, rename="camel"):
@@ -197,11 +198,11 @@
     state: str
     capacity: _Capacity
     labels: list[str]
-    sequence: int = 0
-    remaining_ms: float | None = None
-    cold_remaining_ms: float = 0
+    sequence: numbers.Count = 0
+    remaining_ms: numbers.Amount | None = None
+    cold_remaining_ms: numbers.Amount = 0
     machine: str = ""
-    born: int = 0
+    born: numbers.Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,21 +240,31 @@
     born: int
 
 
+def _is_token(text: str) -> bool:
+    """Returns whether a text can stand in a header line."""
+    is_printable = text.isascii() and text.isprintable()
+    return bool(text) and is_printable and " " not in text
+
+
+def is_address(text: str) -> bool:
+    """Returns whether a text names a host and a port, as host:port."""
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return _is_token(host) and is_number and 0 < int(port) <= MAX_PORT
+
+
 def decode_registration(worker_id: str, value: bytes) -> Registration | str:
     """Decodes a registration row; returns a text if it is invalid."""
     try:
         message = msgspec.json.decode(value, type=_Registration)
     except UNREADABLE as error:
         return str(error)
+    if not _is_token(worker_id):
+        return f"id: {worker_id!r}"
     if message.state not in ("ready", "draining"):
         return f"state: {message.state}"
-    host, _, port = message.address.rpartition(":")
-    is_number = port.isascii() and port.isdigit() and len(port) <= 5
-    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
-        return f"address: {message.address}"
-    capacity = message.capacity
-    if min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0:
-        return "capacity: below 0"
+    if not is_address(message.address):
+        return f"address: {message.address!r}"
     return Registration(
         worker_id=worker_id,
         service=message.service,
@@ -282,10 +293,10 @@
       max_count: most machines that may be under maintenance at once.
     """
 
-    wave: int
+    wave: numbers.Count
     machines: list[str]
-    duration_s: float = 0
-    max_count: int = 1
+    duration_s: numbers.Amount = 0
+    max_count: numbers.Count = 1
 
 
 def decode_maintenance_wave(value: bytes) -> MaintenanceWave | str:
@@ -310,10 +321,13 @@
 def decode_value(text: str) -> bytes:
     """Decodes the base64 text of a row's value.
 
-    Raises:
-      ValueError: if the text is not valid base64.
+    A text that isn't valid base64 is returned as it is: no reader of a row can
+    decode it, and the other rows of the same response are not affected.
     """
-    return base64.b64decode(text)
+    try:
+        return base64.b64decode(text)
+    except ValueError:
+        return text.encode("utf-8", "replace")
 
 
 STATE_NAMES = {
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from persimmonpath_entry.state import numbers
+
 ACTIVE = ""
 COMPLETED = "completed"
 FAILED = "failed"
@@ -35,24 +37,24 @@
         for no limit.
     """
 
-    count: int = 0
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    count: numbers.Count = 0
+    cpu: numbers.Count = 0
+    memory_mb: numbers.Count = 0
+    gpu: numbers.Count = 0
+    estimated_ms: numbers.Amount = 0
     after: list[int] = []
     gang: bool = False
     same_rack: bool = False
     label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: numbers.Count = 0
     allow_copies: bool = False
     long_running: bool = False
     checkpointing: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: numbers.Amount = 0
     is_filler: bool = False
-    may_miss: int = 0
+    may_miss: numbers.Count = 0
 
 
 class QueuePolicy(msgspec.Struct, array_like=True, frozen=True):
@@ -98,10 +100,10 @@
     service: str
     spec: str
     steps: list[StepSpec]
-    accepted_ms: int = 0
-    start_ms: int = 0
-    interval_ms: int = 0
-    occurrences: int = 0
+    accepted_ms: numbers.SignedCount = 0
+    start_ms: numbers.SignedCount = 0
+    interval_ms: numbers.Count = 0
+    occurrences: numbers.Count = 0
     policy: QueuePolicy | None = None
     cancelled: bool = False
     is_tombstone: bool = False
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -309,7 +309,8 @@
                 late_s = clock.read_clock() - give_up_at
                 was_late = was_late or late_s > LATE_TIMER_S
                 continue
-            except OSError:
+            except (OSError, ValueError):
+                # ValueError: the host is no name that can be looked up.
                 reason = "refused"
                 break
             except asyncio.CancelledError:
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -11,6 +11,7 @@
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import shardmaintenance
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
@@ -209,6 +210,16 @@
 
     async def test_a_takeover_without_the_workers_row_fails(self):
         """The new owner wouldn't know which workers may run tasks."""
+        self.store.row = platform_store.Refused(503)
+        await self.ownership._take_over(fakes.SERVICE, None)
+        self.assertEqual(self.store.commits, [])
+        self.assertEqual(self.ownership.shards, {})
+
+    async def test_an_unreadable_workers_row_may_name_any_worker(self):
+        """No task of a former owner starts before every lease has ended.
+
+        Without a takeover the service would have no owner for good.
+        """
         unreadable = platform_store.Row(
             ownerrows.WORKERS_TABLE,
             fakes.SERVICE,
@@ -216,16 +227,24 @@
             b"[",
             11,
         )
-        results = {
-            "refused": platform_store.Refused(503),
-            "unreadable": platform_store.Rows([unreadable], 11),
-        }
-        for name, result in results.items():
-            with self.subTest(name):
-                self.store.row = result
-                await self.ownership._take_over(fakes.SERVICE, None)
-                self.assertEqual(self.store.commits, [])
-                self.assertEqual(self.ownership.shards, {})
+        self.store.row = platform_store.Rows([unreadable], 11)
+        self.store.outcomes = [platform_store.Committed(12)]
+        now = clock.read_clock()
+        await self.ownership._take_over(fakes.SERVICE, None)
+        shard = self.ownership.shards[fakes.SERVICE]
+        shard.close("the test needs only its state")
+        (until,) = shard.unsettled.values()
+        lease_s = self.ownership._node.settings.bounds.hold_max_ms / 1000
+        self.assertGreater(until, now + lease_s)
+        shard.apply_submission("00000000000000aa", fakes.make_record())
+        submission = shard.submissions["00000000000000aa"]
+        task = submission.find_task("0.0.0")
+        self.assertTrue(shard.may_run_elsewhere(task))
+        maintenance = shardmaintenance.ShardMaintenance(shard, None)
+        maintenance._expire_unsettled(until - 0.1)
+        self.assertTrue(shard.may_run_elsewhere(task))
+        maintenance._expire_unsettled(until + 0.1)
+        self.assertFalse(shard.may_run_elsewhere(task))
 
     async def test_a_weak_vm_asks_nobody_if_there_is_an_owner_already(self):
         """After a start 97 VMs called the strongest ones at the same moment."""
