--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -1,6 +1,7 @@
 """Assembles and runs the process of an entry VM."""
 
 import asyncio
+import errno
 import signal
 
 from persimmonpath_entry.engine import acceptance
@@ -30,6 +31,10 @@
 ROTATION_DELAY_S = 2.3
 # Part of the grace period that is reserved for closing the process.
 EXIT_MARGIN_S = 0.8
+# Pause before an address that is in use is tried again, in seconds.
+BIND_RETRY_S = 0.1
+# Added to the time for which the platform keeps an address in use, in seconds.
+BIND_SLACK_S = 0.5
 
 
 class Node:
@@ -138,10 +143,32 @@
         await self._shut_down(front, peer, ready)
 
     async def _listen(self, address: str, handler) -> httpserver.HttpServer:
-        """Starts an HTTP server at host:port."""
+        """Starts an HTTP server at host:port.
+
+        The address may be in use by a former process for a short time, which
+        is waited for.
+
+        Raises:
+          OSError: if the address can't be bound.
+        """
         server = httpserver.HttpServer(handler, self._log_request_error)
         host, _, port = address.rpartition(":")
-        await server.listen(host, int(port))
+        reuse_s = self.context.settings.bounds.addr_reuse_s
+        deadline = clock.read_clock() + reuse_s + BIND_SLACK_S
+        is_logged = False
+        while True:
+            try:
+                await server.listen(host, int(port))
+            except OSError as error:
+                is_in_use = error.errno == errno.EADDRINUSE
+                if not is_in_use or clock.read_clock() >= deadline:
+                    raise
+            else:
+                break
+            if not is_logged:
+                self.context.log.warn("address_in_use", address=address)
+                is_logged = True
+            await asyncio.sleep(BIND_RETRY_S)
         self._servers.append(server)
         return server
 
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -13,6 +12,8 @@
 
 import urllib3
 
+from scripts import ports
+
 BIN = pathlib.Path(sys.executable).parent
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
@@ -36,21 +37,6 @@
     spans: bool = True
 
 
-def find_free_ports(count):
-    """Returns distinct TCP ports of the loopback address.
-
-    The ports are released again, so another process may bind one before the
-    caller does.
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def is_cell_process(pid):
     """Returns whether a process id still belongs to a cell.
 
@@ -112,13 +98,13 @@
         shape = self.shape
         zones = len(shape.zones)
         per_zone = shape.workers_per_zone + 2 * shape.entry_vms_per_zone
-        ports = iter(find_free_ports(1 + zones * per_zone))
-        self.platform = f"127.0.0.1:{next(ports)}"
+        free_ports = iter(ports.reserve_ports(1 + zones * per_zone))
+        self.platform = f"127.0.0.1:{next(free_ports)}"
         self.spawn_platform()
         for zone in shape.zones:
             for index in range(shape.workers_per_zone):
                 name = f"{zone}-worker-{index}"
-                self.workers[name] = (zone, next(ports))
+                self.workers[name] = (zone, next(free_ports))
                 self.spawn_worker(name)
         self.wait_ready(self.platform, "/machines")
         for name in self.workers:
@@ -126,7 +112,7 @@
         for zone in shape.zones:
             for index in range(shape.entry_vms_per_zone):
                 name = f"{zone}-entry-{index}"
-                self.entries[name] = (zone, next(ports), next(ports))
+                self.entries[name] = (zone, next(free_ports), next(free_ports))
                 self.list_machine(name)
                 self.spawn_entry(name)
         for name in self.entries:
--- a/tests/contracts.py
+++ b/tests/contracts.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from scripts import processes
+from scripts import ports
 from tests.standins import server
 
 
@@ -10,7 +10,7 @@
     """Serves a stand-in application in a thread of this process."""
 
     def __init__(self, application):
-        self.port = processes.find_free_ports(1)[0]
+        self.port = ports.reserve_ports(1)[0]
         self._server = server.create_server(application, self.port, threads=8)
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -9,13 +9,13 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 
 from persimmonpath_entry.transport import httpclient
+from scripts import ports
 from tests.entry import invariants
 from tests.entry import links
 from tests.entry import standins
@@ -46,17 +46,6 @@
 ENTRY = ROOT / "deploy" / "entry.py"
 
 
-def find_ports(count):
-    """Returns free TCP ports of the loopback interface."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class Vm:
     """An entry VM that runs as a separate process.
 
@@ -72,7 +61,7 @@
         self.violations = violations
         self.mutant = mutant
         self.link = link
-        front, ready, peer, metrics_port = find_ports(4)
+        front, ready, peer, metrics_port = ports.reserve_ports(4)
         self.front = f"127.0.0.1:{front}"
         self.client = httpclient.HttpClient(self.front, 30)
         self.log = open(folder / f"{name}.log", "ab")  # noqa: SIM115
--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -1,5 +1,6 @@
 """Short runs of the soak test with seeds that once failed."""
 
+import shutil
 import tempfile
 import unittest
 
@@ -22,12 +23,21 @@
         """Runs real processes with kills, pauses, cut links, store faults."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                with tempfile.TemporaryDirectory() as folder:
-                    run = soak.run_soak(
-                        seed, SECONDS, folder, has_targeted_faults=False
-                    )
-                self.assertEqual(list(run.checker.violations), [])
-                self.assertGreater(len(run.accepted), 10)
+                self.run_soak(seed, SECONDS, has_targeted_faults=False)
+
+    def run_soak(self, seed, seconds, **options):
+        """Runs the soak; the logs of a run with violations are kept.
+
+        Returns:
+          The finished soak.
+        """
+        folder = tempfile.mkdtemp(prefix=f"persimmon-soak-{seed}-")
+        run = soak.run_soak(seed, seconds, folder, **options)
+        violations = list(run.checker.violations)
+        self.assertEqual(violations, [], f"logs: {folder}")
+        shutil.rmtree(folder)
+        self.assertGreater(len(run.accepted), 10)
+        return run
 
     def test_invariants_hold_under_targeted_faults(self):
         """Guards against a takeover that runs tasks of a lost worker twice.
@@ -35,9 +45,6 @@
         The seed also makes the store carry out calls that it doesn't answer, so
         that a rejected submission would be found running.
         """
-        with tempfile.TemporaryDirectory() as folder:
-            run = soak.run_soak(TARGETED_SEED, TARGETED_SECONDS, folder)
-        self.assertEqual(list(run.checker.violations), [])
-        self.assertGreater(len(run.accepted), 10)
+        run = self.run_soak(TARGETED_SEED, TARGETED_SECONDS)
         self.assertIn("lose_answers", " ".join(run.events))
         self.assertIn("lose_busy_worker_and_owners", " ".join(run.events))
--- a/tests/inprocessentry.py
+++ b/tests/inprocessentry.py
@@ -21,7 +21,7 @@
 from persimmonpath_daemon import httpapi
 from persimmonpath_daemon import httpserver
 from persimmonpath_daemon import instrumentation
-from scripts import processes
+from scripts import ports
 from tests.standins import worker as worker_standin
 
 WORKER = {
@@ -99,7 +99,7 @@
         self.timers.subscribe(
             groupcommit.COMMIT_PERIOD_S, self.entry.job_store.flush
         )
-        port = processes.find_free_ports(1)[0]
+        port = ports.reserve_ports(1)[0]
         self.address = f"127.0.0.1:{port}"
         self.application = httpapi.Application(
             self.entry,
--- a/tests/test_grpcpeers.py
+++ b/tests/test_grpcpeers.py
@@ -18,7 +18,7 @@
 from persimmonpath_daemon import grpcpeers
 from persimmonpath_daemon import peers_pb2
 from persimmonpath_daemon import servicer
-from scripts import processes
+from scripts import ports
 from tests import fakes
 
 SHARD = identifiers.ShardId("zone-a", 0)
@@ -204,7 +204,7 @@
 class GrpcPeersTest(PeersContract, unittest.TestCase):
     def setUp(self):
         self.owner = FakeOwner()
-        port, unused_port = processes.find_free_ports(2)
+        port, unused_port = ports.reserve_ports(2)
         self.address = f"127.0.0.1:{port}"
         self.unused_address = f"127.0.0.1:{unused_port}"
         self.server = grpcpeers.create_server(
