--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -170,6 +170,25 @@
             return platform_store.Refused(0)
         return platform_store.Rows(rows, version)
 
+    def apply_conflict(
+        self, service: str, conflict: platform_store.Conflict
+    ) -> bool:
+        """Records the owner row that made the takeover of a service fail.
+
+        It isn't known yet if the service wasn't configured when the rows were
+        read, and nothing has changed it since.
+
+        Returns:
+          Whether it is newer than the recorded row.
+        """
+        before = self.observed_owners.get(service)
+        now = clock.read_clock()
+        rows = [row for row in conflict.rows if row.version]
+        rowcodec.apply_rows(
+            self._node, rows, lambda row: self._apply_row(row, now)
+        )
+        return self.observed_owners.get(service) is not before
+
     def _apply_row(self, row: platform_store.Row, now: float):
         """Records an owner row that is newer than the recorded one.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -343,9 +343,13 @@
                 version=version,
                 outcome=type(result).__name__,
             )
-            if not isinstance(result, platform_store.Conflict):
-                # A store that is away refuses at once. Without a pause the
-                # candidates would call it as fast as it answers.
+            # A conflict shows the row as it is, which the next attempt needs.
+            # Otherwise a pause keeps the candidates from calling the store as
+            # fast as it refuses.
+            is_newer = isinstance(
+                result, platform_store.Conflict
+            ) and self._directory.apply_conflict(service, result)
+            if not is_newer:
                 await asyncio.sleep(RETRY_S)
             self.request_refresh()
             return
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -208,6 +208,39 @@
                     await self.ownership._take_over(fakes.SERVICE, None)
         self.assertEqual(len(self.store.commits), 2)
 
+    async def test_a_service_that_comes_back_is_taken_over(self):
+        """Its row was never read, as it wasn't configured at that time.
+
+        The VM took it for a service without a row, was refused, and tried again
+        at once, for good.
+        """
+        self.store = fakes.VersionedStore()
+        self.node.store = self.store
+        row = (fakes.SERVICE, ownerrows.OWNER_KEY)
+        released = msgspec.json.encode(ownerrows.OwnerRecord(horizon=7))
+        self.store.rows[ownerrows.OWNER_TABLE, *row] = (40, released)
+        self.store.version = 40
+        directory = self.ownership._directory
+        observed = directory.observed_owners
+        await self.ownership._take_over(fakes.SERVICE, None)
+        self.assertEqual(observed[fakes.SERVICE].version, 40)
+        await self.ownership._take_over(fakes.SERVICE, observed[fakes.SERVICE])
+        shard = self.ownership.shards[fakes.SERVICE]
+        shard.close("the test needs only its state")
+        self.assertEqual(shard.fence, 41)
+        self.assertEqual(shard.former_horizon, 7)
+
+    async def test_a_conflict_that_shows_nothing_new_is_followed_by_a_pause(
+        self,
+    ):
+        """The store was called eight to fourteen times a second."""
+        self.store.outcomes = [platform_store.Conflict([])] * 100
+        for _ in range(2):
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(owners.RETRY_S / 2):
+                    await self.ownership._take_over(fakes.SERVICE, None)
+        self.assertEqual(len(self.store.commits), 2)
+
     async def test_a_takeover_without_the_workers_row_fails(self):
         """The new owner wouldn't know which workers may run tasks."""
         self.store.row = platform_store.Refused(503)
