--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -7,6 +7,7 @@
 
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
@@ -176,7 +177,10 @@
         if isinstance(outcome, httpclient.NoResponse):
             self._check_requested.set()
             return outcome
-        result = msgspec.json.decode(outcome.body, type=RelayResult)
+        try:
+            result = msgspec.json.decode(outcome.body, type=RelayResult)
+        except messages.UNREADABLE:
+            return httpclient.NoResponse(sent=True, reason="relay_failed")
         if result.status == 0:
             return httpclient.NoResponse(result.was_sent, result.reason)
         return httpclient.Response(result.status, result.body)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -301,7 +301,7 @@
                 run.task.step.submission.has_started = True
                 self._shard.remove_run(run, end.how, end.saved)
                 continue
-            task = self._shard.find_task(end.task)
+            task = self._shard.occurrence_opener.find_task(end.task)
             if task is not None:
                 task.step.submission.has_started = True
                 self._shard.run_end_handler.handle_run_end(
@@ -367,7 +367,7 @@
             run.idle_since = now
 
     def _adopt_run(self, worker, row, now: float) -> execution.Run | None:
-        task = self._shard.find_task(row.task)
+        task = self._shard.occurrence_opener.find_task(row.task)
         if task is None or task.is_done:
             return None
         if not task.step.submission.is_active:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/refusedrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/refusedrows.py
@@ -1,7 +1,7 @@
 """Finds the rows that make the store refuse a transaction.
 
-A refused transaction is written again in parts: first the rows of the owner
-alone, which renews its lease, then one submission at a time. A row that the
+A refused transaction is written again in parts: the rows of the owner alone,
+which renews its lease, in turn with those of one submission. A row that the
 store refuses thus keeps no other from being stored.
 """
 
@@ -10,6 +10,9 @@
 from persimmonpath_entry.engine import progressrows
 from persimmonpath_entry.state import execution
 
+# Refusals of a submission that is written alone, after which its rows are taken
+# for the cause.
+REFUSALS_TO_BLAME = 3
 # Seconds for which a submission is left out whose shortest row was refused.
 SET_ASIDE_S = 5.0
 
@@ -24,7 +27,8 @@
     def __init__(self):
         """Starts without a refused transaction."""
         self.is_probing = False
-        self._suspects: dict[str, None] = {}
+        # Number of refusals of a submission that was written alone, by id.
+        self._suspects: dict[str, int] = {}
         # Until when a submission is left out, by id.
         self._set_aside: dict[str, float] = {}
 
@@ -74,12 +78,19 @@
         ids = batch.ids
         if not ids:
             return None
-        is_alone = len(ids) == 1 and ids <= self._suspects.keys()
-        if is_alone and not has_workers:
-            return next(iter(ids))
-        self._suspects.update(dict.fromkeys(ids))
         self.is_probing = True
-        return None
+        is_alone = len(ids) == 1 and ids <= self._suspects.keys()
+        if not is_alone:
+            for submission_id in ids:
+                self._suspects.setdefault(submission_id, 0)
+            return None
+        (submission_id,) = ids
+        if not has_workers:
+            self._suspects[submission_id] += 1
+        if self._suspects[submission_id] < REFUSALS_TO_BLAME:
+            return None
+        self._suspects[submission_id] = 0
+        return submission_id
 
     def record_stored(self, batch: progressrows.ProgressBatch):
         """Records that the store has applied a transaction."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -179,7 +179,7 @@
             now = clock.read_clock()
             self._expire_unsettled(now)
             for submission in list(self._shard.recurring.values()):
-                self._shard.open_occurrences(submission)
+                self._shard.occurrence_opener.open_due(submission)
             for worker in list(self._shard.workers.values()):
                 self._check_worker(worker, now)
             if now - last_removal > REMOVAL_INTERVAL_S:
--- a/tests/entry/test_connectivity.py
+++ b/tests/entry/test_connectivity.py
@@ -86,6 +86,30 @@
         store.last_answer -= connectivity.MAX_ANSWER_AGE_S
         self.assertFalse(reach.can_relay())
 
+    async def test_an_unreadable_answer_of_a_peer_is_none(self):
+        """An error ended the writer of the owner's rows.
+
+        A peer answers 413 without a body to a call that is too long for it.
+        """
+        store = make_store(OK)
+        reach = connectivity.Connectivity(
+            fakes.make_context(store), FakePeers()
+        )
+        reach._set_reach(connectivity.Reach.PEER, "127.0.0.1:7")
+        for body in (b"", b"[" * 100_000, b'{"status":"x"}'):
+            FakePeers.answer = httpclient.Response(413, body)
+            result = await store.commit("p", [], [])
+            self.assertIsInstance(result, platform_store.Unknown)
+
+
+class FakePeers:
+    """Gives each call the same answer."""
+
+    answer = None
+
+    async def call(self, *arguments):
+        return self.answer
+
 
 class RecoveryTest(unittest.IsolatedAsyncioTestCase):
     async def test_pending_calls_fail_once_the_store_is_back(self):
