--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -346,6 +346,7 @@
             if run.phase is execution.Phase.STARTING:
                 run.phase = execution.Phase.RUNNING
             run.percent = row.percent
+            run.is_at_work = row.percent >= execution.AT_WORK_PERCENT
             self._record_load(run, row.load, now)
             if row.saved:
                 run.task.saved = row.saved
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -8,8 +8,8 @@
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 
-# CPU share in percent below which a long-running task counts as unavailable.
-AVAILABLE_PERCENT = 100
+# What a worker lists for a long-running task that is at work, in percent.
+AT_WORK_PERCENT = 100
 # Stands in the place of an index in the key of a gang's failures.
 GANG_KEY = "gang"
 
@@ -58,6 +58,8 @@
         CPU usage in thousandths of a core.
       load_at: when that load was reported, or None.
       percent: the CPU share that it may use, in percent.
+      is_at_work: whether the last listing shows a long-running task at work.
+        After its start it takes a while to begin.
       idle_since: since when it has used no CPU time, or None.
       over_target_since: since when its tail latency is over the target, or
         None.
@@ -76,6 +78,7 @@
     requeue: bool = True
     load: float | None = None
     percent: float = 100
+    is_at_work: bool = False
     idle_since: float | None = None
     load_at: float | None = None
     over_target_since: float | None = None
@@ -88,6 +91,15 @@
         """The specification of its step."""
         return self.task.step.spec
 
+    @property
+    def is_available(self) -> bool:
+        """Whether a long-running task is known to be at work with it."""
+        return (
+            self.phase is Phase.RUNNING
+            and self.is_at_work
+            and self.worker.unresponsive_since is None
+        )
+
     @property
     def is_ending(self) -> bool:
         """Whether it ends by itself, as its gang is done."""
@@ -225,14 +237,11 @@
         return [task for task in self.tasks if task.is_waiting]
 
     def count_unavailable(self) -> int:
-        """Returns the number of tasks without a run at its full CPU share."""
+        """Returns the number of tasks without a run that is at work."""
         return sum(
             1
             for task in self.tasks
-            if not any(
-                run.phase is Phase.RUNNING and run.percent >= AVAILABLE_PERCENT
-                for run in task.runs
-            )
+            if not any(run.is_available for run in task.runs)
         )
 
     def count_runs_by_worker(self) -> dict[str, int]:
--- a/tests/entry/test_machinemaintenance.py
+++ b/tests/entry/test_machinemaintenance.py
@@ -4,10 +4,12 @@
 
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import maintenancewaves
+from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import machinemaintenance
 from persimmonpath_entry.platform import machines
 from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
@@ -175,21 +177,64 @@
 
 
 class EvacuationTest(unittest.IsolatedAsyncioTestCase):
-    async def test_no_more_tasks_are_evacuated_than_may_be_missed(self):
+    """Long-running tasks of a step of which one may be unavailable."""
+
+    def setUp(self):
         long_running_spec = submissions.StepSpec(
             count=3, cpu=1, memory_mb=1, long_running=True, may_miss=1
         )
-        shard = fakes.make_shard()
-        worker = fakes.add_worker(shard)
-        shard.apply_submission(ID, fakes.make_record(long_running_spec))
-        runs = []
-        for task in shard.submissions[ID].steps["0.0"].tasks:
-            run = fakes.start_run(shard, task, worker)
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.shard.apply_submission(ID, fakes.make_record(long_running_spec))
+        self.tasks = self.shard.submissions[ID].steps["0.0"].tasks
+        self.poller = listings.ListingPoller(self.shard)
+        self.runs = [
+            fakes.start_run(self.shard, task, self.worker)
+            for task in self.tasks
+        ]
+        for run in self.runs:
             run.phase = execution.Phase.RUNNING
-            runs.append(run)
-        self.assertTrue(health.should_evacuate(runs[0]))
-        runs[0].phase = execution.Phase.STOPPING
-        self.assertFalse(health.should_evacuate(runs[1]))
+        self.list_percent([100, 100, 100])
+
+    def list_percent(self, percents):
+        """Applies a listing with a percent for each run."""
+        running = [
+            worker_calls.RunningTask(run.task.name, run.number, "", percent)
+            for run, percent in zip(self.runs, percents, strict=True)
+        ]
+        now = clock.read_clock()
+        listing = worker_calls.Listing(2000.0, 1, running, [])
+        self.poller._apply_listing(self.worker, listing, now, now)
+
+    async def test_no_more_tasks_are_evacuated_than_may_be_missed(self):
+        self.assertTrue(health.should_evacuate(self.runs[0]))
+        self.runs[0].phase = execution.Phase.STOPPING
+        self.assertFalse(health.should_evacuate(self.runs[1]))
+
+    async def test_a_task_that_starts_again_is_waited_for(self):
+        """The next one was stopped while the one before it was starting.
+
+        A run counted as available from the answer to its start on.
+        """
+        self.shard.remove_run(self.runs[0], "stopped", "")
+        run = fakes.start_run(self.shard, self.tasks[0], self.worker)
+        run.phase = execution.Phase.RUNNING
+        self.runs[0] = run
+        self.assertFalse(health.should_evacuate(self.runs[1]))
+        for percent in (0, 99):
+            self.list_percent([percent, 100, 100])
+            self.assertFalse(health.should_evacuate(self.runs[1]))
+        self.list_percent([100, 100, 100])
+        self.assertTrue(health.should_evacuate(self.runs[1]))
+
+    async def test_a_task_on_a_silent_worker_is_missed_already(self):
+        other = fakes.add_worker(self.shard, "w2")
+        self.shard.remove_run(self.runs[0], "stopped", "")
+        run = fakes.start_run(self.shard, self.tasks[0], other)
+        run.phase, run.is_at_work = execution.Phase.RUNNING, True
+        self.assertTrue(health.should_evacuate(self.runs[1]))
+        other.unresponsive_since = clock.read_clock()
+        self.assertFalse(health.should_evacuate(self.runs[1]))
 
 
 class WaveDecisionTest(unittest.TestCase):
