--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -137,6 +137,7 @@
             and worker.is_recorded
             and worker.id not in self._shard.frozen_leases
             and worker.is_listed
+            and worker.is_described
             and not worker.registration.is_draining
             and worker.unresponsive_since is None
             and worker.excluded_until <= now
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -50,7 +50,8 @@
         task = run.task
         now = clock.read_clock()
         until_ms = worker.grant_lease(now, self._node.lease_ms)
-        if until_ms is None or not self._shard.may_start(now):
+        may_start = self._shard.may_start(now) and worker.is_described
+        if until_ms is None or not may_start:
             self._shard.remove_run(run, "void", "")
             return
         sent_at = clock.read_clock()
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -145,6 +145,14 @@
             return self.last_seen
         return 0
 
+    @property
+    def is_described(self) -> bool:
+        """Whether its registration is that of its present incarnation.
+
+        Another incarnation may be of another kind and size.
+        """
+        return self.registration.born in (0, self.born)
+
     @property
     def free_cpu(self) -> int:
         """Free CPU in thousandths of a core, fillers left out."""
--- a/tests/entry/test_workercommands.py
+++ b/tests/entry/test_workercommands.py
@@ -7,6 +7,7 @@
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
 from tests.entry import fakes
 
@@ -110,6 +111,22 @@
         kinds = [call[0] for call in client.calls]
         self.assertEqual(kinds, ["start", "stop", "stop", "stop"])
 
+    async def test_nothing_starts_before_the_new_registration_is_read(self):
+        """A restarted worker was filled by its former registration.
+
+        It had half of the capacity and another kind since.
+        """
+        self.worker.begin_incarnation(7)
+        self.worker.record_clock(1000.0, clock.read_clock())
+        _, client = await self.start(worker_calls.Accepted(2000.0))
+        self.assertEqual(client.calls, [])
+        self.assertTrue(self.task.is_waiting)
+        self.shard.worker_registry.apply_registration(
+            fakes.make_registration(born=7)
+        )
+        _, client = await self.start(worker_calls.Accepted(2000.0))
+        self.assertEqual(len(client.calls), 1)
+
     async def test_a_higher_fencing_token_closes_the_shard(self):
         await self.start(worker_calls.Rejected(worker_calls.STALE_FENCE))
         self.assertFalse(self.shard.is_open)
