--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -249,7 +249,7 @@
             )
             worker.unresponsive_since = None
             self._shard.store_requested.set()
-        listed_runs = {(row.task, row.run) for row in listing.running}
+        listed = {(row.task, row.run) for row in listing.running}
         is_new = not worker.is_fenced
         if listing.born:
             worker.lists_start_time = True
@@ -267,7 +267,13 @@
             self._shard.request_schedule()
         unidentified = self._apply_ends(worker, listing, now)
         self._apply_running(worker, listing, now)
-        self._remove_unlisted_runs(worker, listing, listed_runs, sent_at)
+        # An end that isn't processed yet tells later how its run has ended.
+        listed.update(
+            (end.task, end.run)
+            for end in listing.ended
+            if end.number > worker.processed
+        )
+        self._remove_unlisted_runs(worker, listing, listed, sent_at)
         unidentified.update(task for task, _ in worker.unknown_runs)
         if unidentified:
             self._shard.unidentified_tasks[worker.id] = unidentified
@@ -387,13 +393,11 @@
         if known or now - since > UNKNOWN_RUN_GRACE_S:
             self.commands.stop_unknown_run(worker, row.task, row.run)
 
-    def _remove_unlisted_runs(
-        self, worker, listing, listed_runs, sent_at: float
-    ):
+    def _remove_unlisted_runs(self, worker, listing, listed, sent_at: float):
         if len(listing.ended) >= worker_calls.MAX_ENDS_PER_LISTING:
             return
         for key, run in list(worker.runs.items()):
-            if key in listed_runs or run.confirmed_at is None:
+            if key in listed or run.confirmed_at is None:
                 continue
             if run.confirmed_at < sent_at:
                 how = (
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -84,8 +84,9 @@
         listed = {row.machine: row for row in rows}
         for key, wave in open_waves.items():
             try:
-                await self._store_status(key, wave.wave, completed=False)
-                await self._advance(key, wave, listed, shard)
+                await self._begin(key, wave.wave)
+                if not self._stored.get(key):
+                    await self._advance(key, wave, listed, shard)
             except Exception as error:  # noqa: BLE001
                 # The other waves must go on.
                 self._node.log.warn(
@@ -177,9 +178,26 @@
             machine.is_up = False
         machine.is_done = machine.is_done or result.is_done
 
-    async def _store_status(self, key: str, wave: int, completed: bool):
-        if self._stored.get(key) is not None and not completed:
+    async def _begin(self, key: str, wave: int):
+        """Stores that a wave is running, unless its status is stored already.
+
+        A former coordinator may have completed it.
+        """
+        if self._stored.get(key) is not None:
+            return
+        result = await self._node.store.read_row(STATUS_TABLE, "", key)
+        if isinstance(result, platform_store.Refused):
             return
+        completed = [
+            messages.decode_maintenance_wave_status(row.value)
+            for row in result.rows
+        ]
+        if any(completed):
+            self._stored[key] = True
+            return
+        await self._store_status(key, wave, completed=False)
+
+    async def _store_status(self, key: str, wave: int, completed: bool):
         result = await self._node.store.commit(
             "",
             [],
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -54,6 +54,8 @@
                 if shard is None:
                     return httpserver.Response(421)
                 load = shard.worker_registry.evacuate_worker(worker_id)
+                if load is None:
+                    return httpserver.Response(421)
                 return httpserver.Response(200, msgspec.json.encode(load))
             case ["advice"]:
                 return await self._answer_advice(request.body)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -60,6 +60,7 @@
       occurrence_opener: opens and closes the occurrences of submissions.
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
+      has_read_workers: whether the table of the workers has been read.
       is_open: whether this process still acts as the owner.
       is_leaving: whether the owner is about to release the service.
       opened_at: when the shard was opened, on the monotonic clock.
@@ -110,6 +111,7 @@
         self.occurrence_opener = occurrences.OccurrenceOpener(self)
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
+        self.has_read_workers = False
         self.is_open = True
         self.is_leaving = False
         self.opened_at = clock.read_clock()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -146,6 +146,7 @@
                     self._node, result.rows, self._apply_worker_row
                 )
                 version = result.version
+                self._shard.has_read_workers = True
                 if result.has_more:
                     continue
             await asyncio.sleep(WORKER_POLL_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
@@ -114,19 +114,25 @@
         for run in list(worker.runs.values()):
             self._shard.remove_run(run, "lost", "")
 
-    def evacuate_worker(self, worker_id: str) -> execution.WorkerLoad:
+    def evacuate_worker(self, worker_id: str) -> execution.WorkerLoad | None:
         """Gives a worker no new runs for EVACUATION_S seconds.
 
         Its long-running tasks are moved meanwhile by the periodic maintenance
         of the shard.
 
         Returns:
-          What still runs on the worker.
+          What still runs on the worker; None while that isn't known, as the
+          workers of the service haven't been read, or this one hasn't answered
+          since the takeover.
         """
         worker = self._shard.workers.get(worker_id)
+        if worker is not None:
+            worker.evacuating_until = clock.read_clock() + EVACUATION_S
+        is_read = self._shard.has_read_workers or not worker_id
+        if not is_read or worker_id in self._shard.unsettled:
+            return None
         if worker is None:
             return execution.WorkerLoad(0, 0)
-        worker.evacuating_until = clock.read_clock() + EVACUATION_S
         protected = sum(
             1
             for run in worker.runs.values()
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -313,6 +313,19 @@
     return msgspec.json.encode({"wave": wave, "state": state})
 
 
+class _WaveStatus(msgspec.Struct):
+    state: str = ""
+
+
+def decode_maintenance_wave_status(value: bytes) -> bool:
+    """Returns whether the status row of a wave says that it is completed."""
+    try:
+        status = msgspec.json.decode(value, type=_WaveStatus)
+    except UNREADABLE:
+        return False
+    return status.state == "completed"
+
+
 def encode_value(value: bytes) -> str:
     """Encodes the value of a row as base64 text for JSON."""
     return base64.b64encode(value).decode("ascii")
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -173,6 +173,7 @@
     shard.listing_requests = []
     shard.on_worker_restarted = shard.listing_requests.append
     shard.is_loaded = True
+    shard.has_read_workers = True
     shard.lease_until = clock.read_clock() + 100
     shard.extend_leases_until = shard.lease_until
     return shard
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -1,7 +1,10 @@
 """Tests of addresses in use and of the ports that tests reserve."""
 
 import asyncio
+import pathlib
 import socket
+import subprocess
+import sys
 import unittest
 
 import msgspec
@@ -11,6 +14,8 @@
 from scripts import ports
 from tests.entry import fakes
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
 
 class ListenTest(unittest.IsolatedAsyncioTestCase):
     """A VM that starts while its former process still has the address.
@@ -53,6 +58,23 @@
         self.assertEqual(len(events), 1)
 
 
+class SignalTest(unittest.TestCase):
+    def test_a_settings_change_during_the_start_ends_nothing(self):
+        """SIGHUP ended a process whose modules were still being loaded."""
+        program = (
+            "import runpy, signal; runpy.run_path('deploy/entry.py'); "
+            "print(signal.getsignal(signal.SIGHUP).name)"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", program],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual(found.stdout.strip(), "SIG_IGN")
+
+
 class ReservationTest(unittest.TestCase):
     """Another connection took a port before the VM could bind it."""
 
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -286,6 +286,26 @@
         self.assertEqual(self.worker.processed, 1)
         self.assertEqual(self.shard.unidentified_tasks, {})
 
+    async def test_an_end_that_follows_it_is_kept_as_well(self):
+        """Its run was taken for lost, and its task started again.
+
+        The worker no longer lists the run, and the end is only processed later.
+        """
+        self.shard.apply_submission(ID, fakes.make_record())
+        task = self.shard.submissions[ID].find_task("0.0.0")
+        run = fakes.start_run(self.shard, task, self.worker)
+        listing = make_listing(
+            ended=[
+                (1, LATE_NAME, 4001, "done", ""),
+                (2, NAME, run.number, "done", ""),
+            ]
+        )
+        self.apply(listing)
+        self.assertEqual(task.runs, [run])
+        self.read_submission()
+        self.apply(listing)
+        self.assertTrue(task.is_done)
+
     async def test_its_run_is_adopted_and_not_started_again(self):
         listing = make_listing([(LATE_NAME, 4001, "", 100, 500)])
         self.apply(listing)
--- a/tests/entry/test_machinemaintenance.py
+++ b/tests/entry/test_machinemaintenance.py
@@ -175,6 +175,39 @@
         await self.tick(maintenance)
         self.assertEqual(len(self.client.orders), 1)
 
+    async def test_a_worker_that_isn_t_known_yet_may_run_tasks(self):
+        """Right after a takeover its machine was taken for empty."""
+        maintenance = self.make()
+        self.shard.workers.pop("w0")
+        self.shard.has_read_workers = False
+        await self.tick(maintenance)
+        self.assertEqual(self.client.orders, [])
+        self.shard.has_read_workers = True
+        self.shard.unsettled["w0"] = clock.read_clock() + 5
+        await self.tick(maintenance)
+        self.assertEqual(self.client.orders, [])
+        del self.shard.unsettled["w0"]
+        await self.tick(maintenance)
+        self.assertEqual(len(self.client.orders), 1)
+
+    async def test_a_wave_that_was_completed_stays_so(self):
+        """The next coordinator wrote that it was running and repeated it."""
+        status = messages.encode_maintenance_wave_status(1, completed=True)
+        row = platform_store.Row("status", "", "wave/1", status, 5)
+        self.store.row = platform_store.Rows([row], 5)
+        await self.tick(self.make())
+        self.assertEqual(self.client.orders, [])
+        self.assertEqual(self.store.commits, [])
+
+    async def test_a_status_that_can_t_be_read_is_read_again(self):
+        self.store.row = platform_store.Refused(503)
+        maintenance = self.make()
+        await self.tick(maintenance)
+        self.assertEqual(self.store.commits, [])
+        self.store.row = platform_store.Rows([], 5)
+        await self.tick(maintenance)
+        self.assertFalse(maintenance._stored["wave/1"])
+
 
 class EvacuationTest(unittest.IsolatedAsyncioTestCase):
     """Long-running tasks of a step of which one may be unavailable."""
