--- a/tests/entry/test_lateowner.py
+++ b/tests/entry/test_lateowner.py
@@ -65,7 +65,9 @@
         self.worker_thread = WorkerThread()
         self.shard = fakes.make_shard()
         self.worker = fakes.add_worker(
-            self.shard, address=self.worker_thread.address
+            self.shard,
+            address=self.worker_thread.address,
+            born=self.worker_thread.standin.born,
         )
         self.shard.clients["w1"] = worker_calls.WorkerClient(
             self.worker_thread.address, "w1"
