--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -6,6 +6,7 @@
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import rowcodec
+from persimmonpath_entry.platform import messages
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
@@ -71,18 +72,18 @@
         self._is_current = False
 
     def find_owner(self, service: str) -> str | None:
-        """Returns the address of a service's owner, or None."""
+        """Returns the address of a service's owner, None if it isn't known."""
         observed = self.observed_owners.get(service)
         if observed is None or not observed.record.owner:
             return None
-        return observed.record.address
+        return observed.record.address or None
 
     def list_owners(self) -> list[str]:
         """Returns the addresses of all owners."""
         return [
             observed.record.address
             for observed in self.observed_owners.values()
-            if observed.record.owner
+            if observed.record.owner and observed.record.address
         ]
 
     def find_wait(self, service: str, priority: int) -> float:
@@ -201,6 +202,8 @@
         if record is None:
             # The service is taken over like one whose owner doesn't answer.
             record = ownerrows.OwnerRecord(owner=UNREADABLE_OWNER)
+        if not messages.is_address(record.address):
+            record.address = ""
         previous = self.observed_owners.get(row.part)
         if previous is not None and previous.version >= row.version:
             return
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -140,7 +140,7 @@
         for service, observed in self._directory.observed_owners.items():
             address = observed.record.address
             is_own_or_unowned = (
-                service in self.shards or not observed.record.owner
+                service in self.shards or self.find_owner(service) is None
             )
             is_early_candidate = (
                 not is_own_or_unowned
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -13,6 +13,7 @@
 from persimmonpath_entry.engine import operatorfeed
 from persimmonpath_entry.engine import ownerdirectory
 from persimmonpath_entry.engine import ownerrows
+from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import progressrows
 from persimmonpath_entry.engine import shardmaintenance
@@ -280,6 +281,7 @@
             observed = directory.observed_owners["odd"]
             self.assertEqual(observed.version, 7)
             directory.find_wait("odd", 1)
+            self.watch(directory)
             ends = directory.bound_lease_ends(
                 observed.record, ownerrows.WorkersRecord(["w1"]), observed
             )
@@ -288,6 +290,20 @@
             directory._current_since -= 100.0
             self.assertTrue(await directory.may_take_over(observed))
 
+    def watch(self, directory):
+        """Has an ownership watch all owners and pass their addresses on."""
+        ownership = owners.Ownership(
+            directory._node, directory._peers, FakeAdvisor()
+        )
+        ownership._directory = directory
+        ownership._watch_owners()
+        ownership._choose_pause()
+        ownership._yield_services()
+        for watcher in ownership._watchers.values():
+            watcher.stop()
+        for address in ownership.list_owners():
+            httpclient.HttpClient(address)
+
     async def test_an_odd_workers_row_holds_a_takeover_up_no_longer(self):
         """Any task may run somewhere until every lease has ended."""
         for value in list_odd_values(self.WORKERS):
@@ -310,6 +326,10 @@
         self.assertTrue(shard.may_run_elsewhere(task))
 
 
+class FakeAdvisor:
+    """Is never asked."""
+
+
 class SubmissionRowTest(unittest.IsolatedAsyncioTestCase):
     """The rows of submissions and of their progress."""
 
