--- a/tests/entry/invariants.py
+++ b/tests/entry/invariants.py
@@ -1,5 +1,6 @@
 """Checks invariants of the scheduler from what workers and callers observe."""
 
+import collections
 import random
 import time
 
@@ -20,6 +21,7 @@
       REFUSED: a task started although its submission was rejected.
       ORDER: a task started before the tasks that it depends on were done.
       TWICE: a task started beside another run or after its acknowledged end.
+      ROUTE: a task started on a worker without its label.
       LIMIT: the tasks on a worker exceed its CPU capacity.
       BUDGET: a task started after as many failures as attempts are allowed.
       MIXED: a submission was shown as completed with a task that isn't done.
@@ -34,6 +36,8 @@
       done: names of the tasks that were done.
       acknowledged: names of the tasks whose success was acknowledged.
       failures: acknowledged failed runs by task.
+      failed_runs: all failed runs by task.
+      started: ids of the submissions of which a task has started.
       starts: number of starts.
     """
 
@@ -46,11 +50,21 @@
         self.done = set()
         self.acknowledged = set()
         self.failures = {}
+        self.failed_runs = collections.defaultdict(set)
+        self.started = set()
         self.starts = 0
         self._random = random.Random(seed)
 
-    def draw_failure(self):
-        """Returns whether a run that ends now fails, at random."""
+    def draw_failure(self, name):
+        """Returns whether a run of a task that ends now fails, at random.
+
+        A step may name the number of runs that fail at first.
+        """
+        submission_id, _, step, _ = name.split(".")
+        step_spec = self.submissions[submission_id]["steps"][int(step)]
+        failures = step_spec.get("failures")
+        if failures is not None:
+            return len(self.failed_runs[name]) < failures
         return self._random.random() < 0.04
 
     def record_start(self, worker, command):
@@ -64,7 +78,11 @@
             return 0.1
         if submission_id in self.rejected_only:
             self.violations.add("REFUSED", name)
+        self.started.add(submission_id)
         step_spec = body["steps"][int(step)]
+        label = step_spec.get("requirements")
+        if label and label not in worker.labels:
+            self.violations.add("ROUTE", f"{name} on {worker.id}")
         self._check_dependencies(submission_id, occurrence, step_spec, name)
         self._check_single_run(worker, name, run)
         self._check_capacity(worker, step_spec, name)
@@ -74,6 +92,8 @@
         if len(self.failures.get(name, ())) >= body["attempts"]:
             self.violations.add("BUDGET", name)
         self.running.setdefault(name, {})[run] = (worker, step_spec)
+        if step_spec.get("longRunning"):
+            return standins.FOREVER_S
         duration_s = self._random.uniform(0.1, 0.9)
         if step_spec["estimatedMs"] == LONG_MS:
             duration_s = LONG_FACTOR * duration_s
@@ -110,6 +130,8 @@
         self.running.get(name, {}).pop(run, None)
         if how == "done":
             self.done.add(name)
+        elif how == "failed":
+            self.failed_runs[name].add(run)
 
     def record_acknowledgement(self, name, run, how):
         """Records that the owner has acknowledged the end of a run."""
@@ -120,8 +142,50 @@
 
     def check_completed(self, submission_id):
         """Checks that all tasks of a submission shown as completed are done."""
-        for number, step in enumerate(self.submissions[submission_id]["steps"]):
-            for index in range(step["count"]):
-                name = f"{submission_id}.0.{number}.{index}"
-                if name not in self.done:
-                    self.violations.add("MIXED", f"{name} isn't done")
+        body = self.submissions[submission_id]
+        for occurrence in range(max(1, body.get("runCount", 0))):
+            for number, step in enumerate(body["steps"]):
+                for index in range(step["count"]):
+                    name = f"{submission_id}.{occurrence}.{number}.{index}"
+                    if name not in self.done:
+                        self.violations.add("MIXED", f"{name} isn't done")
+
+    def check_failed(self, submission_id):
+        """Checks that a submission shown as failed has used its attempts."""
+        attempts = self.submissions[submission_id]["attempts"]
+        most = max(
+            (
+                len(runs)
+                for name, runs in self.failed_runs.items()
+                if name.startswith(submission_id)
+            ),
+            default=0,
+        )
+        if most < attempts:
+            text = f"{submission_id} failed after {most} of {attempts}"
+            self.violations.add("LOST", text)
+
+    def check_cancelled(self):
+        """Checks that nothing runs of what was cancelled a while ago."""
+        now = time.monotonic()
+        for name, runs in self.running.items():
+            cancelled_at = self.cancelled.get(name.partition(".")[0])
+            if runs and cancelled_at and now - cancelled_at > CANCEL_GRACE_S:
+                self.violations.add("UNASKED", f"{name} runs on")
+
+    def count_waiting(self, accepted, age_s):
+        """Returns how many submissions surely wait for their first start.
+
+        Args:
+          accepted: when each was accepted, by id.
+          age_s: seconds since then after which a count has to contain them.
+        """
+        now = time.monotonic()
+        return sum(
+            1
+            for submission_id, accepted_at in accepted.items()
+            if now - accepted_at > age_s
+            and submission_id not in self.started
+            and submission_id not in self.cancelled
+            and not self.submissions[submission_id].get("runCount")
+        )
--- a/tests/entry/mutants.py
+++ b/tests/entry/mutants.py
@@ -12,12 +12,20 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "packages" / "persimmonpath_entry"))
 
+import msgspec  # noqa: E402
+
 from persimmonpath_entry import main as program  # noqa: E402
 from persimmonpath_entry.engine import acceptance  # noqa: E402
+from persimmonpath_entry.engine import clientapi  # noqa: E402
 from persimmonpath_entry.engine import node  # noqa: E402
+from persimmonpath_entry.engine import ownerdirectory  # noqa: E402
+from persimmonpath_entry.engine import progressrows  # noqa: E402
+from persimmonpath_entry.engine import refusedrows  # noqa: E402
 from persimmonpath_entry.engine import shard  # noqa: E402
 from persimmonpath_entry.engine import workercommands  # noqa: E402
+from persimmonpath_entry.platform import store as platform_store  # noqa: E402
 from persimmonpath_entry.platform import workers  # noqa: E402
+from persimmonpath_entry.state import configuration  # noqa: E402
 from persimmonpath_entry.state import execution  # noqa: E402
 from persimmonpath_entry.state import fleet  # noqa: E402
 
@@ -92,9 +100,77 @@
     fleet.Worker.choose_acknowledged_end = lambda self, now: self.processed
 
 
+def keep_progress_in_one_row():
+    """Stores the progress of a submission in one row, however long it is."""
+
+    def encode_rows(submission, max_bytes):
+        finished = submission.progress.finished
+        done = {f"{n}.0": 1 for n in range(finished.bit_length())}
+        done |= {f"{n}.1": 1 for n in range(finished.bit_length())}
+        progress = msgspec.structs.replace(submission.progress)
+        progress.done = done | progress.done
+        return {submission.id: msgspec.json.encode(progress)}
+
+    progressrows.encode_rows = encode_rows
+    refusedrows.RefusalIsolation.record_refusal = lambda *arguments: None
+
+
+def answer_410_after_a_read():
+    """Confirms a cancellation if the store holds no row at that moment."""
+    store_cancelled = clientapi.ClientApi._store_cancelled
+
+    async def store(self, submission_id, cancelled, rows):
+        if cancelled.is_tombstone:
+            return platform_store.Committed(0)
+        return await store_cancelled(self, submission_id, cancelled, rows)
+
+    clientapi.ClientApi._store_cancelled = store
+
+
+def invent_queue_settings():
+    """Forgets the settings of a queue that an owner has never seen."""
+    make = configuration.make_removed_queue
+
+    def make_queue(record):
+        return make(msgspec.structs.replace(record, policy=None))
+
+    configuration.make_removed_queue = make_queue
+
+
+def count_unsent_starts():
+    """Takes a submission for started before a worker has confirmed it."""
+    start = workercommands.WorkerCommands._start
+
+    async def send(self, run, ticket):
+        run.task.step.submission.has_started = True
+        await start(self, run, ticket)
+
+    workercommands.WorkerCommands._start = send
+
+
+def forget_conflicts():
+    """Ignores the owner row that a failed takeover shows."""
+    ownerdirectory.OwnerDirectory.apply_conflict = lambda *arguments: False
+
+
+def trust_former_entry():
+    """Uses a restarted worker by the entry of its former incarnation."""
+    fleet.Worker.is_described = True
+
+
+# Mutants that only the varied soak can notice.
+VARIED = (
+    keep_progress_in_one_row,
+    answer_410_after_a_read,
+    invent_queue_settings,
+    count_unsent_starts,
+    forget_conflicts,
+    trust_former_entry,
+)
 MUTANTS = {
     mutate.__name__: mutate
     for mutate in (
+        *VARIED,
         forget_room,
         start_out_of_order,
         ignore_cancels,
@@ -111,13 +187,15 @@
 def check_all() -> int:
     """Runs the soak on every mutant; returns the number of survivors."""
     from tests.entry import soak
+    from tests.entry import variedsoak
 
     survivors = 0
-    for name in MUTANTS:
+    for name, mutate in MUTANTS.items():
+        kind = variedsoak.VariedSoak if mutate in VARIED else soak.Soak
         for seed in SEEDS:
             folder = tempfile.mkdtemp(prefix="persimmon-mutant-")
             found = soak.run_soak(
-                seed, SECONDS, folder, name
+                seed, SECONDS, folder, name, kind=kind
             ).checker.violations
             if found:
                 break
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import json
+import os
 import pathlib
 import random
 import signal
@@ -25,6 +26,8 @@
 SERVICE = "ledger"
 HOST = "leaf.example"
 PREFIX = "/slips/"
+# Small enough for the progress of a schedule to outgrow a row.
+ROW_BYTES = 4096
 ATTEMPTS = 4
 ARRIVALS_PER_S = 5.0
 # Time after the last submission within which all have to end.
@@ -40,8 +43,6 @@
 # outcome is unknown.
 MAX_CALLS = 5
 SINGLE_CALL_SHARE = 0.15
-# A process that gets SIGTERM before it handles the signal is ended by it.
-STARTUP_S = 1.0
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ENTRY = ROOT / "deploy" / "entry.py"
 
@@ -73,9 +74,11 @@
             f'[listenAddrs]\nfront = "{self.front}"\n'
             f'ready = "127.0.0.1:{ready}"\n'
             f'[platform]\naddress = "{link.address}"\n'
+            f"rowBytes = {ROW_BYTES}\n"
         )
         self.process = None
-        self.started_at = 0.0
+        # Size of the log when the process was started, in bytes.
+        self.log_size = 0
         # The process that was last told to end.
         self.told_to_end = None
 
@@ -84,7 +87,7 @@
         command = [sys.executable, str(ENTRY)]
         if self.mutant:
             command = [sys.executable, "-m", "tests.entry.mutants", self.mutant]
-        self.started_at = time.monotonic()
+        self.log_size = os.path.getsize(self.log.name)
         self.process = subprocess.Popen(
             command,
             cwd=ROOT,
@@ -104,7 +107,7 @@
         self.check_running()
         self.told_to_end = process
         expected = {0, -signal.SIGKILL}
-        if time.monotonic() - self.started_at < STARTUP_S:
+        if not self.handles_signals():
             expected.add(-number)
         self.signal(number)
         deadline = time.monotonic() + limit_s
@@ -115,6 +118,15 @@
         if process.wait() not in expected:
             self.violations.add("EXIT", f"{self.name}: {process.returncode}")
 
+    def handles_signals(self):
+        """Returns whether the process has logged that it is started.
+
+        A process that gets SIGTERM before that is ended by it.
+        """
+        with open(self.log.name, "rb") as log:
+            log.seek(self.log_size)
+            return b"event=started" in log.read()
+
     def check_running(self):
         """Records a violation if the process has ended by itself."""
         code = self.process.poll()
@@ -154,6 +166,7 @@
     async def build(self):
         """Starts the stand-ins, the proxies and the entry VMs."""
         self.store = standins.StoreStandIn(self.random.random())
+        self.store.row_bytes = ROW_BYTES
         await self.store.listen()
         self.advice = standins.AdviceStandIn()
         await self.advice.listen()
@@ -168,7 +181,7 @@
             )
             worker.link = links.Link(await worker.listen())
             worker.public_address = await worker.link.listen()
-            self.workers.append(worker)
+            self.add_worker(worker)
         await self.store.write("op", "config", self.make_configuration())
         self.vms = []
         for number in range(VMS):
@@ -185,6 +198,10 @@
             self.vms.append(vm)
             vm.start()
 
+    def add_worker(self, worker):
+        """Adds a worker before the entry VMs start."""
+        self.workers.append(worker)
+
     def make_configuration(self):
         """Returns the operator's configuration row."""
         advice = {"decideMs": 20.0, "eachMs": 0.1, "validMs": 2000}
@@ -284,10 +301,18 @@
             await self.cancel(submission_id)
 
     async def cancel(self, submission_id):
-        """Cancels a submission and records a confirmed cancellation."""
-        response = await self.call("DELETE", PREFIX + submission_id)
-        if isinstance(response, httpclient.Response) and response.status == 200:
+        """Cancels a submission and records a confirmed cancellation.
+
+        Returns:
+          Whether it was confirmed.
+        """
+        response = await self.call("DELETE", self.find_path(submission_id))
+        if isinstance(response, httpclient.NoResponse):
+            return False
+        is_confirmed = response.status in (200, 410)
+        if is_confirmed:
             self.checker.cancelled[submission_id] = time.monotonic()
+        return is_confirmed
 
     async def check_all(self, deadline):
         """Polls the accepted submissions until all have ended.
@@ -297,7 +322,7 @@
         unfinished = set(self.accepted)
         while unfinished and time.monotonic() < deadline:
             for submission_id in list(unfinished):
-                response = await self.call("GET", PREFIX + submission_id)
+                response = await self.call("GET", self.find_path(submission_id))
                 if isinstance(response, httpclient.NoResponse):
                     continue
                 if response.status == 410:
@@ -308,6 +333,8 @@
                 state = json.loads(response.body)["state"]
                 if state == "completed":
                     self.checker.check_completed(submission_id)
+                if state == "failed":
+                    self.checker.check_failed(submission_id)
                 if state in ("completed", "failed", "cancelled"):
                     unfinished.discard(submission_id)
             await asyncio.sleep(0.3)
@@ -449,19 +476,28 @@
         await asyncio.sleep(self.random.uniform(0.5, 8.0))
         worker.link.mode = "pass"
 
+    def list_activities(self):
+        """Returns the coroutines that make up the load and the faults."""
+        activities = [self.submit_all(), self.inject_faults()]
+        if self.has_targeted_faults:
+            activities.append(self.inject_targeted_faults())
+        return activities
+
+    def find_path(self, submission_id):
+        """Returns the path of a submission."""
+        return PREFIX + submission_id
+
     async def run(self):
         """Runs the load with faults, then checks that all submissions end."""
         await self.build()
         registering = asyncio.create_task(self.register_workers())
         try:
             await asyncio.sleep(2.0)
-            tasks = [self.submit_all(), self.inject_faults()]
-            if self.has_targeted_faults:
-                tasks.append(self.inject_targeted_faults())
-            await asyncio.gather(*tasks)
+            await asyncio.gather(*self.list_activities())
             for vm in self.vms:
                 vm.signal(signal.SIGCONT)
             await self.check_all(time.monotonic() + COMPLETION_TIMEOUT_S)
+            self.checker.check_cancelled()
         finally:
             registering.cancel()
             for vm in self.vms:
@@ -469,7 +505,9 @@
                 await vm.terminate(signal.SIGKILL)
 
 
-def run_soak(seed, seconds, folder, mutant="", has_targeted_faults=True):
+def run_soak(
+    seed, seconds, folder, mutant="", has_targeted_faults=True, kind=Soak
+):
     """Runs the soak test.
 
     Args:
@@ -479,11 +517,12 @@
       mutant: name of the mutant that all VMs run, empty for none.
       has_targeted_faults: whether combinations of faults are injected besides
         the random ones. They change the load and the timing of a seed.
+      kind: the class of the soak.
 
     Returns:
       The finished soak, with its counts and violations.
     """
-    soak = Soak(
+    soak = kind(
         seed, seconds, pathlib.Path(folder), mutant, has_targeted_faults
     )
     asyncio.run(soak.run())
@@ -495,9 +534,16 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--varied", action="store_true")
     options = parser.parse_args()
     folder = tempfile.mkdtemp(prefix="persimmon-soak-")
-    soak = run_soak(options.seed, options.seconds, folder)
+    kind = Soak
+    if options.varied:
+        # Imported here, as it builds on this module.
+        from tests.entry import variedsoak
+
+        kind = variedsoak.VariedSoak
+    soak = run_soak(options.seed, options.seconds, folder, kind=kind)
     for violation in soak.checker.violations[:20]:
         print(f"violation {violation}")
     if soak.checker.violations:
--- a/tests/entry/standins.py
+++ b/tests/entry/standins.py
@@ -14,6 +14,8 @@
 
 # A call that is to stay unanswered sleeps for this long.
 FOREVER_S = 3600.0
+# Most entries of a transaction.
+MAX_ENTRIES = 100
 
 
 def make_response(status, body=None):
@@ -68,6 +70,8 @@
       version: the newest version.
       changes: version, key and value of each change, None for a removal.
       oldest_version: first version from which the feed can be followed.
+      row_bytes: the largest row; longer ones are refused with status 400.
+      refused: number of transactions refused for that reason.
       calls: number of calls by name.
     """
 
@@ -81,6 +85,8 @@
         self.loses_answers = False
         self.unanswered_share = 0.0
         self.delay_s = 0.0
+        self.row_bytes = 65536
+        self.refused = 0
         self.calls = collections.Counter()
         self._random = random.Random(seed)
         self._changed = asyncio.Condition()
@@ -108,12 +114,22 @@
         return make_response(404)
 
     async def _handle_transaction(self, body):
+        if self._exceeds_limits(body):
+            self.refused += 1
+            return make_response(400)
         if self._random.random() < self.unanswered_share:
             await asyncio.sleep(self.delay_s)
             await self._apply(body)
             await asyncio.sleep(FOREVER_S)
         return await self._apply(body)
 
+    def _exceeds_limits(self, body):
+        rows = body.get("put", [])
+        entries = sum(len(body.get(k, ())) for k in ("expect", "put", "remove"))
+        return entries > MAX_ENTRIES or any(
+            len(base64.b64decode(row["value"])) > self.row_bytes for row in rows
+        )
+
     async def _apply(self, body):
         expected = [(row, self._key(row)) for row in body.get("expect", [])]
         if any(self._find_version(k) != row["ver"] for row, k in expected):
@@ -238,6 +254,8 @@
         executed after a delay.
       delay_s: seconds after which these commands are executed.
       failing: whether all tasks fail.
+      rejecting: whether starts are rejected with status 503.
+      labels: its kind and its rack.
       checker: records each start, run end and acknowledgement.
       running: runs in progress by task and run number.
       ended: run ends that have not been acknowledged, as listed.
@@ -255,6 +273,8 @@
         # Timers of commands to execute later; a restart cancels them.
         self._delayed_commands = []
         self.failing = False
+        self.rejecting = False
+        self.labels = ["a", f"r-{worker_id}"]
         self.state = "ready"
         self._random = random.Random(seed)
         self._start()
@@ -300,7 +320,7 @@
             "state": self.state,
             "coldRemainingMs": 0,
             "capacity": self.capacity,
-            "labels": ["a", f"r-{self.id}"],
+            "labels": self.labels,
             "born": self.born,
             "sequence": int(time.monotonic() * 10),
         }
@@ -337,6 +357,8 @@
             return self._reject("fence")
         self.fence = command["fencingToken"]
         if name == "run-start":
+            if self.rejecting:
+                return make_response(503)
             return self._start_run(command)
         if name == "run-stop":
             return self._stop_run(command)
@@ -391,7 +413,7 @@
 
     async def _work(self, key, duration_s):
         await asyncio.sleep(duration_s)
-        failed = self.failing or self.checker.draw_failure()
+        failed = self.failing or self.checker.draw_failure(key[0])
         self._end(key, "failed" if failed else "done")
 
     def _stop_run(self, command):
--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.entry import soak
+from tests.entry import variedsoak
 
 SECONDS = 6.0
 # Seed 2: an acknowledgement meant for a worker's previous incarnation made the
@@ -14,6 +15,8 @@
 SEEDS = (2, 11, 13, 15)
 TARGETED_SEED = 402
 TARGETED_SECONDS = 14.0
+VARIED_SEED = 801
+VARIED_SECONDS = 10.0
 
 
 class SoakTest(unittest.TestCase):
@@ -48,3 +51,11 @@
         run = self.run_soak(TARGETED_SEED, TARGETED_SECONDS)
         self.assertIn("lose_answers", " ".join(run.events))
         self.assertIn("lose_busy_worker_and_owners", " ".join(run.events))
+
+    def test_invariants_hold_under_changes(self):
+        """Guards against the faults that only the varied soak looks for.
+
+        Schedules that outgrow a row, queues and services that come back,
+        rejected starts, prompt cancellations, workers of another kind.
+        """
+        self.run_soak(VARIED_SEED, VARIED_SECONDS, kind=variedsoak.VariedSoak)
--- a/tests/entry/test_standins.py
+++ b/tests/entry/test_standins.py
@@ -27,7 +27,7 @@
     def record_acknowledgement(self, task, run, how):
         """Ignores an acknowledgement."""
 
-    def draw_failure(self):
+    def draw_failure(self, name):
         """Lets no run fail."""
         return False
 
