--- a/tests/entry/variedsoak.py
+++ b/tests/entry/variedsoak.py
@@ -214,7 +214,8 @@
         await self.configure(has_service=False)
         await asyncio.sleep(1.0)
         await asyncio.gather(*(self.replace(vm) for vm in self.vms))
-        await asyncio.sleep(1.0)
+        # The new processes read the owner rows without the service.
+        await asyncio.sleep(3.0)
         await self.configure()
 
     async def replace(self, vm):
@@ -226,11 +227,13 @@
     async def reject_starts(self):
         """Has one worker or all of them reject all starts for a while."""
         workers = self.workers
+        rejecting_s = COUNTED_AGE_S + 3.0
         if self.varied_random.random() < 0.5:
             workers = [self.varied_random.choice(workers)]
+            rejecting_s = self.varied_random.uniform(1.0, 4.0)
         for worker in workers:
             worker.rejecting = True
-        await asyncio.sleep(self.varied_random.uniform(2.0, 9.0))
+        await asyncio.sleep(rejecting_s)
         for worker in workers:
             worker.rejecting = False
 
