--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -33,11 +33,6 @@
 RETRY_AFTER_S = 2
 
 
-def _runs_for_good(record: submissions.SubmissionRecord) -> bool:
-    """Returns whether a submission has tasks that run until it is cancelled."""
-    return any(step.long_running for step in record.steps)
-
-
 def _confirm_cancel(
     record: submissions.SubmissionRecord,
 ) -> httpserver.Response:
@@ -211,7 +206,9 @@
           The response, None if the submission is accepted.
         """
         wait_s = self._ownership.find_wait(queue.service, queue.priority)
-        if not wait_s or record.occurrences or _runs_for_good(record):
+        if not wait_s or record.occurrences:
+            return None
+        if submissions.has_long_running(record):
             return None
         path_ms = ordering.estimate_critical_path_ms(record.steps)
         decision = admission.decide(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -63,6 +63,14 @@
         return self.configuration.queues.get(name)
 
 
+def describe_error(error: BaseException) -> dict[str, str]:
+    """Returns the log fields that describe an unexpected error."""
+    return {
+        "reason": f"{type(error).__name__}: {error}",
+        "where": find_raise_location(error),
+    }
+
+
 def find_raise_location(error: BaseException) -> str:
     """Returns "file:line" of the place at which an error was raised.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -92,8 +92,7 @@
                 self._node.log.warn(
                     "wave_broken",
                     key=key,
-                    reason=f"{type(error).__name__}: {error}",
-                    where=context.find_raise_location(error),
+                    **context.describe_error(error),
                 )
 
     async def _advance(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -244,8 +244,7 @@
             error = release_task.exception()
             self.context.log.warn(
                 "release_failed",
-                reason=f"{type(error).__name__}: {error}",
-                where=context.find_raise_location(error),
+                **context.describe_error(error),
             )
 
     async def _release_services(self, limit_s: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/rowcodec.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/rowcodec.py
@@ -56,6 +56,5 @@
             node.log.warn(
                 "row_broken",
                 row=f"{row.table}/{row.part}/{row.key}",
-                reason=f"{type(error).__name__}: {error}",
-                where=context.find_raise_location(error),
+                **context.describe_error(error),
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -144,8 +144,7 @@
             self.node.log.warn(
                 "task_broken",
                 service=self.service,
-                reason=f"{type(error).__name__}: {error}",
-                where=context.find_raise_location(error),
+                **context.describe_error(error),
             )
 
     def close(self, reason: str):
@@ -290,9 +289,6 @@
             version,
         )
         submission.stored_blocks = dict.fromkeys(stored_blocks, 0)
-        submission.open_limit = submissions.count_open_limit(
-            record, self.node.max_row_bytes
-        )
         self.submissions[submission_id] = submission
         if version > self.newest_version:
             self.newest_version = version
@@ -305,6 +301,9 @@
         if record.cancelled:
             self.end_submission(submission, submissions.CANCELLED)
             return
+        submission.open_limit = submissions.count_open_limit(
+            record, self.node.max_row_bytes
+        )
         if record.occurrences:
             self.recurring[submission_id] = submission
             self.occurrence_opener.open_due(submission)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/supervision.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/supervision.py
@@ -31,7 +31,6 @@
             node.log.warn(
                 "task_restarted",
                 task=name,
-                reason=f"{type(error).__name__}: {error}",
-                where=context.find_raise_location(error),
+                **context.describe_error(error),
             )
         await asyncio.sleep(RESTART_PAUSE_S)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -307,8 +307,7 @@
         self._node.log.warn(
             "step_broken",
             step=step.name,
-            reason=f"{type(error).__name__}: {error}",
-            where=context.find_raise_location(error),
+            **context.describe_error(error),
         )
 
     def _list_ranked(self, now: float) -> list[execution.Step]:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -154,6 +154,11 @@
     saved: dict[str, str] = {}
 
 
+def has_long_running(record: SubmissionRecord) -> bool:
+    """Returns whether a submission has tasks that run until it is cancelled."""
+    return any(step.long_running for step in record.steps)
+
+
 def make_cancelled(record: SubmissionRecord) -> SubmissionRecord:
     """Returns what the store keeps of a submission once it is cancelled.
 
@@ -237,8 +242,7 @@
     limit = count_open_limit(record, row_bytes // 4 * 3)
     if limit < (2 if record.occurrences else 1):
         return "steps: too many tasks for one row of the store"
-    runs_for_good = any(step.long_running for step in record.steps)
-    if runs_for_good and record.occurrences > limit // 2:
+    if has_long_running(record) and record.occurrences > limit // 2:
         return (
             f"occurrences: {record.occurrences}; allowed: 0 to {limit // 2}, "
             "as long-running tasks keep all of them open"
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -26,6 +26,7 @@
 from persimmonpath_entry.transport import metrics
 from tests.entry import fakes
 from tests.entry import test_decoders
+from tests.entry import test_machinemaintenance
 
 ID = "00000000000000aa"
 DEPTH = 100_000
@@ -469,38 +470,19 @@
         rows = [
             machines.MachineRow("m", fakes.SERVICE, machines.UP, "w1"),
         ]
-        client = FakeMachineClient(rows)
+        client = test_machinemaintenance.FakeMachines(rows)
         node.store.outcomes = [platform_store.Committed(9)] * 2000
         maintenance = machinemaintenance.MachineMaintenance(
-            node, feed, FakeOwnership(shard), None, client
+            node,
+            feed,
+            test_machinemaintenance.FakeOwnership(shard),
+            None,
+            client,
         )
         await maintenance._process_waves(feed.waves, shard)
         self.assertIn("wave/z", maintenance._stored)
 
 
-class FakeMachineClient:
-    """Lists the same machines each time and carries every order out."""
-
-    def __init__(self, rows):
-        self.rows = rows
-
-    async def list_machines(self):
-        return self.rows
-
-    async def start_maintenance(self, *arguments):
-        return machines.MaintenanceResult(True)
-
-
-class FakeOwnership:
-    """Owns every service."""
-
-    def __init__(self, shard):
-        self.shard = shard
-
-    def find_shard(self, service):
-        return self.shard
-
-
 class StoreAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Values that aren't base64 text, in a response of the store."""
 
