--- /dev/null
+++ b/review/stands_2/case.py
@@ -0,0 +1,201 @@
+"""What the scripts of all cases share: the deployment and its clients."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import os
+import pathlib
+import sys
+
+from review.stands_2 import record as records
+from review.stands_2 import store as stores
+from review.stands_2 import system
+from review.stands_2 import web
+from review.stands_2 import worker as workers
+
+HELD = 0
+BROKEN = 1
+NOT_RUN = 2
+HOST = "queue.example"
+SERVICE = "office"
+
+
+class Case:
+    """A small deployment for one case.
+
+    Attributes:
+      has_trouble: whether the disruption is to take place.
+      record: what was sent, answered and run.
+      store: the platform's store.
+      vms: the entry VMs.
+      workers: the workers by id.
+    """
+
+    def __init__(self, folder: pathlib.Path, number: int, temporary: str):
+        """Creates a case.
+
+        Args:
+          folder: the folder of the case.
+          number: the number of the case, which chooses its addresses.
+          temporary: a temporary folder.
+        """
+        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.record = records.Record(folder / "record.txt")
+        self.store = stores.Store()
+        self.vms: list[system.Vm] = []
+        self.workers: dict[str, workers.Worker] = {}
+        self._network = f"127.{70 + number}.{os.getpid() % 200 + 1}"
+        self._folder = pathlib.Path(temporary)
+        self._store_address = f"{self._network}.200:8142"
+
+    def make_address(self, host: int, port: int) -> str:
+        """Returns an address of the loopback network of this case."""
+        return f"{self._network}.{host}:{port}"
+
+    def add_vm(self, zone: str, **fields):
+        """Adds an entry VM, which isn't started yet."""
+        number = len(self.vms) + 1
+        platform = {
+            "address": self._store_address,
+            "form": "table",
+            "writesPerS": 600,
+            "readsPerS": 2000,
+            "txMs": 6.0,
+            "partWritesPerS": 200,
+            "rowBytes": 65536,
+            "across": False,
+            "historyS": 20,
+        }
+        zones = {"z1": "r1", "z2": "r1"}
+        self.vms.append(
+            system.Vm(
+                f"edge-{number}",
+                f"{self._network}.{number}",
+                zone,
+                self._folder,
+                **{"platform": platform, "zones": zones, **fields},
+            )
+        )
+
+    def write_config(self, version: int, routes: list[dict]):
+        """Writes the desired state."""
+        self.store.write(
+            "op",
+            "config",
+            {
+                "version": version,
+                "routes": routes,
+                "services": [{"name": SERVICE, "rejectsOverload": False}],
+                "limits": {"maxBodyBytes": 262144},
+            },
+        )
+
+    async def start(self, routes: list[dict]):
+        """Starts the store, the VMs and the workers."""
+        host, _, port = self._store_address.rpartition(":")
+        await self.store.listen(host, int(port))
+        self.write_config(10, routes)
+        for worker in self.workers.values():
+            await worker.start()
+        for vm in self.vms:
+            vm.start()
+        await system.await_ready(self.vms, self.record)
+
+    async def submit(
+        self, path: str, content: dict, vm: int = 0
+    ) -> tuple[int, object] | None:
+        """Hands a submission in and returns the answer."""
+        self.record.write("post", path=path, vm=vm)
+        answer = await self.ask("POST", path, content, vm)
+        status = None if answer is None else answer[0]
+        self.record.write("answer", method="POST", path=path, status=status)
+        return answer
+
+    async def ask(
+        self, method: str, path: str, content=None, vm: int = 0
+    ) -> tuple[int, object] | None:
+        """Makes a client's call and returns the answer."""
+        return await web.call(
+            self.vms[vm].front,
+            method,
+            path,
+            content,
+            {"Host": HOST, "X-Deadline-Ms": "3000"},
+        )
+
+    async def ask_state(self, path: str, vm: int = 0) -> str | None:
+        """Asks for the state of a submission and records the answer."""
+        answer = await self.ask("GET", path, None, vm)
+        state = answer[1].get("state") if answer else None
+        self.record.write(
+            "state",
+            path=path,
+            status=answer[0] if answer else None,
+            state=state,
+        )
+        return state
+
+    def end(self):
+        """Ends all processes and stand-ins."""
+        for vm in self.vms:
+            vm.end()
+        for worker in self.workers.values():
+            worker.crash()
+        self.store.close()
+
+    def print_logs(self):
+        """Prints what the VMs have logged, for a look by hand."""
+        for vm in self.vms:
+            print(vm.read_log())
+
+
+def make_route(name: str, prefix: str, **fields) -> dict:
+    """Returns a route of the desired state."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "service": SERVICE,
+        "kind": "non_idempotent",
+        "timeoutMs": 3000,
+        "priority": 1,
+        "maxAttempts": 4,
+        "stretch": 2.0,
+        "targetLatencyMs": 1000,
+        **fields,
+    }
+
+
+def run(
+    path: str, number: int, play: Callable[["Case"], Awaitable[int]]
+) -> None:
+    """Plays a case and ends the process with its result.
+
+    Args:
+      path: the file of the case.
+      number: the number of the case.
+      play: plays it and returns HELD, BROKEN or NOT_RUN.
+    """
+    folder = pathlib.Path(path).resolve().parent
+    with system.make_folder() as temporary:
+        result = asyncio.run(_play(folder, number, temporary, play))
+    names = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
+    print(f"case {number}: {names[result]}")
+    sys.exit(result)
+
+
+async def _play(folder, number, temporary, play) -> int:
+    case = Case(folder, number, temporary)
+    try:
+        async with asyncio.timeout(115.0):
+            result = await play(case)
+    except (OSError, TimeoutError) as error:
+        case.record.write("not_run", reason=repr(error))
+        result = NOT_RUN
+    finally:
+        case.end()
+        if os.environ.get("LOGS"):
+            case.print_logs()
+        case.record.write("ended")
+        case.record.close()
+    return result
