--- a/review/stands_2/case.py
+++ b/review/stands_2/case.py
@@ -135,6 +135,14 @@
         )
         return state
 
+    def find_leader(self) -> system.Vm:
+        """Returns the VM that last wrote to the store under a condition."""
+        writer = self.store.last_conditional
+        for vm in self.vms:
+            if f"{vm.ip}:" in writer:
+                return vm
+        return self.vms[0]
+
     def end(self):
         """Ends all processes and stand-ins."""
         for vm in self.vms:
--- a/review/stands_2/store.py
+++ b/review/stands_2/store.py
@@ -21,10 +21,16 @@
 
 
 class Store:
-    """Rows with versions from one counter."""
+    """Rows with versions from one counter.
+
+    Attributes:
+      last_conditional: the newest row that was written under a condition and
+        holds the address of its writer.
+    """
 
     def __init__(self):
         self.version = 0
+        self.last_conditional = ""
         # Value (base64) and version by table, part and key.
         self.rows: dict[tuple[str, str, str], tuple[str, int]] = {}
         self._changes: list[tuple[int, tuple[str, str, str], str | None]] = []
@@ -88,6 +94,8 @@
             rows = [self._render(name) for name, _ in expected]
             return 412, self._stamp({"rows": rows})
         self.version += 1
+        if expected:
+            self._note_writer(puts)
         for row in puts:
             name = (row["table"], row["part"], row["key"])
             self._apply(name, row["value"])
@@ -96,6 +104,13 @@
         self._announce()
         return 200, self._stamp({})
 
+    def _note_writer(self, puts):
+        """Keeps the text of a conditional write that names its writer."""
+        for row in puts:
+            text = base64.b64decode(row["value"]).decode("utf-8", "replace")
+            if '"address"' in text:
+                self.last_conditional = text
+
     def _find_version(self, name) -> int:
         return self.rows[name][1] if name in self.rows else 0
 
--- a/review/stands_2/system.py
+++ b/review/stands_2/system.py
@@ -73,7 +73,7 @@
         self._path = folder / f"{name}.toml"
         self._output = folder / f"{name}.out"
         self._process: subprocess.Popen | None = None
-        settings = {
+        self._settings = {
             "nodeName": name,
             "role": "entry",
             "machineClass": "edge",
@@ -102,7 +102,14 @@
             "bounds": BOUNDS,
             **fields,
         }
-        self._path.write_text(render(settings), encoding="utf-8")
+        self.write_settings()
+
+    def write_settings(self, **fields):
+        """Writes the settings file, as the platform does after a change."""
+        self._settings |= fields
+        path = self._path.with_suffix(".new")
+        path.write_text(render(self._settings), encoding="utf-8")
+        path.replace(self._path)
 
     def start(self):
         """Starts the process."""
--- a/review/stands_2/worker.py
+++ b/review/stands_2/worker.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 
+from review.stands_2 import advisor as advisors
 from review.stands_2 import gang as gangs
 from review.stands_2 import record as records
 from review.stands_2 import store as stores
@@ -43,6 +44,7 @@
       id: the id under which it registers.
       machine: the machine of which it is a life.
       running: the runs in progress by task and number.
+      needs_ticket: whether a start needs the ticket of its step.
       latency_s: seconds that a call takes on the links, there and back.
       used_cpu: the `cpu` in use that it lists for each run.
     """
@@ -87,6 +89,7 @@
         self.gang: gangs.Gang | None = None
         self.used_cpu = 500
         self.latency_s = 0.0
+        self.needs_ticket = False
         self._plan = plan
         self._record = record
         self._rows = rows
@@ -231,6 +234,10 @@
         self._extend_lease(body["untilMs"])
         if number <= self._highest.get(task, 0):
             return 409, self._stamp(reason="old")
+        step = task.rpartition(".")[0]
+        ticket = advisors.make_ticket(step, self.id)
+        if self.needs_ticket and body.get("ticket") != ticket:
+            return 409, self._stamp(reason="ticket")
         self._record.write(
             "start",
             worker=self.id,
