--- a/review/stands_2/worker.py
+++ b/review/stands_2/worker.py
@@ -14,6 +14,8 @@
 HEARTBEAT_S = 1.5
 # Time after which a run is at work, in seconds.
 STARTUP_S = 0.3
+# Work is done in parts of this length, at the share of the run, in seconds.
+STEP_S = 0.1
 MAX_ENDS = 500
 
 # Returns the duration of a run in seconds, None for one that lasts, and how it
@@ -30,6 +32,7 @@
         self.saved = ""
         self.work: asyncio.Task | None = None
         self.began = time.monotonic()
+        self.share = 100
 
     @property
     def is_at_work(self) -> bool:
@@ -44,6 +47,7 @@
       id: the id under which it registers.
       machine: the machine of which it is a life.
       running: the runs in progress by task and number.
+      load: returns the figure that it lists for a run, instead of `used_cpu`.
       needs_ticket: whether a start needs the ticket of its step.
       latency_s: seconds that a call takes on the links, there and back.
       used_cpu: the `cpu` in use that it lists for each run.
@@ -90,6 +94,7 @@
         self.used_cpu = 500
         self.latency_s = 0.0
         self.needs_ticket = False
+        self.load: Callable[[Worker, Run], float] | None = None
         self._plan = plan
         self._record = record
         self._rows = rows
@@ -214,7 +219,7 @@
         if request.target == "/api/hold":
             return await self._hold(body)
         if request.target == "/api/pace":
-            return 200, self._stamp()
+            return self._pace(body)
         return 404, {}
 
     def _stamp(self, **fields):
@@ -260,9 +265,24 @@
             duration_s, how = self._plan(run.task, run.number)
             if duration_s is None:
                 await asyncio.get_running_loop().create_future()
-            await asyncio.sleep(duration_s)
+            while duration_s > 0:
+                await asyncio.sleep(min(STEP_S, duration_s))
+                duration_s -= STEP_S * run.share / 100
         self._end(run, how)
 
+    def _pace(self, body):
+        run = self.running.get((body["task"], body["run"]))
+        self._record.write(
+            "pace",
+            worker=self.id,
+            task=body["task"],
+            run=body["run"],
+            percent=body["percent"],
+        )
+        if run is not None:
+            run.share = body["percent"]
+        return 200, self._stamp()
+
     def _stop_run(self, body):
         task, number = body["task"], body["run"]
         self._highest[task] = max(self._highest.get(task, 0), number)
@@ -323,8 +343,8 @@
                 run.task,
                 run.number,
                 run.saved,
-                100 if run.is_at_work else 0,
-                self.used_cpu,
+                run.share if run.is_at_work else 0,
+                self.used_cpu if self.load is None else self.load(self, run),
             ]
             for run in self.running.values()
         ]
