--- a/review/stands_2/case.py
+++ b/review/stands_2/case.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 
 from review.stands_2 import record as records
@@ -194,10 +195,14 @@
 
 async def _play(folder, number, temporary, play) -> int:
     case = Case(folder, number, temporary)
+    # A case that is stopped from outside ends its processes too.
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(115.0):
             result = await play(case)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, asyncio.CancelledError) as error:
         case.record.write("not_run", reason=repr(error))
         result = NOT_RUN
     finally:
--- a/review/stands_2/worker.py
+++ b/review/stands_2/worker.py
@@ -14,6 +14,8 @@
 HEARTBEAT_S = 1.5
 # Time after which a run is at work, in seconds.
 STARTUP_S = 0.3
+# Time in which an answer has arrived, in seconds.
+ANSWER_S = 0.05
 # Work is done in parts of this length, at the share of the run, in seconds.
 STEP_S = 0.1
 MAX_ENDS = 500
@@ -49,7 +51,7 @@
       running: the runs in progress by task and number.
       load: returns the figure that it lists for a run, instead of `used_cpu`.
       needs_ticket: whether a start needs the ticket of its step.
-      latency_s: seconds that a call takes on the links, there and back.
+      latencies_s: seconds that an answer takes, by call.
       used_cpu: the `cpu` in use that it lists for each run.
     """
 
@@ -92,7 +94,7 @@
         self.running: dict[tuple[str, int], Run] = {}
         self.gang: gangs.Gang | None = None
         self.used_cpu = 500
-        self.latency_s = 0.0
+        self.latencies_s: dict[str, float] = {}
         self.needs_ticket = False
         self.load: Callable[[Worker, Run], float] | None = None
         self._plan = plan
@@ -108,6 +110,7 @@
         self._highest: dict[str, int] = {}
         self._sequence = 0
         self._has_ended = asyncio.Event()
+        self._idle_hold: asyncio.Event = asyncio.Event()
         self._server = web.Server(self._handle)
         self._former: Worker | None = None
         self._is_silent = False
@@ -127,6 +130,12 @@
         ]
         self._record.write("worker_up", worker=self.id, address=self.address)
 
+    async def await_idle_hold(self):
+        """Waits until a list of runs is answered while nothing runs here."""
+        self._idle_hold.clear()
+        await self._idle_hold.wait()
+        await asyncio.sleep(ANSWER_S)
+
     def follow(self, former: "Worker"):
         """Makes this the next life at the address of a silent worker."""
         self._former = former
@@ -198,9 +207,9 @@
     async def _handle(self, request: web.Request):
         if self._is_silent:
             return None
-        await asyncio.sleep(self.latency_s)
-        if self._is_silent:
-            return None
+        latency_s = self.latencies_s.get(request.target)
+        if latency_s:
+            await asyncio.sleep(latency_s)
         if request.target == "/health":
             return 200, {}
         if request.headers.get("x-target-instance") != self.id:
@@ -338,6 +347,8 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._has_ended.wait()
+        if wait_ms and not self.running and not self._ended:
+            self._idle_hold.set()
         running = [
             [
                 run.task,
