--- a/review/stands_2/case.py
+++ b/review/stands_2/case.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 import os
 import pathlib
+import random
 import signal
+import socket
 import sys
 
 from review.stands_2 import record as records
@@ -18,6 +20,14 @@
 BROKEN = 1
 NOT_RUN = 2
 HOST = "queue.example"
+# Ports of the stand-ins, after those of an entry VM; see `system.PORTS`.
+STORE_PORT = system.PORTS
+WORKER_PORT = system.PORTS + 1
+ADVISOR_PORT = system.PORTS + 2
+ALL_PORTS = system.PORTS + 3
+# Below the range of outgoing connections.
+FIRST_PORT = 20_000
+LAST_PORT = 30_000
 SERVICE = "office"
 
 
@@ -45,13 +55,18 @@
         self.store = stores.Store()
         self.vms: list[system.Vm] = []
         self.workers: dict[str, workers.Worker] = {}
-        self._network = f"127.{70 + number}.{os.getpid() % 200 + 1}"
         self._folder = pathlib.Path(temporary)
-        self._store_address = f"{self._network}.200:8142"
+        self._network, self._port = find_network(number)
+        self._store_address = self.make_address(200, STORE_PORT)
 
     def make_address(self, host: int, port: int) -> str:
-        """Returns an address of the loopback network of this case."""
-        return f"{self._network}.{host}:{port}"
+        """Returns an address of the loopback network of this case.
+
+        Args:
+          host: the last part of the address.
+          port: one of the ports above, from 0.
+        """
+        return f"{self._network}.{host}:{self._port + port}"
 
     def add_vm(self, zone: str, **fields):
         """Adds an entry VM, which isn't started yet."""
@@ -74,6 +89,7 @@
                 f"{self._network}.{number}",
                 zone,
                 self._folder,
+                self._port,
                 **{"platform": platform, "zones": zones, **fields},
             )
         )
@@ -158,6 +174,36 @@
             print(vm.read_log())
 
 
+def find_network(number: int) -> tuple[str, int]:
+    """Returns a loopback network and the first of a row of free ports.
+
+    Args:
+      number: the number of the case.
+
+    Raises:
+      OSError: if none is found.
+    """
+    for _ in range(50):
+        network = f"127.{70 + number}.{random.randrange(1, 250)}"
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if all(
+            _is_free(f"{network}.{host}", port + offset)
+            for host in (1, 100, 200)
+            for offset in range(ALL_PORTS)
+        ):
+            return network, port
+    raise OSError("no free ports")
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 def make_route(name: str, prefix: str, **fields) -> dict:
     """Returns a route of the desired state."""
     return {
@@ -194,7 +240,11 @@
 
 
 async def _play(folder, number, temporary, play) -> int:
-    case = Case(folder, number, temporary)
+    try:
+        case = Case(folder, number, temporary)
+    except OSError as error:
+        print(error)
+        return NOT_RUN
     # A case that is stopped from outside ends its processes too.
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
--- a/review/stands_2/system.py
+++ b/review/stands_2/system.py
@@ -15,6 +15,8 @@
 # The `run` line of deploy/system.toml.
 COMMAND = ["python3", "deploy/entry.py"]
 START_S = 15.0
+# Ports of a VM: for clients, readiness, two between VMs, metrics.
+PORTS = 5
 
 # The figures of a small deployment, as its site file and pages name them.
 BOUNDS = {
@@ -62,13 +64,28 @@
     """
 
     def __init__(
-        self, name: str, ip: str, zone: str, folder: pathlib.Path, **fields
+        self,
+        name: str,
+        ip: str,
+        zone: str,
+        folder: pathlib.Path,
+        port: int,
+        **fields,
     ):
-        """Creates the settings of a VM; fields replace parts of them."""
+        """Creates the settings of a VM; fields replace parts of them.
+
+        Args:
+          name: its name.
+          ip: its address.
+          zone: its zone.
+          folder: where its files are written.
+          port: the first of PORTS free ports.
+          **fields: settings.
+        """
         self.name = name
         self.ip = ip
-        self.front = f"{ip}:8149"
-        self.ready = f"{ip}:8141"
+        self.front = f"{ip}:{port}"
+        self.ready = f"{ip}:{port + 1}"
         self._folder = folder
         self._path = folder / f"{name}.toml"
         self._output = folder / f"{name}.out"
@@ -81,7 +98,8 @@
             "ip": ip,
             "zone": zone,
             "region": "r1",
-            "internalPorts": [7380, 7395],
+            "internalPorts": [port + 2, port + 3],
+            "metricsPort": port + 4,
             "seedNodes": [],
             "bootstrap": True,
             "lossCounted": False,
--- a/review/stands_2/worker.py
+++ b/review/stands_2/worker.py
@@ -14,8 +14,6 @@
 HEARTBEAT_S = 1.5
 # Time after which a run is at work, in seconds.
 STARTUP_S = 0.3
-# Time in which an answer has arrived, in seconds.
-ANSWER_S = 0.05
 # Work is done in parts of this length, at the share of the run, in seconds.
 STEP_S = 0.1
 MAX_ENDS = 500
@@ -51,7 +49,6 @@
       running: the runs in progress by task and number.
       load: returns the figure that it lists for a run, instead of `used_cpu`.
       needs_ticket: whether a start needs the ticket of its step.
-      latencies_s: seconds that an answer takes, by call.
       used_cpu: the `cpu` in use that it lists for each run.
     """
 
@@ -94,7 +91,6 @@
         self.running: dict[tuple[str, int], Run] = {}
         self.gang: gangs.Gang | None = None
         self.used_cpu = 500
-        self.latencies_s: dict[str, float] = {}
         self.needs_ticket = False
         self.load: Callable[[Worker, Run], float] | None = None
         self._plan = plan
@@ -110,19 +106,13 @@
         self._highest: dict[str, int] = {}
         self._sequence = 0
         self._has_ended = asyncio.Event()
-        self._idle_hold: asyncio.Event = asyncio.Event()
         self._server = web.Server(self._handle)
-        self._former: Worker | None = None
-        self._is_silent = False
         self._tasks: list[asyncio.Task] = []
 
     async def start(self):
         """Listens and registers."""
-        if self._former is None:
-            host, _, port = self.address.rpartition(":")
-            await self._server.listen(host, int(port))
-        else:
-            self._server = self._former.hand_over(self._handle)
+        host, _, port = self.address.rpartition(":")
+        await self._server.listen(host, int(port))
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._beat()),
@@ -130,28 +120,8 @@
         ]
         self._record.write("worker_up", worker=self.id, address=self.address)
 
-    async def await_idle_hold(self):
-        """Waits until a list of runs is answered while nothing runs here."""
-        self._idle_hold.clear()
-        await self._idle_hold.wait()
-        await asyncio.sleep(ANSWER_S)
-
-    def follow(self, former: "Worker"):
-        """Makes this the next life at the address of a silent worker."""
-        self._former = former
-
-    def hand_over(self, handler: web.Handler) -> web.Server:
-        """Leaves the address to the next life."""
-        self._server.handler = handler
-        return self._server
-
-    def crash(self, silent: bool = False):
-        """Ends at once with everything that runs; sends nothing.
-
-        Args:
-          silent: whether its channels stay open and silent, as after a loss of
-            power, and new ones get no answer.
-        """
+    def crash(self):
+        """Ends at once with everything that runs; sends nothing."""
         self._record.write(
             "worker_crashed",
             worker=self.id,
@@ -162,14 +132,13 @@
         for run in self.running.values():
             run.work.cancel()
         self.running.clear()
-        if silent:
-            self._is_silent = True
-        else:
-            self._server.close()
+        self._server.close()
 
-    def leave(self):
-        """Removes its entry from the store."""
-        self._rows.remove("servers", self.id)
+    def expire(self):
+        """Has its entry removed after three heartbeats of silence."""
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self._rows.remove, "servers", self.id
+        )
 
     def describe(self):
         """Returns its entry in the store."""
@@ -205,11 +174,6 @@
         return int((time.monotonic() - self._began) * 1000) + 1000
 
     async def _handle(self, request: web.Request):
-        if self._is_silent:
-            return None
-        latency_s = self.latencies_s.get(request.target)
-        if latency_s:
-            await asyncio.sleep(latency_s)
         if request.target == "/health":
             return 200, {}
         if request.headers.get("x-target-instance") != self.id:
@@ -347,8 +311,6 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._has_ended.wait()
-        if wait_ms and not self.running and not self._ended:
-            self._idle_hold.set()
         running = [
             [
                 run.task,
