--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -33,6 +33,8 @@
     REPEATED: the store held a submission of this id already.
     REFUSED: it is not stored and never will be by this call: no write was sent,
       or the store refused each one.
+    FOREIGN: as REFUSED, since the store holds a submission of another tenant
+      under this id.
     TOO_LARGE: as REFUSED, and the store would refuse it again.
     UNKNOWN: a write was not answered, so it may be stored now or later.
     """
@@ -40,6 +42,7 @@
     ACCEPTED = "accepted"
     REPEATED = "repeated"
     REFUSED = "refused"
+    FOREIGN = "foreign"
     TOO_LARGE = "too_large"
     UNKNOWN = "unknown"
 
@@ -238,6 +241,11 @@
             record = rowcodec.decode_row(
                 self._node, row, submissions.SubmissionRecord
             )
+            if record is not None and not submissions.is_open_to(
+                record.tenant, pending.record.tenant
+            ):
+                self._resolve(pending, AcceptanceResult(Outcome.FOREIGN))
+                continue
             if record is None or not record.is_tombstone:
                 self._resolve(pending, AcceptanceResult(Outcome.REPEATED))
                 continue
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -20,17 +20,22 @@
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import tenants
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpserver
 
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE_HEADER = "x-deadline-ms"
+KEY_HEADER = "authorization"
+KEY_SCHEME = "token"
 DEFAULT_WAIT_S = 3.0
 # Time reserved for the response to reach the caller before its deadline.
 ANSWER_MARGIN_S = 0.35
 # Retry-After of rejected requests: an outage of the store or a takeover of a
 # service lasts some seconds.
 RETRY_AFTER_S = 2
+# The caller of a queue that asks for no key.
+ANONYMOUS = tenants.Tenant("")
 
 
 def _confirm_cancel(
@@ -55,6 +60,14 @@
     )
 
 
+def read_key(request: httpserver.Request) -> str | None:
+    """Returns the API key that a request carries, None without one."""
+    scheme, _, key = request.headers.get(KEY_HEADER, "").partition(" ")
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
 class ClientApi:
     """Handles the HTTP requests of callers."""
 
@@ -94,7 +107,13 @@
         if self._reach.reach is connectivity.Reach.ISOLATED:
             return self._reject_isolated(request, queue, submission_id)
         deadline = start + self._read_timeout(request)
-        answer = await self._dispatch(request, queue, submission_id, deadline)
+        caller = self._authenticate(request, queue)
+        if isinstance(caller, httpserver.Response):
+            answer = caller
+        else:
+            answer = await self._dispatch(
+                request, queue, submission_id, deadline, caller.name
+            )
         elapsed_ms = (clock.read_clock() - start) * 1000
         self._node.metrics.count(
             f'requests{{method="{request.method}",status="{answer.status}"}}'
@@ -132,13 +151,46 @@
         request.headers["connection"] = "close"
         return make_error(503, "this VM is cut off", 1)
 
+    def _authenticate(
+        self, request: httpserver.Request, queue: configuration.Queue
+    ) -> tenants.Tenant | httpserver.Response:
+        """Returns the tenant of a caller, or the response that rejects it.
+
+        A key that isn't known is rejected on a queue without keys, too: the
+        caller takes its call for one of its tenant.
+        """
+        key = read_key(request)
+        if key is None:
+            if queue.allows_anonymous:
+                return ANONYMOUS
+            return make_error(401, "key missing")
+        current = self._node.configuration
+        tenant = current.find_tenant(key)
+        if tenant is not None:
+            return tenant
+        if queue.allows_anonymous and not current.tenants:
+            return ANONYMOUS
+        return make_error(401, "key unknown")
+
     def _read_timeout(self, request: httpserver.Request) -> float:
         """Returns the seconds left for a request, at least 0.2."""
         text = request.headers.get(DEADLINE_HEADER, "")
         wait_s = int(text) / 1000 if text.isdigit() else DEFAULT_WAIT_S
         return max(0.2, wait_s - ANSWER_MARGIN_S)
 
-    async def _dispatch(self, request, queue, submission_id, deadline):
+    async def _dispatch(
+        self, request, queue, submission_id, deadline, tenant: str
+    ):
+        """Handles a request of an authenticated caller.
+
+        Args:
+          request: the request.
+          queue: the queue that it was routed to.
+          submission_id: the id in its path, empty for the queue itself.
+          deadline: monotonic time in seconds by which its caller needs a
+            response.
+          tenant: name of the caller's tenant, empty without one.
+        """
         if not submission_id:
             if request.method != "GET":
                 return make_error(405, "method; allowed: GET")
@@ -146,20 +198,24 @@
         if not ID_PATTERN.fullmatch(submission_id):
             return make_error(404, "id; allowed: 16 hexadecimal digits")
         if request.method == "POST":
-            return await self._submit(request, queue, submission_id, deadline)
+            return await self._submit(
+                request, queue, submission_id, deadline, tenant
+            )
         if request.method == "GET":
-            return await self._answer_state(queue, submission_id)
+            return await self._answer_state(queue, submission_id, tenant)
         if request.method == "DELETE":
-            return await self._cancel(queue, submission_id, deadline)
+            return await self._cancel(queue, submission_id, deadline, tenant)
         return make_error(405, "method; allowed: POST, GET, DELETE")
 
     # Submitting.
 
-    async def _submit(self, request, queue, submission_id, deadline):
+    async def _submit(
+        self, request, queue, submission_id, deadline, tenant: str
+    ):
         if len(request.body) > self._node.configuration.max_body_bytes:
             return make_error(413, "body too large")
         record = messages.decode_submission(
-            request.body, queue, persistence.read_unix_ms()
+            request.body, queue, persistence.read_unix_ms(), tenant
         )
         if isinstance(record, str):
             return make_error(400, record)
@@ -191,6 +247,8 @@
             return make_error(503, "store unavailable", RETRY_AFTER_S)
         if outcome is acceptance.Outcome.TOO_LARGE:
             return make_error(413, "the store refuses a row of this size")
+        if outcome is acceptance.Outcome.FOREIGN:
+            return make_error(409, "id in use")
         if outcome is acceptance.Outcome.ACCEPTED:
             self._notify_owner(submission_id, record, version)
         return httpserver.Response(200)
@@ -260,11 +318,13 @@
 
     # Reading states and counts.
 
-    async def _answer_state(self, queue, submission_id):
+    async def _answer_state(self, queue, submission_id, tenant: str):
         view = await self._views.find_view(queue.service, submission_id)
         if view is None:
             return make_error(503, "store unreachable", RETRY_AFTER_S)
-        if view is views.ABSENT:
+        if view is views.ABSENT or not submissions.is_open_to(
+            view.tenant, tenant
+        ):
             return make_error(410, "no such submission")
         return httpserver.Response(
             200, messages.encode_state(view.state, view.has_started)
@@ -278,7 +338,7 @@
 
     # Cancelling.
 
-    async def _cancel(self, queue, submission_id, deadline):
+    async def _cancel(self, queue, submission_id, deadline, tenant: str):
         """Marks a submission as cancelled.
 
         If there is none, a row without content takes its place before that is
@@ -302,10 +362,12 @@
                 )
                 if record is None:
                     return make_error(500, "the stored row is unreadable")
+                if not submissions.is_open_to(record.tenant, tenant):
+                    return make_error(410, "no such submission")
                 if record.cancelled:
                     return _confirm_cancel(record)
             cancelled = (
-                submissions.make_tombstone(queue.name, queue.service)
+                submissions.make_tombstone(queue.name, queue.service, tenant)
                 if record is None
                 else submissions.make_cancelled(record)
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
@@ -12,6 +12,8 @@
 WAVE_PREFIX = "wave/"
 POLL_WAIT_S = 0.8
 RETRY_S = 0.15
+# Faulty fields of one configuration that are logged.
+MAX_LOGGED_PROBLEMS = 20
 
 
 class OperatorFeed:
@@ -91,6 +93,12 @@
         if current is not None and configuration.version <= current.version:
             return
         self._node.configuration = configuration
+        for problem in configuration.problems[:MAX_LOGGED_PROBLEMS]:
+            self._node.log.warn(
+                "configuration_faulty",
+                version=configuration.version,
+                reason=problem,
+            )
         self._node.metrics.set("configuration_version", configuration.version)
         self._node.log.warn(
             "configuration_applied",
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/views.py
@@ -19,16 +19,18 @@
 COUNT_TTL_S = 0.5
 
 
-class SubmissionView(msgspec.Struct):
+class SubmissionView(msgspec.Struct, omit_defaults=True):
     """State of a submission as its owner reports it.
 
     Attributes:
       state: its state.
       has_started: whether any of its tasks has been started.
+      tenant: the name of the tenant that submitted it, empty without one.
     """
 
     state: str
     has_started: bool
+    tenant: str = ""
 
 
 # The view of a submission that the store doesn't hold.
@@ -95,7 +97,9 @@
         state = submission.stored_state
         if submission.record.cancelled and state == submissions.ACTIVE:
             state = submissions.CANCELLED
-        return SubmissionView(state, submission.has_started)
+        return SubmissionView(
+            state, submission.has_started, submission.record.tenant
+        )
 
     async def _call_owner(self, service: str, target: str) -> bytes | None:
         """Sends a GET request to the owner of a service.
@@ -147,7 +151,7 @@
             state = progress_record.state
         if record.cancelled and state == submissions.ACTIVE:
             state = submissions.CANCELLED
-        return SubmissionView(state, bool(progress.rows))
+        return SubmissionView(state, bool(progress.rows), record.tenant)
 
     def count_waiting(self, service: str, queue: str) -> int | None:
         """Returns the number of waiting submissions of a queue.
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -2,9 +2,11 @@
 
 import base64
 import dataclasses
+from typing import Any
 
 import msgspec
 
+from persimmonpath_entry.platform import tenantmessages
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import numbers
 from persimmonpath_entry.state import submissions
@@ -81,7 +83,10 @@
 
 
 def decode_submission(
-    body: bytes, queue: configuration.Queue, accepted_ms: int
+    body: bytes,
+    queue: configuration.Queue,
+    accepted_ms: int,
+    tenant: str = "",
 ) -> submissions.SubmissionRecord | str:
     """Decodes the body of a submit call.
 
@@ -89,6 +94,7 @@
       body: the JSON body.
       queue: the queue that the call was routed to.
       accepted_ms: Unix milliseconds at which the call was accepted.
+      tenant: the name of the caller's tenant, empty without one.
 
     Returns:
       The record of the submission, or a text that says what is invalid.
@@ -107,6 +113,7 @@
         interval_ms=message.interval_ms,
         occurrences=message.run_count,
         policy=queue.describe_policy(),
+        tenant=tenant,
     )
     return (
         submissions.check_steps(record.steps)
@@ -133,6 +140,8 @@
     target_latency_ms: float = 0
     timeout_ms: float = 3000
     advice: _Advice | None = None
+    # Whether calls need no key; None if the configuration doesn't say.
+    allow_anonymous: bool | None = None
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -149,9 +158,12 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    # Decoded field by field: one faulty tenant must not keep a version from
+    # taking hold. None if the configuration has no tenants.
+    tenants: Any = None
 
 
-def _translate_route(route: _Route) -> configuration.Queue:
+def _translate_route(route: _Route, has_tenants: bool) -> configuration.Queue:
     advice = None
     if route.advice is not None:
         advice = configuration.AdvicePolicy(
@@ -168,6 +180,11 @@
         target_latency_ms=route.target_latency_ms,
         timeout_ms=route.timeout_ms,
         advice=advice,
+        allows_anonymous=(
+            not has_tenants
+            if route.allow_anonymous is None
+            else route.allow_anonymous
+        ),
     )
 
 
@@ -177,11 +194,16 @@
         message = msgspec.json.decode(value, type=_Configuration)
     except UNREADABLE as error:
         return str(error)
+    has_tenants = message.tenants is not None
+    decoded = tenantmessages.decode_tenants(message.tenants or [])
     return configuration.Configuration(
         message.version,
-        [_translate_route(route) for route in message.routes],
+        [_translate_route(route, has_tenants) for route in message.routes],
         [configuration.Service(s.name, s.standby) for s in message.services],
         message.limits.max_body_bytes,
+        decoded.tenants,
+        decoded.names_by_key,
+        decoded.problems,
     )
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/configuration.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/configuration.py
@@ -1,8 +1,11 @@
 """A version of the desired configuration with its queues and services."""
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
 from persimmonpath_entry.state import submissions
+from persimmonpath_entry.state import tenants as tenant_types
 
 DEFAULT_TIMEOUT_MS = 3000.0
 # For submissions whose rows hold no policy, with the lowest priority.
@@ -40,6 +43,7 @@
       target_latency_ms: milliseconds added to that product.
       timeout_ms: most milliseconds for which a caller waits.
       advice: the advisor's policy, or None if every worker may run its steps.
+      allows_anonymous: whether calls without a key are allowed.
     """
 
     name: str
@@ -52,6 +56,7 @@
     target_latency_ms: float
     timeout_ms: float
     advice: AdvicePolicy | None
+    allows_anonymous: bool = True
 
     def describe_policy(self) -> submissions.QueuePolicy:
         """Returns the settings that are stored with its submissions."""
@@ -113,6 +118,8 @@
       queues: the queues by name.
       services: the services by name.
       max_body_bytes: largest request body in bytes.
+      tenants: the tenants by name, empty in a deployment without tenants.
+      problems: fields that are faulty and were replaced by defined values.
     """
 
     def __init__(
@@ -121,17 +128,39 @@
         queues: list[Queue],
         services: list[Service],
         max_body_bytes: int,
+        tenants: Mapping[str, tenant_types.Tenant] | None = None,
+        names_by_key: Mapping[bytes, str] | None = None,
+        problems: Sequence[str] = (),
     ):
+        """Creates a version of the configuration.
+
+        Args:
+          version: the number of the version.
+          queues: its queues.
+          services: its services.
+          max_body_bytes: largest request body in bytes.
+          tenants: its tenants by name.
+          names_by_key: names of tenants by the digests of their API keys.
+          problems: what was faulty in the encoded configuration.
+        """
         self.version = version
         self.queues = {queue.name: queue for queue in queues}
         self.services = {service.name: service for service in services}
         self.max_body_bytes = max_body_bytes
+        self.tenants = dict(tenants or {})
+        self._names_by_key = dict(names_by_key or {})
+        self.problems = list(problems)
         self._by_host: dict[str, list[Queue]] = {}
         for queue in queues:
             self._by_host.setdefault(queue.host, []).append(queue)
         for rows in self._by_host.values():
             rows.sort(key=lambda queue: -len(queue.prefix))
 
+    def find_tenant(self, key: str) -> tenant_types.Tenant | None:
+        """Returns the tenant that an API key belongs to, or None."""
+        name = self._names_by_key.get(tenant_types.compute_digest(key))
+        return None if name is None else self.tenants[name]
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue that a request is for, or None.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -94,6 +94,7 @@
         steps aren't stored any longer then.
       is_tombstone: whether only a cancellation was received for its id. The row
         keeps an earlier transaction that is still under way from storing it.
+      tenant: the name of the tenant that submitted it, empty without one.
     """
 
     queue: str
@@ -107,6 +108,7 @@
     policy: QueuePolicy | None = None
     cancelled: bool = False
     is_tombstone: bool = False
+    tenant: str = ""
 
 
 def _make_masks() -> dict[str, int]:
@@ -159,6 +161,16 @@
     return any(step.long_running for step in record.steps)
 
 
+def is_open_to(owner: str, caller: str) -> bool:
+    """Returns whether a caller may read or cancel a submission.
+
+    Args:
+      owner: name of the tenant that submitted it, empty without one.
+      caller: name of the tenant of the caller, empty without one.
+    """
+    return not owner or owner == caller
+
+
 def make_cancelled(record: SubmissionRecord) -> SubmissionRecord:
     """Returns what the store keeps of a submission once it is cancelled.
 
@@ -171,13 +183,22 @@
         [],
         accepted_ms=record.accepted_ms,
         cancelled=True,
+        tenant=record.tenant,
     )
 
 
-def make_tombstone(queue: str, service: str) -> SubmissionRecord:
+def make_tombstone(
+    queue: str, service: str, tenant: str = ""
+) -> SubmissionRecord:
     """Returns the row of an id that was cancelled before it was stored."""
     return SubmissionRecord(
-        queue, service, "", [], cancelled=True, is_tombstone=True
+        queue,
+        service,
+        "",
+        [],
+        cancelled=True,
+        is_tombstone=True,
+        tenant=tenant,
     )
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -11,6 +11,7 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     409: "Conflict",
