Give the methods of the callers' API a default for calls without a tenant

Change: the tenant is empty by default, the module is imported under another name. Result: 55 tests of the callers' API, acceptance, decoders and takeover pass.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -179,7 +179,7 @@
         return max(0.2, wait_s - ANSWER_MARGIN_S)
 
     async def _dispatch(
-        self, request, queue, submission_id, deadline, tenant: str
+        self, request, queue, submission_id, deadline, tenant: str = ""
     ):
         """Handles a request of an authenticated caller.
 
@@ -210,7 +210,7 @@
     # Submitting.
 
     async def _submit(
-        self, request, queue, submission_id, deadline, tenant: str
+        self, request, queue, submission_id, deadline, tenant: str = ""
     ):
         if len(request.body) > self._node.configuration.max_body_bytes:
             return make_error(413, "body too large")
@@ -318,7 +318,7 @@
 
     # Reading states and counts.
 
-    async def _answer_state(self, queue, submission_id, tenant: str):
+    async def _answer_state(self, queue, submission_id, tenant: str = ""):
         view = await self._views.find_view(queue.service, submission_id)
         if view is None:
             return make_error(503, "store unreachable", RETRY_AFTER_S)
@@ -338,7 +338,7 @@
 
     # Cancelling.
 
-    async def _cancel(self, queue, submission_id, deadline, tenant: str):
+    async def _cancel(self, queue, submission_id, deadline, tenant: str = ""):
         """Marks a submission as cancelled.
 
         If there is none, a row without content takes its place before that is
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/tenantmessages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/tenantmessages.py
@@ -10,7 +10,7 @@
 import math
 
 from persimmonpath_entry.state import numbers
-from persimmonpath_entry.state import tenants
+from persimmonpath_entry.state import tenants as tenant_types
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +24,9 @@
       problems: faulty fields and what is allowed, without any key.
     """
 
-    tenants: dict[str, tenants.Tenant] = dataclasses.field(default_factory=dict)
+    tenants: dict[str, tenant_types.Tenant] = dataclasses.field(
+        default_factory=dict
+    )
     names_by_key: dict[bytes, str] = dataclasses.field(default_factory=dict)
     problems: list[str] = dataclasses.field(default_factory=list)
 
@@ -56,7 +58,7 @@
         decoded.problems.append(f"{path}.name: allowed: a text")
         return
     for index, key in enumerate(_list_keys(decoded, path, row)):
-        digest = tenants.compute_digest(key)
+        digest = tenant_types.compute_digest(key)
         holder = decoded.names_by_key.setdefault(digest, name)
         if holder != name:
             decoded.problems.append(
@@ -65,7 +67,7 @@
     if name in decoded.tenants:
         decoded.problems.append(f"{path}.name: used by a former entry")
         return
-    decoded.tenants[name] = tenants.Tenant(
+    decoded.tenants[name] = tenant_types.Tenant(
         name,
         _read_weight(decoded, path, row),
         _read_limit(decoded, f"{path}.maxCount", row.get("maxCount")),
@@ -85,21 +87,21 @@
 
 
 def _read_weight(decoded: DecodedTenants, path: str, row: dict) -> float:
-    weight = row.get("weight", tenants.DEFAULT_WEIGHT)
+    weight = row.get("weight", tenant_types.DEFAULT_WEIGHT)
     if _is_number(weight) and 0 < weight <= numbers.MAX_NUMBER:
         return float(weight)
     decoded.problems.append(f"{path}.weight: allowed: a number above 0")
-    return tenants.DEFAULT_WEIGHT
+    return tenant_types.DEFAULT_WEIGHT
 
 
 def _read_limit(
     decoded: DecodedTenants, path: str, row: object
-) -> tenants.TenantLimit:
+) -> tenant_types.TenantLimit:
     if row is None:
-        return tenants.UNLIMITED
+        return tenant_types.UNLIMITED
     if not isinstance(row, dict):
         decoded.problems.append(f"{path}: allowed: a table")
-        return tenants.UNLIMITED
+        return tenant_types.UNLIMITED
     limits: list[int | None] = []
     for field in ("cpu", "memMb", "gpu"):
         value = row.get(field, 0)
@@ -108,7 +110,7 @@
         else:
             decoded.problems.append(f"{path}.{field}: allowed: 0 or more")
             limits.append(None)
-    return tenants.TenantLimit(*limits)
+    return tenant_types.TenantLimit(*limits)
 
 
 def _is_number(value: object) -> bool:
