Learn of revoked keys from peers, and refuse unknown ones in strict mode

Cause: a VM that the store refuses, and that no peer relays for, kept its keys for as long as that lasted, and nothing knew how old its configuration was. Change: such a VM asks two peers every half second for a newer configuration; the age of the newest confirmation is kept, and with strictRevoke calls that need a key are rejected once it exceeds revokeMs.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -160,6 +160,8 @@
         caller takes its call for one of its tenant.
         """
         key = read_key(request)
+        if self._is_revocation_unknown() and not queue.allows_anonymous:
+            return make_error(503, "revoked keys unknown", 1)
         if key is None:
             if queue.allows_anonymous:
                 return ANONYMOUS
@@ -172,6 +174,14 @@
             return ANONYMOUS
         return make_error(401, "key unknown")
 
+    def _is_revocation_unknown(self) -> bool:
+        """Returns whether a revocation may be too long unknown to this VM."""
+        bounds = self._node.settings.bounds
+        if not bounds.strict_revoke:
+            return False
+        age_s = clock.read_clock() - self._node.configuration_confirmed_at
+        return age_s > bounds.revoke_ms / 1000
+
     def _read_timeout(self, request: httpserver.Request) -> float:
         """Returns the seconds left for a request, at least 0.2."""
         text = request.headers.get(DEADLINE_HEADER, "")
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/context.py
@@ -22,6 +22,9 @@
       boot: id of this incarnation of the process.
       configuration: newest operator configuration, None until the first one is
         read.
+      configuration_value: the encoded form of that configuration.
+      configuration_confirmed_at: when that configuration was last known to be
+        the newest one, on the monotonic clock.
       is_stopping: whether the process has been told to stop.
     """
 
@@ -31,6 +34,8 @@
     metrics: metrics.Metrics
     boot: str = dataclasses.field(default_factory=lambda: f"{time.time_ns():x}")
     configuration: desired.Configuration | None = None
+    configuration_value: bytes = b""
+    configuration_confirmed_at: float = 0.0
     is_stopping: bool = False
 
     @property
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -60,7 +60,9 @@
         store = platform_store.StoreClient(settings.store.address, measures)
         self.context = context.Context(settings, store, log, measures)
         self.members = members.Members(self.context)
-        self.operator_feed = operatorfeed.OperatorFeed(self.context)
+        self.operator_feed = operatorfeed.OperatorFeed(
+            self.context, self.members
+        )
         self._advisor = advicebalancer.AdviceBalancer(
             self.context, self.members
         )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -5,6 +5,7 @@
 from persimmonpath_entry.engine import advicebalancer
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import operatorfeed
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import ownerwatch
 from persimmonpath_entry.engine import views
@@ -59,6 +60,13 @@
                 return httpserver.Response(200, msgspec.json.encode(load))
             case ["advice"]:
                 return await self._answer_advice(request.body)
+            case ["configuration", version]:
+                known = operatorfeed.describe_configuration(
+                    self._node, int(version)
+                )
+                if known is None:
+                    return httpserver.Response(404)
+                return httpserver.Response(200, msgspec.json.encode(known))
             case ["boot"]:
                 return httpserver.Response(200, self._node.boot.encode())
             case ["watch"]:
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -22,6 +22,10 @@
     grace_s: float = 6
     addr_reuse_s: float = 2
     maintenance_s: float = 2
+    # Whether keys are refused while it can't be known for revoke_ms whether
+    # they were revoked.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
     status_s: float = msgspec.field(name="status_s", default=120)
 
 
