Hold the limits of tenants over several owners

Cause: nothing looked at maxCount.

Each shard counts what its tenants use (engine/tenantusage.py) and asks before it plans a step, so that a blocked step reserves nothing. A submission with a task or gang above the limit gets 413.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -224,6 +224,9 @@
         )
         if problem is not None:
             return make_error(413, problem)
+        refusal = await self._refuse_oversized(submission_id, record)
+        if refusal is not None:
+            return refusal
         if not self._reach.can_use_store():
             return make_error(503, "store unreachable", RETRY_AFTER_S)
         refusal = await self._refuse_overload(queue, submission_id, record)
@@ -253,6 +256,32 @@
             self._notify_owner(submission_id, record, version)
         return httpserver.Response(200)
 
+    async def _refuse_oversized(
+        self, submission_id: str, record: submissions.SubmissionRecord
+    ) -> httpserver.Response | None:
+        """Refuses a submission that can never run within its tenant's limit.
+
+        A repeat of one that was stored before the limit was lowered isn't
+        refused.
+
+        Returns:
+          The response, None if the submission is accepted.
+        """
+        tenant = self._node.configuration.tenants.get(record.tenant)
+        if tenant is None:
+            return None
+        problem = submissions.check_limit(record, tenant.limit)
+        if problem is None:
+            return None
+        stored = await self._node.store.read_row(
+            persistence.SUBMISSION_TABLE,
+            persistence.find_partition(submission_id),
+            submission_id,
+        )
+        if not isinstance(stored, platform_store.Rows):
+            return make_error(503, "store unavailable", RETRY_AFTER_S)
+        return None if stored.rows else make_error(413, problem)
+
     async def _refuse_overload(
         self, queue, submission_id, record
     ) -> httpserver.Response | None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
@@ -1,13 +1,20 @@
 """Text overview of an entry VM's state for operators."""
 
+from persimmonpath import resources
+from persimmonpath_entry.decisions import quotashares
 from persimmonpath_entry.transport import clock
 
+# Tenants that are shown.
+MAX_TENANTS = 100
+
 
 def render(node) -> str:
     """Returns the state of an entry VM as lines of key=value pairs.
 
     The lines show the configuration version, the reach, the owner of each
-    service, and the workers and active submissions of each shard of this VM.
+    service, and the workers, active submissions and tenants of each shard of
+    this VM. Amounts of tenants are cpu/memory/accelerators; what a tenant may
+    use without limit is shown as "-".
 
     Args:
       node: the node of the entry VM.
@@ -24,6 +31,7 @@
         lines.append(f"service={service} owner={owner}")
     for shard in node.ownership.shards.values():
         lines += _render_shard(shard)
+        lines += _render_tenants(shard.tenant_usage)
     return "\n".join(lines) + "\n"
 
 
@@ -54,3 +62,22 @@
                 f"age_s={now - submission.known_since:.1f} runs={runs}"
             )
     return lines
+
+
+def _render_tenants(usage) -> list[str]:
+    return [
+        f"tenant={tenant} used={_render_amount(usage.find_counted(tenant))} "
+        f"share={_render_amount(usage.allowances.get(tenant, resources.ZERO))} "
+        f"limit={_render_amount(usage.limits.get(tenant))} "
+        f"limited={usage.is_lacking(tenant)}"
+        for tenant in usage.list_tenants()[:MAX_TENANTS]
+    ]
+
+
+def _render_amount(amount: resources.Resources | None) -> str:
+    if amount is None:
+        return "-/-/-"
+    return "/".join(
+        "-" if value >= quotashares.UNBOUNDED else str(value)
+        for value in quotashares.split(amount)
+    )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -27,7 +27,7 @@
 IN_FLIGHT_GRACE_S = 0.5
 # Stands for the owner and for the workers that an unreadable row names.
 UNREADABLE_OWNER = "?"
-ANY_WORKER = "?"
+ANY_WORKER = fleet.ANY_WORKER
 
 
 class ObservedOwner:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -10,6 +10,7 @@
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
+from persimmonpath_entry.engine import tenantusage
 from persimmonpath_entry.engine import workerregistry
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import configuration
@@ -60,6 +61,7 @@
       occurrence_opener: opens and closes the occurrences of submissions.
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
+      tenant_usage: what the tenants use and may use of their limits.
       has_read_workers: whether the table of the workers has been read.
       is_open: whether this process still acts as the owner.
       is_leaving: whether the owner is about to release the service.
@@ -111,6 +113,7 @@
         self.occurrence_opener = occurrences.OccurrenceOpener(self)
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
+        self.tenant_usage = tenantusage.TenantUsage(self)
         self.has_read_workers = False
         self.is_open = True
         self.is_leaving = False
@@ -386,6 +389,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.tenant_usage.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -422,6 +426,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.tenant_usage.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -437,7 +442,8 @@
           saved: the newest checkpoint of the run, or empty.
         """
         task = run.task
-        run.worker.remove_run(run)
+        if run.worker.remove_run(run):
+            self.tenant_usage.remove_run(run)
         self.pool.update(run.worker)
         if run in task.runs:
             task.runs.remove(run)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
@@ -10,6 +10,7 @@
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import persistence
+from persimmonpath_entry.engine import quotaledger
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.engine import shardmaintenance
 from persimmonpath_entry.engine import supervision
@@ -29,12 +30,14 @@
       writer: writes its rows.
       maintenance: loads it and follows the store.
       scheduler: places its tasks.
+      ledger: holds the shares of the tenants' limits.
     """
 
     shard: shards.Shard
     writer: persistence.ShardWriter
     maintenance: shardmaintenance.ShardMaintenance
     scheduler: taskscheduler.TaskScheduler
+    ledger: quotaledger.QuotaLedger
 
     def start(self, node: context.Context):
         """Starts all parts; tasks are placed once the shard is loaded.
@@ -45,6 +48,9 @@
         self.shard.spawn(
             supervision.keep_running(node, "shard_writer", self.writer.run)
         )
+        self.shard.spawn(
+            supervision.keep_running(node, "quota_ledger", self.ledger.run)
+        )
         self.shard.spawn(self._serve(node))
 
     async def _serve(self, node: context.Context):
@@ -107,4 +113,5 @@
         writer,
         shardmaintenance.ShardMaintenance(shard, commands),
         taskscheduler.TaskScheduler(shard, commands, poller, advisor),
+        quotaledger.QuotaLedger(shard),
     )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -60,6 +60,7 @@
     ):
         self._shard = shard
         self._node = shard.node
+        self._usage = shard.tenant_usage
         self._commands = commands
         self._poller = poller
         self._ticket_requester = ticketrequests.TicketRequester(shard, advisor)
@@ -106,6 +107,7 @@
         has_work = shard.ready_steps or shard.next_steps
         if not shard.may_start(now) or not has_work:
             return
+        self._usage.refresh()
         if not self._pacer.is_due(shard.is_pass_requested, now):
             self._place_changed(now)
             return
@@ -154,6 +156,7 @@
             is_complete = self._handle_until_over(self._left_out, now)
         else:
             is_complete = self._plan_anew(now)
+        self._usage.finish_plan(now, is_complete)
         if not is_complete:
             self._shard.request_schedule()
             return
@@ -166,6 +169,7 @@
         """Plans the most urgent steps first; returns whether it got to all."""
         self._shard.changed_steps.clear()
         self._planner.begin_plan(now)
+        self._usage.begin_plan()
         self._ticket_requester.begin_pass()
         for step, until in list(self._broken_until.items()):
             if until <= now:
@@ -270,6 +274,7 @@
     def _handle_step(
         self, step: execution.Step, now: float, backfill_limit: int | None
     ):
+        self._usage.release(step)
         if not step.submission.is_active:
             self._forget_step(step)
             return
@@ -294,8 +299,11 @@
             return
         if backfill_limit is not None:
             waiting = waiting[:backfill_limit]
+        waiting = self._usage.limit_waiting(step, waiting, now)
         if waiting:
             self._place_step(step, waiting, now, backfill_limit is None)
+            if self._usage.limits:
+                self._usage.hold(step, self._planner.count_held(step))
 
     def _forget_step(self, step: execution.Step):
         self._shard.ready_steps.discard(step)
--- /dev/null
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -0,0 +1,390 @@
+"""What the tenants of a shard use, and what they may still start.
+
+A run counts from its creation, before its start is sent, until its end is
+known. What may run without being known as a run counts as well: runs that a
+worker lists and whose task isn't known, and what a former owner may have left
+on workers that haven't answered this one.
+"""
+
+import collections
+from collections.abc import Iterator
+
+from persimmonpath import resources
+from persimmonpath_entry.decisions import quotashares
+from persimmonpath_entry.state import configuration
+from persimmonpath_entry.state import execution
+from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
+
+# Stands for all tenants in the usage by tenant.
+EVERY_TENANT = None
+# Seconds after which a lack of room that no plan has seen again is over. A plan
+# of an overloaded service doesn't get to all steps.
+LACK_TTL_S = 1.0
+# Seconds for which a large task or gang finds no room before room is kept for
+# it, which other work of its tenant could use meanwhile.
+LARGE_WAIT_S = 2.0
+
+
+def measure_size(
+    spec: submissions.StepSpec, count: int = 1
+) -> resources.Resources:
+    """Returns what a number of tasks of a step use, fillers' CPU included."""
+    return resources.Resources(
+        spec.cpu * count, spec.memory_mb * count, spec.gpu * count
+    )
+
+
+class TenantUsage:
+    """Usage of the tenants in one shard, and what their limits allow.
+
+    Attributes:
+      limits: the limits by tenant; tenants without a limit are left out. One
+        that is no longer configured keeps its last known limit.
+      allowances: what each tenant may use in this shard, as of the newest
+        shares. A tenant with a limit that is missing here may use nothing.
+    """
+
+    def __init__(self, shard):
+        """Creates the usage of a shard without runs.
+
+        Args:
+          shard: the shard.
+        """
+        self._shard = shard
+        self.limits: dict[str, resources.Resources] = {}
+        self.allowances: dict[str, resources.Resources] = {}
+        self._configuration: configuration.Configuration | None = None
+        self._used: dict[str, resources.Resources] = {}
+        # What may run unknown to this owner; EVERY_TENANT adds to each of them.
+        self._unknown: dict[str | None, resources.Resources] = {}
+        # What the steps hold in the current plan without a run, by step, and
+        # the sums by tenant.
+        self._planned: dict[execution.Step, resources.Resources] = {}
+        self._planned_sums: dict[str, resources.Resources] = {}
+        # What found no room in the current plan, and in former ones with the
+        # time of the plan.
+        self._lacking: dict[str, resources.Resources] = {}
+        self._last_lacking: dict[str, tuple[resources.Resources, float]] = {}
+        # The large task or gang of each tenant that has found no room, and
+        # since when.
+        self._large: dict[str, tuple[execution.Step, float]] = {}
+
+    def refresh(self):
+        """Applies a new configuration and counts anew what isn't known."""
+        current = self._shard.node.configuration
+        if current is not self._configuration and current is not None:
+            self._configuration = current
+            self._apply_limits(current)
+        if self.limits:
+            self._count_unknown()
+
+    def _apply_limits(self, current: configuration.Configuration):
+        for name, tenant in current.tenants.items():
+            limit = quotashares.convert_limit(tenant.limit)
+            if limit is None:
+                self.limits.pop(name, None)
+            else:
+                self.limits[name] = limit
+
+    def add_run(self, run: execution.Run):
+        """Counts a run that is about to be sent, or that a worker lists."""
+        tenant = run.task.step.submission.record.tenant
+        if tenant:
+            used = self._used.get(tenant, resources.ZERO)
+            self._used[tenant] = used + measure_size(run.spec)
+
+    def remove_run(self, run: execution.Run):
+        """Uncounts a run whose end is known."""
+        tenant = run.task.step.submission.record.tenant
+        if not tenant:
+            return
+        left = self._used[tenant] - measure_size(run.spec)
+        if left == resources.ZERO:
+            del self._used[tenant]
+        else:
+            self._used[tenant] = left
+        if tenant in self._lacking or tenant in self._last_lacking:
+            self._shard.request_schedule()
+
+    def list_tenants(self) -> list[str]:
+        """Returns the tenants that use something or have a limit."""
+        return sorted(self._used.keys() | self.limits.keys())
+
+    def find_used(self, tenant: str) -> resources.Resources:
+        """Returns what the known runs of a tenant use."""
+        return self._used.get(tenant, resources.ZERO)
+
+    def find_counted(self, tenant: str) -> resources.Resources:
+        """Returns what counts as used, with what may run unknown."""
+        counted = self._used.get(tenant, resources.ZERO)
+        if self._unknown:
+            counted += self._unknown.get(tenant, resources.ZERO)
+            counted += self._unknown.get(EVERY_TENANT, resources.ZERO)
+        return counted
+
+    def find_kept(self, tenant: str) -> resources.Resources:
+        """Returns what counts as used, with what the plan holds for starts."""
+        planned = self._planned_sums.get(tenant, resources.ZERO)
+        return self.find_counted(tenant) + planned
+
+    def find_want(self, tenant: str, now: float) -> resources.Resources:
+        """Returns what a tenant could use: also what is planned or lacks room.
+
+        While room is kept for a large step, nothing else of the tenant starts
+        and counts.
+
+        Args:
+          tenant: the name of the tenant.
+          now: the monotonic clock, in seconds.
+        """
+        large = self.find_large(tenant, now)
+        planned = self._planned_sums.get(tenant, resources.ZERO)
+        used = self.find_used(tenant) + planned
+        if large is not None:
+            return used + measure_unit(large)
+        row = self._last_lacking.get(tenant)
+        lacking = resources.ZERO if row is None else row[0]
+        return used + lacking
+
+    def is_lacking(self, tenant: str) -> bool:
+        """Returns whether work of a tenant found no room in the last plan."""
+        return tenant in self._last_lacking
+
+    def find_large(self, tenant: str, now: float) -> execution.Step | None:
+        """Returns the step for which room is kept now, None without one.
+
+        Args:
+          tenant: the name of the tenant.
+          now: the monotonic clock, in seconds.
+        """
+        row = self._large.get(tenant)
+        if row is None or now - row[1] < LARGE_WAIT_S:
+            return None
+        return row[0]
+
+    # Planning.
+
+    def begin_plan(self):
+        """Forgets what the steps held, before all of them are planned anew."""
+        self.refresh()
+        self._planned.clear()
+        self._planned_sums.clear()
+        self._lacking = {}
+
+    def finish_plan(self, now: float, is_complete: bool):
+        """Records what found no room in a plan.
+
+        Args:
+          now: the monotonic clock, in seconds.
+          is_complete: whether the plan has got to all steps.
+        """
+        for tenant, amount in self._lacking.items():
+            self._last_lacking[tenant] = (amount, now)
+        for tenant, (_, at) in list(self._last_lacking.items()):
+            if at < now - (0.0 if is_complete else LACK_TTL_S):
+                del self._last_lacking[tenant]
+        for tenant, (step, _) in list(self._large.items()):
+            is_over = not step.submission.is_active or not step.list_waiting()
+            if is_over or tenant not in self._last_lacking:
+                del self._large[tenant]
+
+    def limit_waiting(
+        self, step: execution.Step, waiting: list[execution.Task], now: float
+    ) -> list[execution.Task]:
+        """Returns the waiting tasks that the limit of the tenant lets start.
+
+        Args:
+          step: the step.
+          waiting: its tasks that wait; all members of a gang.
+          now: the monotonic clock, in seconds.
+        """
+        tenant = step.submission.record.tenant
+        if tenant not in self.limits:
+            return waiting
+        self.release(step)
+        count = len(waiting)
+        startable = self._count_for_step(step, count, now)
+        if step.spec.gang and startable < count:
+            startable = 0
+        if startable < count:
+            self._record_lacking(step, count - startable, now)
+        elif tenant in self._large and self._large[tenant][0] is step:
+            del self._large[tenant]
+        return waiting[:startable]
+
+    def count_startable(
+        self, tenant: str, spec: submissions.StepSpec, count: int
+    ) -> int:
+        """Returns how many of some tasks of a step a tenant may start now.
+
+        Args:
+          tenant: the name of the tenant, empty without one.
+          spec: the step.
+          count: number of tasks that wait.
+        """
+        if tenant not in self.limits:
+            return count
+        return self._count_fitting(tenant, spec, count, resources.ZERO)
+
+    def _count_for_step(self, step, count: int, now: float) -> int:
+        tenant = step.submission.record.tenant
+        large = self.find_large(tenant, now)
+        kept = resources.ZERO
+        if large is not None and large is not step:
+            kept = measure_unit(large)
+        return self._count_fitting(tenant, step.spec, count, kept)
+
+    def _count_fitting(
+        self, tenant: str, spec, count: int, kept: resources.Resources
+    ) -> int:
+        allowed = self.allowances.get(tenant, resources.ZERO)
+        room = allowed - self.find_counted(tenant) - kept
+        planned = self._planned_sums.get(tenant)
+        if planned is not None:
+            room -= planned
+        size = (spec.cpu, spec.memory_mb, spec.gpu)
+        for left, need in zip(quotashares.split(room), size, strict=True):
+            if need:
+                count = min(count, max(0, left) // need)
+        return count
+
+    def _record_lacking(self, step: execution.Step, count: int, now: float):
+        tenant = step.submission.record.tenant
+        lacking = self._lacking.get(tenant, resources.ZERO)
+        limit = self.limits[tenant]
+        if lacking.fits_in(limit):
+            self._lacking[tenant] = lacking + measure_size(step.spec, count)
+        is_large = quotashares.is_large(limit, measure_unit(step))
+        if is_large and tenant not in self._large:
+            self._large[tenant] = (step, now)
+
+    def hold(self, step: execution.Step, count: int):
+        """Counts tasks that are planned and have no run yet.
+
+        Args:
+          step: the step.
+          count: number of tasks.
+        """
+        tenant = step.submission.record.tenant
+        if not count or tenant not in self.limits:
+            return
+        size = measure_size(step.spec, count)
+        self._planned[step] = size
+        self._planned_sums[tenant] = (
+            self._planned_sums.get(tenant, resources.ZERO) + size
+        )
+
+    def release(self, step: execution.Step):
+        """Uncounts what a step holds in the plan."""
+        size = self._planned.pop(step, None)
+        if size is not None:
+            self._planned_sums[step.submission.record.tenant] -= size
+
+    # What may run without being known as a run.
+
+    def _count_unknown(self):
+        shard = self._shard
+        self._unknown = {}
+        if not shard.unsettled and not shard.unidentified_tasks:
+            return
+        sums = collections.defaultdict(lambda: resources.ZERO)
+        for worker_id in shard.unsettled:
+            for tenant, amount in self._list_unsettled(worker_id):
+                sums[tenant] += amount
+        for worker_id in shard.unidentified_tasks:
+            worker = shard.workers.get(worker_id)
+            if worker is not None and worker_id not in shard.unsettled:
+                names = {name for name, _ in worker.unknown_runs}
+                for tenant, amount in self._list_tasks(
+                    names, _measure_free(worker)
+                ):
+                    sums[tenant] += amount
+        self._unknown = dict(sums)
+
+    def _list_unsettled(
+        self, worker_id: str
+    ) -> Iterator[tuple[str | None, resources.Resources]]:
+        """Yields what may run on a worker that hasn't answered this owner."""
+        workers = self._shard.workers
+        if worker_id == fleet.ANY_WORKER:
+            for worker in workers.values():
+                if not worker.is_fenced and worker.id not in (
+                    self._shard.unsettled
+                ):
+                    yield EVERY_TENANT, _measure_capacity(worker)
+        worker = workers.get(worker_id)
+        if worker is not None:
+            capacity = _measure_capacity(worker)
+        else:
+            capacity = self._find_largest_capacity()
+        names = self._shard.unsettled_tasks.get(worker_id)
+        if names is None:
+            yield EVERY_TENANT, capacity
+        else:
+            yield from self._list_tasks(names, capacity)
+
+    def _find_largest_capacity(self) -> resources.Resources:
+        """Returns the largest capacity of a worker, in each resource."""
+        sizes = [
+            quotashares.split(_measure_capacity(worker))
+            for worker in self._shard.workers.values()
+        ]
+        return resources.Resources(*map(max, zip(*sizes, strict=True)))
+
+    def _list_tasks(
+        self, names: set[str], capacity: resources.Resources
+    ) -> Iterator[tuple[str | None, resources.Resources]]:
+        """Yields the sizes of tasks that may run on a worker.
+
+        Args:
+          names: the names of the tasks.
+          capacity: what those may use whose size isn't known, all together.
+        """
+        tenants_without_size = set()
+        for name in names:
+            submission_id, _, key = name.partition(".")
+            submission = self._shard.submissions.get(submission_id)
+            if submission is None:
+                tenants_without_size.add(EVERY_TENANT)
+                continue
+            spec = _find_spec(submission, key)
+            if spec is None:
+                tenants_without_size.add(submission.record.tenant)
+            else:
+                yield submission.record.tenant, measure_size(spec)
+        if EVERY_TENANT in tenants_without_size:
+            tenants_without_size = {EVERY_TENANT}
+        for tenant in tenants_without_size:
+            yield tenant, capacity
+
+
+def measure_unit(step: execution.Step) -> resources.Resources:
+    """Returns what a step needs at least to start: a task or a whole gang."""
+    return measure_size(step.spec, step.remaining if step.spec.gang else 1)
+
+
+def _find_spec(
+    submission: execution.Submission, key: str
+) -> submissions.StepSpec | None:
+    """Returns the step of a task, None if the submission has ended."""
+    number = key.partition(".")[2].partition(".")[0]
+    steps = submission.record.steps
+    if not number.isdecimal() or len(number) > 5 or int(number) >= len(steps):
+        return None
+    return steps[int(number)]
+
+
+def _measure_capacity(worker: fleet.Worker) -> resources.Resources:
+    registration = worker.registration
+    return resources.Resources(
+        registration.cpu, registration.memory_mb, registration.gpu
+    )
+
+
+def _measure_free(worker: fleet.Worker) -> resources.Resources:
+    return resources.Resources(
+        max(0, worker.free_cpu),
+        max(0, worker.free_memory_mb),
+        max(0, worker.free_gpu),
+    )
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -10,6 +10,8 @@
 # for a transaction of the store, too short for a task to start and end on a
 # restarted worker.
 ACKNOWLEDGE_WINDOW_S = 0.15
+# Stands for all workers where a row that names them can't be read.
+ANY_WORKER = "?"
 
 
 # Most seconds by which answers on different connections arrive out of order.
@@ -173,10 +175,12 @@
         self.runs[run.task.name, run.number] = run
         self._adjust_usage(run.spec, 1)
 
-    def remove_run(self, run):
-        """Removes a run, if present, and releases its capacity."""
-        if self.runs.pop((run.task.name, run.number), None) is not None:
-            self._adjust_usage(run.spec, -1)
+    def remove_run(self, run) -> bool:
+        """Removes a run and releases its capacity; returns if it was there."""
+        if self.runs.pop((run.task.name, run.number), None) is None:
+            return False
+        self._adjust_usage(run.spec, -1)
+        return True
 
     def _adjust_usage(self, spec, sign: int):
         if spec.is_filler:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from persimmonpath_entry.state import numbers
+from persimmonpath_entry.state import tenants
 
 ACTIVE = ""
 COMPLETED = "completed"
@@ -271,6 +272,27 @@
     return None
 
 
+def check_limit(
+    record: SubmissionRecord, limit: tenants.TenantLimit
+) -> str | None:
+    """Returns why a submission can never run within a limit, or None.
+
+    Args:
+      record: a submission with valid steps.
+      limit: the limit of its tenant.
+    """
+    for number, step in enumerate(record.steps):
+        count = step.count if step.gang else 1
+        size = (step.cpu * count, step.memory_mb * count, step.gpu * count)
+        if not limit.allows(*size):
+            unit = "gang" if step.gang else "task"
+            return (
+                f"steps[{number}]: a {unit} of cpu {size[0]}, memory "
+                f"{size[1]} and gpu {size[2]} is over the limit of the tenant"
+            )
+    return None
+
+
 def check_steps(steps: list[StepSpec]) -> str | None:
     """Returns the first error in the steps of a submission, or None."""
     if not steps:
