Restore the CPU share of fillers once no latency target is left

Cause: the share of fillers was adapted only while their worker had runs with a latency target. A filler at 0 percent stayed there once that run was cancelled, failed or moved, also under the next owner. Change: without such runs the share is 100 percent; a new owner takes the share over from the listing; a filler with a target of its own throttles nothing; a share is set again after 2 s if the worker lists another one.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -386,6 +386,10 @@
         self._node.log.write(
             "run_adopted", task=row.task, run=row.run, worker=worker.id
         )
+        if task.step.spec.is_filler and row.percent < worker.filler_percent:
+            # A former owner has throttled the fillers of the worker.
+            worker.filler_percent = int(row.percent)
+            worker.paced_at = now
         return self._shard.adopt_run(task, row.run, worker, now)
 
     def _handle_unknown_run(self, worker, row, since: float, now: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -381,6 +381,7 @@
         run = execution.Run(
             task, number, worker, execution.Phase.STARTING, clock.read_clock()
         )
+        run.paced_at = run.sent_at
         task.last_number = number
         task.wants_copy = False
         task.is_accounted = True
@@ -418,6 +419,7 @@
         run = execution.Run(
             task, number, worker, execution.Phase.RUNNING, now, confirmed_at=now
         )
+        run.paced_percent = None
         task.last_number = max(task.last_number, number)
         task.is_accounted = True
         task.runs.append(run)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -17,6 +17,9 @@
 from persimmonpath_entry.transport import clock
 
 CHECK_INTERVAL_S = 0.2
+# Seconds after which the CPU share of a filler is set again if its worker lists
+# another one. A run that is starting up is listed at 0 percent.
+PACE_REPEAT_S = 2.0
 # Submissions are announced by peers, unless these don't reach the owner.
 SUBMISSION_POLL_S = 0.25
 REMOVAL_INTERVAL_S = 20.0
@@ -206,8 +209,8 @@
             self._stop_for_drain(worker, now)
         if worker.evacuating_until > now:
             self._evacuate_long_running(worker)
-        if worker.filler_runs and worker.latency_sensitive_runs:
-            self._throttle_fillers(worker, now)
+        if worker.filler_runs or worker.filler_percent < pacing.FULL_PERCENT:
+            self._pace_fillers(worker, now)
         for run in list(worker.runs.values()):
             typical_s = self._shard.run_end_handler.find_typical_duration(
                 run.task.step.submission.record.queue
@@ -234,15 +237,38 @@
             if health.should_evacuate(run):
                 self._commands.stop(run, "upkeep")
 
-    def _throttle_fillers(self, worker: fleet.Worker, now: float):
+    def _pace_fillers(self, worker: fleet.Worker, now: float):
+        """Sets the share of a worker's fillers."""
+        percent = self._choose_filler_percent(worker, now)
+        if percent != worker.filler_percent:
+            worker.filler_percent = percent
+            worker.paced_at = now
+        for run in worker.runs.values():
+            is_filling = (
+                run.spec.is_filler and run.phase is execution.Phase.RUNNING
+            )
+            if not is_filling or run.percent == percent:
+                continue
+            is_new = run.paced_percent != percent
+            if is_new or now - run.paced_at > PACE_REPEAT_S:
+                self._commands.pace(run, percent)
+
+    def _choose_filler_percent(self, worker: fleet.Worker, now: float) -> int:
         """Adapts the share of fillers to the latency targets beside them."""
+        if worker.unresponsive_since is not None:
+            return worker.filler_percent
+        if not worker.latency_sensitive_runs:
+            # A run that isn't known yet may have a target.
+            if worker.unknown_runs:
+                return worker.filler_percent
+            return pacing.FULL_PERCENT
         latency_sensitive_runs = [
             run
             for run in worker.runs.values()
-            if run.spec.target_ms and run.load is not None
+            if run.spec.is_latency_sensitive and run.load is not None
         ]
         if not latency_sensitive_runs:
-            return
+            return worker.filler_percent
         over_target_s = max(
             0.0
             if run.over_target_since is None
@@ -252,21 +278,12 @@
         tail_share = max(
             run.load / run.spec.target_ms for run in latency_sensitive_runs
         )
-        percent = pacing.choose_filler_percent(
+        return pacing.choose_filler_percent(
             worker.filler_percent,
             over_target_s,
             tail_share,
             now - worker.paced_at,
         )
-        if percent != worker.filler_percent:
-            worker.filler_percent = percent
-            worker.paced_at = now
-        for run in worker.runs.values():
-            is_filling = (
-                run.spec.is_filler and run.phase is execution.Phase.RUNNING
-            )
-            if is_filling and run.percent != percent:
-                self._commands.pace(run, percent)
 
     def _stop_for_drain(self, worker: fleet.Worker, now: float):
         for run in list(worker.runs.values()):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -191,7 +191,8 @@
         finally:
             run.is_being_paced = False
         if isinstance(result, worker_calls.Accepted):
-            run.percent = percent
+            run.percent = run.paced_percent = percent
+            run.paced_at = clock.read_clock()
         self._node.log.write(
             "run_paced",
             task=run.task.name,
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -58,6 +58,9 @@
         CPU usage in thousandths of a core.
       load_at: when that load was reported, or None.
       percent: the CPU share that it may use, in percent.
+      paced_percent: the share that this owner has set last, None for a run of a
+        former owner.
+      paced_at: when that share was set, 0 before.
       is_at_work: whether the last listing shows a long-running task at work.
         After its start it takes a while to begin.
       idle_since: since when it has used no CPU time, or None.
@@ -78,6 +81,8 @@
     requeue: bool = True
     load: float | None = None
     percent: float = 100
+    paced_percent: int | None = 100
+    paced_at: float = 0.0
     is_at_work: bool = False
     idle_since: float | None = None
     load_at: float | None = None
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -184,7 +184,7 @@
             self.filler_runs += sign
         else:
             self.used_cpu += sign * spec.cpu
-        if spec.target_ms:
+        if spec.is_latency_sensitive:
             self.latency_sensitive_runs += sign
         self.used_memory_mb += sign * spec.memory_mb
         self.used_gpu += sign * spec.gpu
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/submissions.py
@@ -56,6 +56,15 @@
     is_filler: bool = False
     may_miss: numbers.Count = 0
 
+    @property
+    def is_latency_sensitive(self) -> bool:
+        """Whether fillers beside its tasks are throttled for their target.
+
+        A filler with a target isn't: it would throttle itself and, as it misses
+        its target all the more, never recover.
+        """
+        return bool(self.target_ms) and not self.is_filler
+
 
 class QueuePolicy(msgspec.Struct, array_like=True, frozen=True):
     """What an owner needs to know of a queue that was removed.
--- /dev/null
+++ b/tests/entry/test_shardmaintenance.py
@@ -0,0 +1,142 @@
+"""Tests of the periodic checks of a shard's workers."""
+
+import unittest
+
+from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import shardmaintenance
+from persimmonpath_entry.platform import workers as worker_calls
+from persimmonpath_entry.state import submissions
+from persimmonpath_entry.transport import clock
+from tests.entry import fakes
+
+SERVING_ID = "00000000000000aa"
+FILLING_ID = "00000000000000bb"
+TARGET_MS = 100
+SERVING = submissions.StepSpec(
+    count=1, cpu=4000, memory_mb=100, long_running=True, target_ms=TARGET_MS
+)
+FILLING = submissions.StepSpec(count=1, cpu=4000, memory_mb=100, is_filler=True)
+
+
+class RecordingCommands:
+    """Records commands to workers and carries out none."""
+
+    def __init__(self):
+        self.percents = []
+        self.stopped = []
+
+    def pace(self, run, percent):
+        """Records a share and takes it as applied."""
+        self.percents.append(percent)
+        run.percent = percent
+
+    def stop_unknown_run(self, worker, task, number):
+        """Ignores a run of a submission that isn't read yet."""
+
+    def stop(self, run, reason):
+        """Records a stop and takes it as ordered."""
+        self.stopped.append((run.task.key, reason))
+        run.is_being_stopped = True
+        run.phase = run.phase.STOPPING
+
+
+def make_maintenance(shard):
+    """Returns the maintenance of a shard and the commands that it gives."""
+    commands = RecordingCommands()
+    return shardmaintenance.ShardMaintenance(shard, commands), commands
+
+
+def apply_listing(shard, worker, running):
+    """Applies a listing of a worker, given the rows of its running tasks."""
+    poller = listings.ListingPoller(shard)
+    poller.commands = RecordingCommands()
+    now = clock.read_clock()
+    listing = worker_calls.Listing(
+        clock_ms=2000.0,
+        born=1,
+        running=[worker_calls.RunningTask(*row) for row in running],
+        ended=[],
+    )
+    poller._apply_listing(worker, listing, now, now)
+
+
+class FillerShareTest(unittest.IsolatedAsyncioTestCase):
+    """A filler beside a latency-sensitive task that goes away.
+
+    The filler stayed at the share of that time, 0 percent, for good.
+    """
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.maintenance, self.commands = make_maintenance(self.shard)
+        self.shard.apply_submission(FILLING_ID, fakes.make_record(FILLING))
+        self.shard.apply_submission(SERVING_ID, fakes.make_record(SERVING))
+
+    def start(self, submission_id):
+        task = self.shard.submissions[submission_id].find_task("0.0.0")
+        run = fakes.start_run(self.shard, task, self.worker)
+        run.phase = run.phase.RUNNING
+        return run
+
+    def check(self, after_s=0.0):
+        self.maintenance._check_worker(
+            self.worker, clock.read_clock() + after_s
+        )
+
+    async def test_the_share_is_restored_once_the_cause_is_gone(self):
+        self.start(FILLING_ID)
+        serving = self.start(SERVING_ID)
+        serving.load = 3 * TARGET_MS
+        serving.over_target_since = clock.read_clock()
+        for after_s in (1.0, 2.0, 3.0):
+            self.check(after_s)
+        self.assertEqual(self.commands.percents, [25, 0])
+        self.shard.remove_run(serving, "stopped", "")
+        self.check(4.0)
+        self.assertEqual(self.commands.percents, [25, 0, 100])
+
+    async def test_the_next_filler_begins_at_the_full_share(self):
+        """The share of a former pair of tasks was kept for the next one."""
+        self.worker.filler_percent = 0
+        self.check()
+        self.assertEqual(self.worker.filler_percent, 100)
+
+    async def test_a_new_owner_restores_the_share(self):
+        """It finds the filler alone, at the share that its owner had set."""
+        row = (f"{FILLING_ID}.0.0.0", 4001, "", 0)
+        apply_listing(self.shard, self.worker, [row])
+        self.check()
+        self.assertEqual(self.commands.percents, [100])
+
+    async def test_a_new_owner_keeps_the_share_beside_its_cause(self):
+        """It raised a throttled filler from 0 to 100 percent at once."""
+        rows = [
+            (f"{FILLING_ID}.0.0.0", 4001, "", 0),
+            (f"{SERVING_ID}.0.0.0", 4001, "", 100, 3 * TARGET_MS),
+        ]
+        apply_listing(self.shard, self.worker, rows)
+        self.check()
+        self.assertEqual(self.commands.percents, [])
+
+    async def test_nothing_is_raised_beside_a_run_that_isn_t_known_yet(self):
+        """It may have a latency target."""
+        rows = [
+            (f"{FILLING_ID}.0.0.0", 4001, "", 0),
+            (f"{'cc' * 8}.0.0.0", 4001),
+        ]
+        apply_listing(self.shard, self.worker, rows)
+        self.check()
+        self.assertEqual(self.commands.percents, [])
+
+    async def test_a_filler_doesn_t_throttle_itself(self):
+        """With a target of its own it was over it the more it was throttled."""
+        spec = submissions.StepSpec(
+            count=1, cpu=100, memory_mb=1, is_filler=True, target_ms=TARGET_MS
+        )
+        self.shard.apply_submission("dd" * 8, fakes.make_record(spec))
+        run = self.start("dd" * 8)
+        run.load = 3 * TARGET_MS
+        run.over_target_since = clock.read_clock() - 5
+        self.check()
+        self.assertEqual(self.commands.percents, [])
