Apply changed settings while the process runs, with and without SIGHUP

Cause: SIGHUP applied the bounds only, and a file that changed without a signal wasn't noticed. The clients of the advisor, the store and the machines kept the addresses of the start; the weight of the VM kept its limits. Change: the file is polled each second and read on SIGHUP. Addresses, bounds and limits are applied; any other changed setting is logged once by its name; a faulty or unreadable file changes nothing. Malformed advice and cloudApi addresses and files that aren't UTF-8 are faulty settings now, no tracebacks.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/advicebalancer.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/advicebalancer.py
@@ -54,14 +54,22 @@
         self._node = node
         self._peers = peers
         # Deployments without advice policies have no advisor.
-        self._client = None
-        if node.settings.advice:
-            self._client = advice_calls.AdviceClient(node.settings.advice)
+        self._client: advice_calls.AdviceClient | None = None
+        self.set_address(node.settings.advice)
         self._calls_in_progress: collections.Counter[str] = (
             collections.Counter()
         )
         self.list_owners = list
 
+    def set_address(self, address: str):
+        """Makes later calls to another address, empty for no advisor."""
+        if not address:
+            self._client = None
+        elif self._client is None:
+            self._client = advice_calls.AdviceClient(address)
+        else:
+            self._client.set_address(address)
+
     def reserve_caller(
         self,
         policy: configuration.AdvicePolicy,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/machinemaintenance.py
@@ -33,7 +33,7 @@
         operator_feed: operatorfeed.OperatorFeed,
         ownership: owners.Ownership,
         peers: members.Members,
-        client: machine_calls.MachineClient,
+        client: machine_calls.MachineClient | None = None,
     ):
         self._node = node
         self._operator_feed = operator_feed
@@ -48,12 +48,21 @@
         # Newest fencing token that the platform has refused as outdated.
         self._refused_fence = -1
 
+    def set_address(self, address: str):
+        """Makes later calls to another address, empty for no machines."""
+        if not address:
+            self._client = None
+        elif self._client is None:
+            self._client = machine_calls.MachineClient(address)
+        else:
+            self._client.set_address(address)
+
     async def run(self):
         """Processes open waves until cancelled, on the coordinating VM only."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             shard = self._ownership.find_coordinating_shard()
-            if shard is None:
+            if shard is None or self._client is None:
                 self._stored.clear()
                 continue
             if not self._may_order(shard):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -55,10 +55,18 @@
         self._clients: dict[str, httpclient.HttpClient] = {}
         self._avoided_until: dict[str, float] = {}
         self._version: int | None = None
-        limits = node.settings.limits
-        self.own_weight = ownerselection.compute_vm_weight(
+        self.own_weight = 0.0
+        self.update_weight()
+
+    def update_weight(self):
+        """Derives the weight of this VM from its limits; stores a change."""
+        limits = self._node.settings.limits
+        weight = ownerselection.compute_vm_weight(
             limits.cpu_share, limits.cores, limits.link_mbps
         )
+        if weight != self.own_weight:
+            self.own_weight = weight
+            self._is_registered = False
 
     async def run(self):
         """Registers this VM and polls the rows of all VMs until cancelled."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -16,9 +16,9 @@
 from persimmonpath_entry.engine import overview
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import peerapi
+from persimmonpath_entry.engine import settingsreload
 from persimmonpath_entry.engine import supervision
 from persimmonpath_entry.engine import views
-from persimmonpath_entry.platform import machines as machine_calls
 from persimmonpath_entry.platform import settings as platform_settings
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.transport import clock
@@ -86,18 +86,16 @@
             self._advisor,
             self.reach,
         )
-        self._upkeep = None
-        if settings.machines.address:
-            self._upkeep = machinemaintenance.MachineMaintenance(
-                self.context,
-                self.operator_feed,
-                self.ownership,
-                self.members,
-                machine_calls.MachineClient(settings.machines.address),
-            )
+        self._upkeep = machinemaintenance.MachineMaintenance(
+            self.context, self.operator_feed, self.ownership, self.members
+        )
+        self._upkeep.set_address(settings.machines.address)
         self._member_expiry = memberexpiry.MemberExpiry(
             self.context, self.members, self.ownership
         )
+        self._reloader = settingsreload.SettingsReloader(
+            self.context, self._apply_settings
+        )
         self._stop = asyncio.Event()
         self._servers: list[httpserver.HttpServer] = []
         self._tasks: list[asyncio.Task] = []
@@ -132,9 +130,9 @@
             "acceptance": self._acceptance.run,
             "connectivity": self.reach.run,
             "member_expiry": self._member_expiry.run,
+            "machine_maintenance": self._upkeep.run,
+            "settings_reload": self._reloader.run,
         }
-        if self._upkeep is not None:
-            components["machine_maintenance"] = self._upkeep.run
         self._tasks = [
             loop.create_task(supervision.keep_running(self.context, name, run))
             for name, run in components.items()
@@ -176,13 +174,18 @@
         self.context.log.warn("request_broken", reason=text)
 
     def _reload_settings(self):
-        """Reads the settings again and applies their bounds, if valid."""
-        settings = platform_settings.load_settings()
-        if isinstance(settings, list):
-            self.context.log.warn("reload_failed", reason="; ".join(settings))
-            return
-        self.context.settings.bounds = settings.bounds
-        self.context.log.warn("reloaded")
+        """Reads the settings again and applies what may change, if valid."""
+        self._reloader.reload()
+
+    def _apply_settings(self, settings: platform_settings.Settings):
+        """Passes changed settings on to what keeps something made of them.
+
+        Bounds and the rest of the limits are read when they are used.
+        """
+        self.context.store.set_address(settings.store.address)
+        self._advisor.set_address(settings.advice)
+        self._upkeep.set_address(settings.machines.address)
+        self.members.update_weight()
 
     async def _answer_ready(self, request):
         """Answers the platform's readiness probe."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/advice.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/advice.py
@@ -20,6 +20,10 @@
     def __init__(self, address: str):
         self._client = httpclient.HttpClient(address, limit=8)
 
+    def set_address(self, address: str):
+        """Makes later calls to another address of the advisor."""
+        self._client.set_address(address)
+
     async def ask(
         self, step: str, workers: list[str], timeout_s: float
     ) -> dict[str, str] | None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/machines.py
@@ -59,6 +59,10 @@
     def __init__(self, address: str):
         self._client = httpclient.HttpClient(address, limit=2)
 
+    def set_address(self, address: str):
+        """Makes later calls to another address of the API."""
+        self._client.set_address(address)
+
     async def list_machines(self) -> list[MachineRow] | None:
         """Reads all pages; returns None if any page can't be read."""
         rows: list[MachineRow] = []
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -73,6 +73,11 @@
     metrics_port: int = DEFAULT_METRICS_PORT
 
 
+def find_path() -> str:
+    """Returns the path of the settings file, empty if none is named."""
+    return os.environ.get(SETTINGS_VARIABLE, "")
+
+
 def load_settings(path: str | None = None) -> Settings | list[str]:
     """Reads and validates the settings file.
 
@@ -82,13 +87,14 @@
     Returns:
       The settings, or the errors found in the file.
     """
-    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    path = path or find_path()
     if not path:
         return [f"{SETTINGS_VARIABLE}: not set"]
     try:
         with open(path, "rb") as file:
             table = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A file that isn't UTF-8 raises no TOMLDecodeError.
         return [f"{path}: {error}"]
     try:
         settings = msgspec.convert(table, Settings)
@@ -104,6 +110,10 @@
         "listenAddrs.ready": settings.listen.ready,
         "platform.address": settings.store.address,
     }
+    if settings.advice:
+        addresses["advice"] = settings.advice
+    if settings.machines.address:
+        addresses["cloudApi.address"] = settings.machines.address
     for name, address in addresses.items():
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -240,6 +240,11 @@
         self.clock: StoreClock | None = None
         self._typical_latency_s = 0.02
 
+    def set_address(self, address: str):
+        """Makes later calls to another address of the store."""
+        self._client.set_address(address)
+        self._probe_client.set_address(address)
+
     def choose_timeout(self) -> float:
         """Derives the timeout of a call in seconds from the typical latency."""
         scaled_s = TIMEOUT_FACTOR * self._typical_latency_s
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import socket
 
 import httptools
@@ -71,8 +72,8 @@
 class _Connection(asyncio.Protocol):
     """A client connection, which carries one call at a time."""
 
-    def __init__(self, host_header: str):
-        self._host = host_header
+    def __init__(self, address: str):
+        self.address = address
         self._parser = None
         self._future: asyncio.Future | None = None
         self._chunks: list[bytes] = []
@@ -136,7 +137,7 @@
         self._retry_after = None
         self.last_data_at = 0.0
         head = (
-            f"{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n"
+            f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n"
             f"{headers}Content-Length: {len(body)}\r\n\r\n"
         )
         self._transport.write(head.encode("latin-1") + body)
@@ -164,10 +165,7 @@
     """A pool of at most `limit` connections to one address."""
 
     def __init__(self, address: str, limit: int = 4):
-        host, _, port = address.rpartition(":")
         self.address = address
-        self._host = host
-        self._port = int(port)
         self._limit = limit
         self._idle: list[_Connection] = []
         self._open_count = 0
@@ -175,6 +173,18 @@
         # Connections with a call in progress and when the call was sent.
         self._active: dict[_Connection, float] = {}
 
+    def set_address(self, address: str):
+        """Makes later calls to another address.
+
+        Calls in progress are left to end at the former one.
+
+        Args:
+          address: host:port.
+        """
+        if address != self.address:
+            self.address = address
+            self.close()
+
     async def call(
         self,
         method: str,
@@ -296,12 +306,14 @@
                 reason = BUSY if was_late else "unreachable"
                 break
             give_up_at = clock.read_clock() + min(CONNECT_TIMEOUT_S, remaining)
+            address = self.address
+            host, _, port = address.rpartition(":")
             try:
                 async with asyncio.timeout(min(CONNECT_TIMEOUT_S, remaining)):
                     _, connection = await loop.create_connection(
-                        lambda: _Connection(self.address),
-                        self._host,
-                        self._port,
+                        functools.partial(_Connection, address),
+                        host,
+                        int(port),
                     )
                 return connection
             except TimeoutError:
@@ -331,11 +343,12 @@
                 return
 
     def _release_connection(self, connection: _Connection):
-        if connection.is_open:
+        if connection.is_open and connection.address == self.address:
             connection.idle_since = clock.read_clock()
             self._idle.append(connection)
             self._wake_waiter()
         else:
+            connection.close()
             self._free_slot()
 
     def close(self):
