Start a long-running task again however it ends

Cause: a run that ended as done completed its task, also a long-running one, which runs until its submission is cancelled. Change: such a task is never done, alone or in a gang; rows of former versions that hold it as done are read without it; its end is no success of the worker and no typical duration of its queue.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
@@ -36,6 +36,10 @@
           how: how it ended, as in Shard.remove_run.
         """
         worker = run.worker
+        if how == "done" and run.spec.long_running:
+            # It lasts until it is cancelled: its end shows neither a success
+            # nor how long runs of its queue take.
+            return
         if how == "done":
             worker.recent_failures = 0
             self._update_typical_duration(run)
@@ -76,7 +80,8 @@
         """Applies a run end to its task and submission.
 
         Nothing happens if the task is already done. A failed run is counted
-        once, even if its end is listed again.
+        once, even if its end is listed again. A long-running task is never
+        done: it waits for its next run however the last one has ended.
 
         Args:
           task: the task.
@@ -94,7 +99,7 @@
             return
         if saved:
             self._record_checkpoint(task, saved)
-        if how == "done":
+        if how == "done" and not task.step.spec.long_running:
             self._complete_task(task, number)
         elif how == "failed":
             self._record_failure(task, number, worker)
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -373,6 +373,9 @@
         return self.list_occurrence_steps(occurrence)
 
     def _restore(self, step: Step):
+        if step.spec.long_running:
+            # Former versions stored such tasks as done if they ended so.
+            self.progress.done.pop(step.key, None)
         mask = self.progress.done.get(step.key, 0)
         for task in step.tasks:
             if mask >> task.index & 1:
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -160,6 +160,69 @@
         self.assertEqual([run for run, _ in self.shard.stopped], [runs[1]])
 
 
+class LongRunningTest(unittest.IsolatedAsyncioTestCase):
+    """Long-running tasks, which run until their submission is cancelled.
+
+    One that ended as done was never started again.
+    """
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+
+    def apply(self, progress=None, **changes):
+        spec = submissions.StepSpec(
+            count=2, cpu=1000, memory_mb=100, long_running=True, **changes
+        )
+        later = submissions.StepSpec(count=1, cpu=1, memory_mb=1, after=[0])
+        self.shard.apply_submission(
+            ID, fakes.make_record(spec, later), progress
+        )
+        return self.shard.submissions[ID]
+
+    async def test_a_task_is_started_again_however_it_ends(self):
+        submission = self.apply()
+        step = submission.steps["0.0"]
+        for how in ("done", "failed", "stopped", "lapsed", "lost", "void"):
+            for task in step.tasks:
+                with self.subTest(how, task=task.key):
+                    self.shard.ready_steps.discard(step)
+                    run = fakes.start_run(self.shard, task, self.worker)
+                    self.shard.remove_run(run, how, "")
+                    self.assertTrue(task.is_waiting)
+                    self.assertIn(step, self.shard.ready_steps)
+        self.assertTrue(submission.is_active)
+        self.assertIsNone(submission.steps["0.1"].ready_since)
+
+    async def test_a_gang_is_started_again_as_a_whole(self):
+        step = self.apply(gang=True).steps["0.0"]
+        runs = []
+        for task in step.tasks:
+            task.last_number = 9
+            runs.append(fakes.start_run(self.shard, task, self.worker))
+        self.shard.remove_run(runs[0], "done", "")
+        self.assertEqual([run for run, _ in self.shard.stopped], [runs[1]])
+        self.assertFalse(any(task.is_done for task in step.tasks))
+
+    async def test_a_row_that_holds_it_as_done_doesn_t_keep_it_away(self):
+        """Former versions have stored such rows."""
+        progress = submissions.ProgressRecord(done={"0.0": 0b11})
+        submission = self.apply(progress)
+        self.assertEqual(len(submission.steps["0.0"].list_waiting()), 2)
+        self.assertIsNone(submission.steps["0.1"].ready_since)
+        self.assertEqual(submission.progress.done, {})
+
+    async def test_its_life_isn_t_a_typical_duration(self):
+        """The other runs of its queue would never count as stragglers."""
+        submission = self.apply()
+        run = fakes.start_run(
+            self.shard, submission.find_task("0.0.0"), self.worker
+        )
+        self.shard.remove_run(run, "done", "")
+        typical = self.shard.run_end_handler.find_typical_duration(fakes.QUEUE)
+        self.assertIsNone(typical)
+
+
 class WorkerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.shard = fakes.make_shard()
