Start all members of a gang from the same checkpoint

Cause: a listing set the checkpoint of its own member only. After a crash of all workers of a gang the members started from different values. A new owner read different values from the rows, and one that arrived between two starts changed the second. Change: a gang has one checkpoint; a run carries the one from which it starts, taken when all runs of the gang are created; a value counts when it is listed first.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -354,8 +354,10 @@
             run.percent = row.percent
             run.is_at_work = row.percent >= execution.AT_WORK_PERCENT
             self._record_load(run, row.load, now)
-            if row.saved:
-                run.task.saved = row.saved
+            if row.saved and row.saved != run.saved:
+                # A value that is listed again may be older than that of another
+                # member of the gang.
+                run.saved = run.task.saved = row.saved
         worker.unknown_runs = unknown_runs
 
     def _record_load(self, run: execution.Run, load: float | None, now: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
@@ -107,9 +107,9 @@
             self._requeue(task, number)
 
     def _record_checkpoint(self, task: execution.Task, saved: str):
+        task.saved = saved
         tasks = task.step.tasks if task.step.spec.gang else [task]
         for member in tasks:
-            member.saved = saved
             task.step.submission.progress.saved[member.key] = saved
 
     def _expect_ends(self, step: execution.Step, number: int):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -382,6 +382,7 @@
             task, number, worker, execution.Phase.STARTING, clock.read_clock()
         )
         run.paced_at = run.sent_at
+        run.saved = task.saved
         task.last_number = number
         task.wants_copy = False
         task.is_accounted = True
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -61,7 +61,7 @@
             task.step.submission.record.spec,
             until_ms,
             self._shard.fence,
-            task.saved,
+            run.saved,
             ticket,
             COMMAND_TIMEOUT_S,
             self._shard.lease_until,
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -52,6 +52,8 @@
       sent_at: when its start was sent, in seconds of the monotonic clock.
       confirmed_at: when the worker last confirmed its state, or None. If a
         listing requested later doesn't contain the run, it no longer exists.
+      saved: the checkpoint from which it starts, then the one that its worker
+        listed last; or empty.
       requeue: whether the task waits for another run once this one has ended.
       load: the load that the worker reported last, or None. For a run with a
         latency target it is the tail latency in milliseconds, for others the
@@ -78,6 +80,7 @@
     phase: Phase
     sent_at: float
     confirmed_at: float | None = None
+    saved: str = ""
     requeue: bool = True
     load: float | None = None
     percent: float = 100
@@ -119,7 +122,6 @@
       index: the index of the task in its step.
       runs: the current runs, more than one only with speculative copies.
       is_done: whether the task has completed.
-      saved: the newest checkpoint, or empty.
       last_number: the number of the last run, 0 if there was none.
       waiting_since: since when it has waited for a run, in seconds of the
         monotonic clock.
@@ -135,7 +137,7 @@
         "index",
         "runs",
         "is_done",
-        "saved",
+        "_saved",
         "last_number",
         "waiting_since",
         "avoided",
@@ -148,7 +150,7 @@
         self.index = index
         self.runs: list[Run] = []
         self.is_done = False
-        self.saved = ""
+        self._saved = ""
         self.last_number = 0
         self.waiting_since = waiting_since
         self.avoided: set[str] = set()
@@ -178,6 +180,18 @@
         progress = self.step.submission.progress
         return progress.failures.get(self.failure_key, [])
 
+    @property
+    def saved(self) -> str:
+        """The newest checkpoint, or empty; all tasks of a gang share one."""
+        return self.step.gang_saved if self.step.spec.gang else self._saved
+
+    @saved.setter
+    def saved(self, value: str):
+        if self.step.spec.gang:
+            self.step.gang_saved = value
+        else:
+            self._saved = value
+
     @property
     def is_waiting(self) -> bool:
         """Whether it waits for a run, or for a speculative copy."""
@@ -205,6 +219,8 @@
       became_ready_here: whether this owner saw the end of the last task before
         it. If so, no former owner can have started its tasks.
       advice: the placement advisor's answers for the step.
+      gang_saved: the newest checkpoint of a gang, or empty. That of any member
+        is valid for all, and all have to start from the same one.
     """
 
     def __init__(
@@ -226,6 +242,7 @@
         self.ready_since: float | None = None
         self.became_ready_here = False
         self.advice = StepAdvice()
+        self.gang_saved = ""
 
     @property
     def name(self) -> str:
@@ -381,7 +398,9 @@
             if mask >> task.index & 1:
                 task.is_done = True
                 step.remaining -= 1
-            task.saved = self.progress.saved.get(task.key, "")
+            saved = self.progress.saved.get(task.key, "")
+            if saved:
+                task.saved = saved
 
     def is_ready(self, step: Step) -> bool:
         """Returns whether all steps that a step depends on are done."""
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -3,9 +3,11 @@
 import unittest
 
 from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 from tests.entry import fakes
 
@@ -322,3 +324,99 @@
         self.apply(listing)
         self.assertEqual(self.worker.processed, 1)
         self.assertEqual(self.shard.unidentified_tasks, {})
+
+
+class GangCheckpointTest(unittest.IsolatedAsyncioTestCase):
+    """A gang of two whose members list their checkpoints on two workers.
+
+    After both workers had crashed each member started from its own value.
+    """
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.poller = listings.ListingPoller(self.shard)
+        self.poller.commands = FakeCommands()
+        self.workers = [fakes.add_worker(self.shard, w) for w in ("w1", "w2")]
+        self.shard.apply_submission(ID, self.make_record())
+        self.step = self.shard.submissions[ID].steps["0.0"]
+
+    def make_record(self):
+        return fakes.make_record(
+            submissions.StepSpec(
+                count=2, cpu=100, memory_mb=1, gang=True, checkpointing=True
+            )
+        )
+
+    def start(self, number):
+        """Starts all members and returns their runs."""
+        for task in self.step.tasks:
+            task.last_number = number
+        return [
+            fakes.start_run(self.shard, task, worker)
+            for task, worker in zip(self.step.tasks, self.workers, strict=True)
+        ]
+
+    def list_checkpoint(self, run, saved):
+        now = clock.read_clock()
+        row = (run.task.name, run.number, saved, 100, 500)
+        self.poller._apply_listing(run.worker, make_listing([row]), now, now)
+
+    async def test_all_members_start_from_the_same_value(self):
+        runs = self.start(9)
+        for run, saved in zip(runs, ("a1", "b1"), strict=True):
+            self.list_checkpoint(run, saved)
+        for run in runs:
+            self.shard.remove_run(run, "lost", "")
+        self.assertEqual([run.saved for run in self.start(10)], ["b1", "b1"])
+
+    async def test_a_value_that_is_listed_again_isn_t_taken_again(self):
+        """It is older than what another member has listed since."""
+        runs = self.start(9)
+        for run, saved in zip(
+            [*runs, runs[0]], ("a1", "b2", "a1"), strict=True
+        ):
+            self.list_checkpoint(run, saved)
+        self.assertEqual({task.saved for task in self.step.tasks}, {"b2"})
+
+    async def test_a_value_that_arrives_between_two_starts_changes_neither(
+        self,
+    ):
+        """The start of one member may have been sent already."""
+        client = RecordingClient()
+        commands = workercommands.WorkerCommands(self.shard, lambda worker: 0)
+        for worker in self.workers:
+            self.shard.clients[worker.id] = client
+        runs = self.start(9)
+        await commands._start(runs[0], "")
+        self.shard.run_end_handler.handle_run_end(
+            self.step.tasks[0], 8, "lapsed", "late", self.workers[0]
+        )
+        await commands._start(runs[1], "")
+        self.assertEqual(client.saved, ["", ""])
+
+    async def test_a_new_owner_reads_one_value_for_all_members(self):
+        """Rows hold a value for each member, and blocks may lack some."""
+        for saved in ({"0.0.0": "a1", "0.0.1": "b1"}, {"0.0.1": "b1"}):
+            with self.subTest(saved):
+                shard = fakes.make_shard()
+                shard.apply_submission(
+                    ID,
+                    self.make_record(),
+                    submissions.ProgressRecord(saved=saved),
+                )
+                tasks = shard.submissions[ID].steps["0.0"].tasks
+                self.assertEqual([task.saved for task in tasks], ["b1", "b1"])
+
+
+class RecordingClient:
+    """Accepts starts and records their checkpoints."""
+
+    def __init__(self):
+        self.saved = []
+
+    async def start(self, task, run, spec, until_ms, fence, saved, *rest):
+        self.saved.append(saved)
+        return worker_calls.Accepted(2000.0)
+
+    def close(self):
+        pass
