Stop long-running tasks for health only as far as they may be missed

Cause: a long-running task without CPU use counted as stalled if no other task of its worker used the CPU, and all such tasks of a step were stopped at once, whatever may_miss said.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -372,6 +372,7 @@
                 run.over_target_since = now
         elif load > 0:
             run.idle_since = None
+            run.worker.stalled_at = None
         elif run.idle_since is None:
             run.idle_since = now
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -220,6 +220,10 @@
             if health.is_overdue(run, now):
                 self._commands.stop(run, "gang_done")
             if health.is_stalled(run, now):
+                if not run.spec.long_running:
+                    worker.stalled_at = now
+                if not health.may_be_missed(run):
+                    continue
                 worker.recent_failures += 1
                 self._node.log.warn(
                     "run_stands_still",
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -61,6 +61,8 @@
       latency_sensitive_runs: number of runs with a latency target.
       filler_runs: number of runs that are fillers.
       recent_failures: number of failed or stalled runs since the last success.
+      stalled_at: when a task that has to use its CPU was last seen to stall
+        on it, None if there was none or it has worked since.
       filler_percent: CPU share that its fillers may use, in percent.
       paced_at: when that share was last changed.
       preempted_at: when runs on it were last preempted.
@@ -102,6 +104,7 @@
         self.latency_sensitive_runs = 0
         self.filler_runs = 0
         self.recent_failures = 0
+        self.stalled_at: float | None = None
         self.filler_percent = 100
         self.paced_at = 0.0
         self.preempted_at = 0.0
@@ -124,6 +127,7 @@
         self.clock = None
         self.max_lease_end_ms = 0.0
         self.recent_failures = 0
+        self.stalled_at = None
 
     def choose_acknowledged_end(self, now: float) -> int:
         """Returns the number of the run end to acknowledge in a listing.
--- a/tests/entry/test_shardmaintenance.py
+++ b/tests/entry/test_shardmaintenance.py
@@ -140,3 +140,82 @@
         run.over_target_since = clock.read_clock() - 5
         self.check()
         self.assertEqual(self.commands.percents, [])
+
+
+class MayMissTest(unittest.IsolatedAsyncioTestCase):
+    """Three long-running tasks on one worker, one of which may be missed.
+
+    All were stopped at once as soon as they had nothing to do for 3 s.
+    """
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.worker = fakes.add_worker(self.shard)
+        self.maintenance, self.commands = make_maintenance(self.shard)
+        spec = submissions.StepSpec(
+            count=3, cpu=100, memory_mb=1, long_running=True, may_miss=1
+        )
+        self.shard.apply_submission(SERVING_ID, fakes.make_record(spec))
+        step = self.shard.submissions[SERVING_ID].steps["0.0"]
+        self.runs = [self.start(task) for task in step.tasks]
+
+    def start(self, task, load=0):
+        run = fakes.start_run(self.shard, task, self.worker)
+        run.phase = run.phase.RUNNING
+        run.is_at_work = True
+        run.sent_at -= 60
+        run.load, run.load_at = load, clock.read_clock()
+        run.idle_since = None if load else run.load_at - 30
+        return run
+
+    def start_batch(self, load):
+        """Starts a task beside them that has to use its CPU."""
+        spec = submissions.StepSpec(count=1, cpu=100, memory_mb=1)
+        self.shard.apply_submission(FILLING_ID, fakes.make_record(spec))
+        task = self.shard.submissions[FILLING_ID].find_task("0.0.0")
+        return self.start(task, load)
+
+    def check(self, after_s=0.0):
+        """Checks the worker and returns the reasons of new stops, by task."""
+        former = len(self.commands.stopped)
+        now = clock.read_clock() + after_s
+        self.maintenance._check_worker(self.worker, now)
+        return self.commands.stopped[former:]
+
+    async def test_idle_tasks_go_on(self):
+        self.assertEqual(self.check(), [])
+
+    async def test_idle_tasks_beside_a_busy_one_go_on(self):
+        self.start_batch(load=80)
+        self.assertEqual(self.check(), [])
+
+    async def test_a_worker_on_which_nothing_works_is_left_one_by_one(self):
+        """A task that must use its CPU shows that the worker stands still."""
+        self.start_batch(load=0)
+        self.check()
+        self.check()
+        # The batch task and the first of the long-running ones.
+        self.assertEqual(self.commands.stopped, [("0.0.0", "stands_still")] * 2)
+        self.assertEqual(self.check(), [])
+        self.runs[0].phase = self.runs[0].phase.RUNNING
+        self.runs[0].idle_since = None
+        self.assertEqual(self.check(), [("0.0.1", "stands_still")])
+
+    async def test_a_worker_that_works_again_is_no_longer_left(self):
+        batch = self.start_batch(load=0)
+        self.worker.stalled_at = clock.read_clock()
+        row = (batch.task.name, batch.number, "", 100, 70)
+        rows = [(r.task.name, r.number, "", 100, 0) for r in self.runs]
+        apply_listing(self.shard, self.worker, [row, *rows])
+        self.shard.remove_run(batch, "done", "")
+        self.assertEqual(self.check(), [])
+
+    async def test_a_draining_worker_is_left_one_by_one_while_time_allows(self):
+        self.worker.registration = fakes.make_registration(is_draining=True)
+        self.worker.drain_deadline = clock.read_clock() + 10
+        self.assertEqual(self.check(), [("0.0.0", "worker_draining")])
+        self.assertEqual(self.check(), [])
+        self.assertEqual(
+            self.check(after_s=9.5),
+            [("0.0.1", "worker_draining"), ("0.0.2", "worker_draining")],
+        )
