End the run of a worker that was removed before its start was sent

Cause: a start is sent some time after its worker was chosen. If the worker had been removed the start raised KeyError and nothing ended the run; if it had been lost, a run that was ended already was started. Test: test_workercommands.StartTest failed first: test_the_task_of_a_removed_worker_waits_again: False is not true (2 of 2) test_a_run_that_is_lost_already_isn_t_started: [('start', ...)] != [] Result: these and the tests of shard, listings and scheduler pass (94).

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -48,6 +48,12 @@
     async def _start(self, run: execution.Run, ticket: str):
         worker = run.worker
         task = run.task
+        if (task.name, run.number) not in worker.runs:
+            # It counts as lost already, and its task may have another run.
+            return
+        if self._shard.workers.get(worker.id) is not worker:
+            self._shard.remove_run(run, "void", "")
+            return
         now = clock.read_clock()
         until_ms = worker.grant_lease(now, self._node.lease_ms)
         may_start = self._shard.may_start(now) and worker.is_described
@@ -149,7 +155,9 @@
         name = run.task.name
         while (name, run.number) in worker.runs:
             client = self._shard.clients.get(worker.id)
-            if client is None:
+            if self._shard.workers.get(worker.id) is not worker:
+                # Nothing lists its runs any more.
+                self._shard.remove_run(run, "lost", "")
                 return
             sent_at = clock.read_clock()
             result = await client.stop(
@@ -180,8 +188,12 @@
             self._shard.spawn(self._pace(run, percent))
 
     async def _pace(self, run: execution.Run, percent: int):
+        client = self._shard.clients.get(run.worker.id)
+        if client is None:
+            run.is_being_paced = False
+            return
         try:
-            result = await self._shard.clients[run.worker.id].pace(
+            result = await client.pace(
                 run.task.name,
                 run.number,
                 percent,
--- a/tests/entry/test_workercommands.py
+++ b/tests/entry/test_workercommands.py
@@ -71,6 +71,45 @@
                 self.assertTrue(self.task.is_waiting)
                 self.assertEqual(self.worker.free_cpu, 16000)
 
+    async def start_after(self, change):
+        """Starts a run, with a change between its placing and its sending."""
+        client = ScriptedClient(worker_calls.Accepted(2000.0))
+        self.shard.clients[self.worker.id] = client
+        run = self.shard.create_run(self.task, self.worker)
+        self.commands.start(run, "")
+        change()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        return client
+
+    async def test_the_task_of_a_removed_worker_waits_again(self):
+        """Its start raised KeyError, and nothing ended the run."""
+        registry = self.shard.worker_registry
+
+        def replace():
+            registry.remove_worker(self.worker)
+            fakes.add_worker(self.shard)
+            self.shard.clients["w1"] = ScriptedClient(None)
+
+        changes = (lambda: registry.remove_worker(self.worker), replace)
+        for change in changes:
+            with self.subTest(change.__name__):
+                client = await self.start_after(change)
+                self.assertTrue(self.task.is_waiting)
+                self.assertEqual(client.calls, [])
+                self.assertEqual(self.shard.clients.get("w1", client).calls, [])
+                self.worker = fakes.add_worker(self.shard)
+
+    async def test_a_run_that_is_lost_already_isn_t_started(self):
+        """It would have run beside the next one, unknown to its owner."""
+        client = await self.start_after(
+            lambda: self.shard.worker_registry.mark_worker_lost(
+                self.worker, "other incarnation"
+            )
+        )
+        self.assertTrue(self.task.is_waiting)
+        self.assertEqual(client.calls, [])
+
     async def test_an_unanswered_start_is_stopped_before_anything_else(self):
         """It may be carried out seconds later, beside a second run."""
         run, client = await self.start(
