--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -354,8 +354,10 @@
             run.percent = row.percent
             run.is_at_work = row.percent >= execution.AT_WORK_PERCENT
             self._record_load(run, row.load, now)
-            if row.saved:
-                run.task.saved = row.saved
+            if row.saved and row.saved != run.saved:
+                # A value that is listed again may be older than that of another
+                # member of the gang.
+                run.saved = run.task.saved = row.saved
         worker.unknown_runs = unknown_runs
 
     def _record_load(self, run: execution.Run, load: float | None, now: float):
@@ -370,6 +372,7 @@
                 run.over_target_since = now
         elif load > 0:
             run.idle_since = None
+            run.worker.stalled_at = None
         elif run.idle_since is None:
             run.idle_since = now
 
@@ -386,6 +389,10 @@
         self._node.log.write(
             "run_adopted", task=row.task, run=row.run, worker=worker.id
         )
+        if task.step.spec.is_filler and row.percent < worker.filler_percent:
+            # A former owner has throttled the fillers of the worker.
+            worker.filler_percent = int(row.percent)
+            worker.paced_at = now
         return self._shard.adopt_run(task, row.run, worker, now)
 
     def _handle_unknown_run(self, worker, row, since: float, now: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -384,6 +384,8 @@
         run = execution.Run(
             task, number, worker, execution.Phase.STARTING, clock.read_clock()
         )
+        run.paced_at = run.sent_at
+        run.saved = task.saved
         task.last_number = number
         task.wants_copy = False
         task.is_accounted = True
@@ -422,6 +424,7 @@
         run = execution.Run(
             task, number, worker, execution.Phase.RUNNING, now, confirmed_at=now
         )
+        run.paced_percent = None
         task.last_number = max(task.last_number, number)
         task.is_accounted = True
         task.runs.append(run)
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -19,6 +19,7 @@
 
 class _Bounds(msgspec.Struct, rename="camel", frozen=True):
     hold_max_ms: float = 6000
+    lease_ms: float = 3000
     grace_s: float = 6
     addr_reuse_s: float = 2
     maintenance_s: float = 2
@@ -77,6 +78,11 @@
     metrics_port: int = DEFAULT_METRICS_PORT
 
 
+def find_path() -> str:
+    """Returns the path of the settings file, empty if none is named."""
+    return os.environ.get(SETTINGS_VARIABLE, "")
+
+
 def load_settings(path: str | None = None) -> Settings | list[str]:
     """Reads and validates the settings file.
 
@@ -86,13 +92,14 @@
     Returns:
       The settings, or the errors found in the file.
     """
-    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    path = path or find_path()
     if not path:
         return [f"{SETTINGS_VARIABLE}: not set"]
     try:
         with open(path, "rb") as file:
             table = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A file that isn't UTF-8 raises no TOMLDecodeError.
         return [f"{path}: {error}"]
     try:
         settings = msgspec.convert(table, Settings)
@@ -108,6 +115,10 @@
         "listenAddrs.ready": settings.listen.ready,
         "platform.address": settings.store.address,
     }
+    if settings.advice:
+        addresses["advice"] = settings.advice
+    if settings.machines.address:
+        addresses["cloudApi.address"] = settings.machines.address
     for name, address in addresses.items():
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -52,12 +52,17 @@
       sent_at: when its start was sent, in seconds of the monotonic clock.
       confirmed_at: when the worker last confirmed its state, or None. If a
         listing requested later doesn't contain the run, it no longer exists.
+      saved: the checkpoint from which it starts, then the one that its worker
+        listed last; or empty.
       requeue: whether the task waits for another run once this one has ended.
       load: the load that the worker reported last, or None. For a run with a
         latency target it is the tail latency in milliseconds, for others the
         CPU usage in thousandths of a core.
       load_at: when that load was reported, or None.
       percent: the CPU share that it may use, in percent.
+      paced_percent: the share that this owner has set last, None for a run of a
+        former owner.
+      paced_at: when that share was set, 0 before.
       is_at_work: whether the last listing shows a long-running task at work.
         After its start it takes a while to begin.
       idle_since: since when it has used no CPU time, or None.
@@ -75,9 +80,12 @@
     phase: Phase
     sent_at: float
     confirmed_at: float | None = None
+    saved: str = ""
     requeue: bool = True
     load: float | None = None
     percent: float = 100
+    paced_percent: int | None = 100
+    paced_at: float = 0.0
     is_at_work: bool = False
     idle_since: float | None = None
     load_at: float | None = None
@@ -114,7 +122,6 @@
       index: the index of the task in its step.
       runs: the current runs, more than one only with speculative copies.
       is_done: whether the task has completed.
-      saved: the newest checkpoint, or empty.
       last_number: the number of the last run, 0 if there was none.
       waiting_since: since when it has waited for a run, in seconds of the
         monotonic clock.
@@ -130,7 +137,7 @@
         "index",
         "runs",
         "is_done",
-        "saved",
+        "_saved",
         "last_number",
         "waiting_since",
         "avoided",
@@ -143,7 +150,7 @@
         self.index = index
         self.runs: list[Run] = []
         self.is_done = False
-        self.saved = ""
+        self._saved = ""
         self.last_number = 0
         self.waiting_since = waiting_since
         self.avoided: set[str] = set()
@@ -173,6 +180,18 @@
         progress = self.step.submission.progress
         return progress.failures.get(self.failure_key, [])
 
+    @property
+    def saved(self) -> str:
+        """The newest checkpoint, or empty; all tasks of a gang share one."""
+        return self.step.gang_saved if self.step.spec.gang else self._saved
+
+    @saved.setter
+    def saved(self, value: str):
+        if self.step.spec.gang:
+            self.step.gang_saved = value
+        else:
+            self._saved = value
+
     @property
     def is_waiting(self) -> bool:
         """Whether it waits for a run, or for a speculative copy."""
@@ -200,6 +219,8 @@
       became_ready_here: whether this owner saw the end of the last task before
         it. If so, no former owner can have started its tasks.
       advice: the placement advisor's answers for the step.
+      gang_saved: the newest checkpoint of a gang, or empty. That of any member
+        is valid for all, and all have to start from the same one.
     """
 
     def __init__(
@@ -221,6 +242,7 @@
         self.ready_since: float | None = None
         self.became_ready_here = False
         self.advice = StepAdvice()
+        self.gang_saved = ""
 
     @property
     def name(self) -> str:
@@ -368,12 +390,17 @@
         return self.list_occurrence_steps(occurrence)
 
     def _restore(self, step: Step):
+        if step.spec.long_running:
+            # Former versions stored such tasks as done if they ended so.
+            self.progress.done.pop(step.key, None)
         mask = self.progress.done.get(step.key, 0)
         for task in step.tasks:
             if mask >> task.index & 1:
                 task.is_done = True
                 step.remaining -= 1
-            task.saved = self.progress.saved.get(task.key, "")
+            saved = self.progress.saved.get(task.key, "")
+            if saved:
+                task.saved = saved
 
     def is_ready(self, step: Step) -> bool:
         """Returns whether all steps that a step depends on are done."""
