Examine only the shares that demand or a lack of room can change

Cause: with 80 tenants each look at the shares took 2.2 ms and each draft of an entry 1.5 ms, three times a second.

Change: what the row allows is computed once for each version of the row and the configuration; only tenants that lack room somewhere are examined again. A lowered limit holds from the moment at which the configuration is applied.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
@@ -81,6 +81,18 @@
     )
 
 
+def is_contended(
+    limit: resources.Resources, holdings: Mapping[str, Holding]
+) -> bool:
+    """Returns whether a service lacks room or the shares exceed the limit."""
+    total = resources.ZERO
+    for held in holdings.values():
+        if held.want != resources.ZERO:
+            return True
+        total += held.share
+    return not total.fits_in(limit)
+
+
 def claim(
     limit: resources.Resources,
     holdings: Mapping[str, Holding],
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
@@ -139,11 +139,17 @@
         # Entries of this service in writes that may still be applied.
         self._unsure: list[ServiceEntry] = []
         self._sequence = 0
+        # What the row allows each tenant, the tenants for which that depends on
+        # their present use, and the row and configuration that this is of.
+        self._basis: dict[str, resources.Resources] = {}
+        self._contended: set[str] = set()
+        self._basis_of: tuple = (None, None)
         self._changed = asyncio.Event()
         self._next_write_at = 0.0
         self._next_metrics_at = 0.0
         self._next_gone_check_at = 0.0
         self._gone: set[str] = set()
+        self._usage.on_limits_changed = self.update_allowances
         # Tenants that are limited now: since when, and when last seen so.
         self._limited: dict[str, list[float]] = {}
 
@@ -248,32 +254,61 @@
 
     def update_allowances(self):
         """Sets what each tenant may use here."""
-        now = clock.read_clock()
         usage = self._usage
+        if not self._is_basis_current():
+            self._update_basis()
         former = usage.allowances
-        allowances = {}
-        if self._find_own_entry() is not None:
-            records = [
-                self._record,
-                *(
-                    replace_entry(self._record, self._shard.service, entry)
-                    for entry in self._unsure
-                ),
-            ]
-            moving = set(self._list_moving())
-            for tenant in usage.limits:
-                if tenant in moving:
-                    allowed = self._compute_allowance(tenant, records, now)
-                else:
-                    allowed = self._claim(tenant, {}).share
-                allowances[tenant] = allowed
+        if self._find_own_entry() is None:
+            usage.allowances = {}
+            return
+        allowances = dict(self._basis)
+        now = clock.read_clock()
+        for tenant in self._contended | self._list_unsure():
+            allowances[tenant] = self._compute_allowance(tenant, now)
         usage.allowances = allowances
-        if any(
-            usage.is_lacking(tenant)
-            and not allowed.fits_in(former.get(tenant, resources.ZERO))
-            for tenant, allowed in allowances.items()
-        ):
-            self._shard.request_schedule()
+        for tenant in usage.list_lacking():
+            allowed = allowances.get(tenant, resources.ZERO)
+            if not allowed.fits_in(former.get(tenant, resources.ZERO)):
+                self._shard.request_schedule()
+
+    def _is_basis_current(self) -> bool:
+        record, current = self._basis_of
+        return record is self._record and current is self._node.configuration
+
+    def _update_basis(self):
+        """Computes what the row allows as long as no demand changes."""
+        self._usage.refresh()
+        self._basis_of = (self._record, self._node.configuration)
+        self._contended = set()
+        self._basis = {}
+        if self._record is None:
+            return
+        moving = set(self._list_moving())
+        for tenant, limit in self._usage.limits.items():
+            if tenant not in moving:
+                self._basis[tenant] = self._claim(tenant, {}).share
+                continue
+            holdings = list_holdings(self._record, tenant)
+            if quotashares.is_contended(limit, holdings):
+                self._contended.add(tenant)
+            self._basis[tenant] = quotashares.compute_allowance(
+                limit,
+                holdings,
+                self._shard.service,
+                resources.ZERO,
+                resources.ZERO,
+            )
+
+    def _list_unsure(self) -> set[str]:
+        """Returns the tenants whose share may be about to change."""
+        stored = self._find_own_entry()
+        return {
+            tenant
+            for entry in self._unsure
+            for tenant, share in entry.shares.items()
+            if share != stored.shares.get(tenant)
+            and tenant in self._usage.limits
+        }
 
     def _list_moving(self) -> list[str]:
         """Returns the tenants whose shares are in the row."""
@@ -288,9 +323,17 @@
         )
 
     def _compute_allowance(
-        self, tenant: str, records: list[SharesRecord], now: float
+        self, tenant: str, now: float
     ) -> resources.Resources:
+        """Returns the least that any write without an answer would allow."""
         usage = self._usage
+        records = [
+            self._record,
+            *(
+                replace_entry(self._record, self._shard.service, entry)
+                for entry in self._unsure
+            ),
+        ]
         amounts = [
             quotashares.split(
                 quotashares.compute_allowance(
@@ -350,9 +393,18 @@
         stored = self._record.services.get(self._shard.service)
         own = self._find_own_entry()
         entry = ServiceEntry(self._shard.fence, self._sequence + 1)
+        if own is not None and not self._shard.is_loaded:
+            return None
         is_changed = own is None
         may_raise = self._may_raise()
         for tenant in self._list_moving():
+            is_at_rest = (
+                tenant not in self._contended
+                and not self._usage.is_lacking(tenant)
+            )
+            if own is not None and is_at_rest and tenant in own.shares:
+                entry.shares[tenant] = own.shares[tenant]
+                continue
             limit = self._usage.limits[tenant]
             holdings = list_holdings(self._record, tenant)
             before = holdings.get(self._shard.service)
@@ -361,7 +413,7 @@
                 if may_raise:
                     after = self._claim(tenant, holdings)
                     is_changed = True
-            elif own is not None and self._shard.is_loaded:
+            elif own is not None:
                 after = self._rebalance(tenant, limit, holdings, now)
                 if not may_raise:
                     after = quotashares.keep_lower(before, after)
@@ -496,12 +548,11 @@
 
     def _report(self, now: float):
         """Logs the tenants that begin or cease to be limited."""
-        for tenant in self._usage.limits:
-            if self._usage.is_lacking(tenant):
-                if tenant not in self._limited:
-                    self._limited[tenant] = [now, now]
-                    self._log("tenant_limited", tenant)
-                self._limited[tenant][1] = now
+        for tenant in self._usage.list_lacking():
+            if tenant not in self._limited:
+                self._limited[tenant] = [now, now]
+                self._log("tenant_limited", tenant)
+            self._limited[tenant][1] = now
         for tenant, (since, seen_at) in list(self._limited.items()):
             if now - seen_at >= UNLIMITED_AFTER_S:
                 del self._limited[tenant]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -41,6 +41,8 @@
     Attributes:
       limits: the limits by tenant; tenants without a limit are left out. One
         that is no longer configured keeps its last known limit.
+      on_limits_changed: called without arguments after a change of the limits,
+        or None.
       allowances: what each tenant may use in this shard, as of the newest
         shares. A tenant with a limit that is missing here may use nothing.
     """
@@ -54,6 +56,7 @@
         self._shard = shard
         self.limits: dict[str, resources.Resources] = {}
         self.allowances: dict[str, resources.Resources] = {}
+        self.on_limits_changed = None
         self._configuration: configuration.Configuration | None = None
         self._used: dict[str, resources.Resources] = {}
         # What may run unknown to this owner; EVERY_TENANT adds to each of them.
@@ -76,6 +79,8 @@
         if current is not self._configuration and current is not None:
             self._configuration = current
             self._apply_limits(current)
+            if self.on_limits_changed is not None:
+                self.on_limits_changed()
         if self.limits:
             self._count_unknown()
 
@@ -151,6 +156,10 @@
         """Returns whether work of a tenant found no room in the last plan."""
         return tenant in self._last_lacking
 
+    def list_lacking(self) -> list[str]:
+        """Returns the tenants of which work found no room in the last plan."""
+        return list(self._last_lacking)
+
     def find_large(self, tenant: str, now: float) -> execution.Step | None:
         """Returns the step for which room is kept now, None without one.
 
