Learn run times and speeds of workers

Cause: a worker that is always half as fast was forgotten within 6 s, and ordering, admission and expected waits relied on callers' estimates.

Change: decisions/runtimes.py learns run times by queue and image, decisions/speeds.py factors on the run time by incarnation of a worker and by kind, both from runs that did their whole work at full speed and whose end is known well enough. Urgent tasks, late ones and the last tasks of a step weigh a slow worker in the unit of packing and locality; other work prefers slow workers a little. The pool searches classes of speed apart, so that slow workers don't hide fast ones. Ordering, expected waits and speculative copies use the learned run times. The row `learned` passes them to the next owner. Nothing changes before enough runs have ended.

--- a/packages/persimmonpath/persimmonpath/fitindex.py
+++ b/packages/persimmonpath/persimmonpath/fitindex.py
@@ -33,12 +33,15 @@
         free: Resources that are not reserved.
         free_slots: Slots that are not reserved.
         key: Its bucket in the index; None while it is in none.
+        group: Workers of different groups are searched apart, so that those of
+            one don't hide those of another.
     """
 
     capacity: resources.Resources
     free: resources.Resources
     free_slots: int = 1
     key: _Key | None = None
+    group: int = 0
 
 
 def compute_leftover_share(
@@ -171,24 +174,25 @@
 
     def __init__(self):
         """Creates an empty index."""
-        self._classes: dict[resources.Resources, _CapacityClass] = {}
+        self._classes: dict[
+            tuple[resources.Resources, int], _CapacityClass
+        ] = {}
 
     def add(self, entry: IndexEntry) -> None:
         """Adds a worker; one without a free slot is not indexed."""
-        found = self._classes.get(entry.capacity)
+        key = entry.capacity, entry.group
+        found = self._classes.get(key)
         if found is None:
-            found = self._classes[entry.capacity] = _CapacityClass(
-                entry.capacity
-            )
+            found = self._classes[key] = _CapacityClass(entry.capacity)
         found.add(entry)
 
     def remove(self, entry: IndexEntry) -> None:
         """Removes a worker; must be called before its free capacity changes."""
-        self._classes[entry.capacity].remove(entry)
+        self._classes[entry.capacity, entry.group].remove(entry)
 
     def update(self, entry: IndexEntry, free: resources.Resources) -> None:
         """Sets the free resources of a worker that has been added."""
-        capacity_class = self._classes[entry.capacity]
+        capacity_class = self._classes[entry.capacity, entry.group]
         entry.free = free
         if capacity_class.compute_key(entry) != entry.key:
             capacity_class.remove(entry)
@@ -207,7 +211,7 @@
             size: Size of the task.
             is_accelerated: Whether to search the workers with accelerators
                 or those without.
-            limit: Most workers returned for each distinct capacity.
+            limit: Most workers returned for each distinct capacity and group.
             allows: Returns whether a worker may be used.
         """
         classes = [
@@ -245,7 +249,7 @@
 
         Args:
             size: Size of the task.
-            limit: Most workers returned for each distinct capacity.
+            limit: Most workers returned for each distinct capacity and group.
             allows: Returns whether a worker may be used.
         """
         return _find_allowed(self._classes.values(), size, limit, allows)
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
@@ -31,7 +31,8 @@
     Attributes:
       spec: their step.
       count: the number of tasks.
-      run_s: the expected duration of a run, in seconds.
+      run_s: the expected duration of a run on a worker of normal speed, in
+        seconds.
       priority: the priority of their queue, 0 for the most urgent.
     """
 
@@ -65,7 +66,8 @@
     The work of a priority and of the more urgent ones is worked off by all the
     capacity that long-running tasks leave. The scarcest resource counts. Limits
     by rack or advice are left out, so the wait may be longer. Work that no
-    worker can ever run delays nothing.
+    worker can ever run delays nothing. A worker that is half as fast counts as
+    half of its capacity.
 
     Args:
       workers: the workers in service. Those that don't answer for a moment are
@@ -76,13 +78,13 @@
       Seconds by priority, for the priorities of the waiting work; without those
       below MIN_PUBLISHED_WAIT_S.
     """
-    capacity = [0, 0, 0]
+    capacity = [0.0, 0.0, 0.0]
     workers = list(workers)
     if not workers:
         return {}
     for worker in workers:
         for index, amount in enumerate(worker.list_attainable_capacity()):
-            capacity[index] += max(0, amount)
+            capacity[index] += max(0, amount) / worker.run_time_factor
     needs_by_priority: dict[int, list[float]] = {}
     for work in waiting:
         spec = work.spec
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/health.py
@@ -31,6 +31,11 @@
 # but not before the minimum age in seconds.
 STRAGGLER_FACTOR = 2.5
 MIN_STRAGGLER_S = 1.2
+# Seconds until a copy has been placed and started, and its end is known.
+COPY_START_S = 0.1
+# Copies are started only while at least this share of the CPU is free. Below
+# it, they delay work that waits.
+MIN_COPY_FREE_SHARE = 0.1
 
 
 # Seconds within which the ends of a gang's members are listed once one of them
@@ -108,6 +113,39 @@
     return now - run.sent_at > age_limit_s
 
 
+def estimate_remaining_s(
+    run: execution.Run, expected_s: float, now: float
+) -> float:
+    """Returns how much longer a straggler is expected to run, in seconds.
+
+    A worker that is slow at present slows the whole run. A run that is late for
+    an unknown reason is expected to take as long again as it is late.
+
+    Args:
+      run: the run.
+      expected_s: expected duration on its worker, in seconds.
+      now: the monotonic clock, in seconds.
+    """
+    age_s = now - run.sent_at
+    slowed_s = expected_s * estimate_slowness(run.worker, now)
+    return max(0.0, slowed_s - age_s, age_s - expected_s)
+
+
+def is_copy_faster(
+    run: execution.Run, expected_s: float, copy_s: float, now: float
+) -> bool:
+    """Returns whether a speculative copy is expected to end before a run.
+
+    Args:
+      run: the run.
+      expected_s: expected duration on its worker, in seconds.
+      copy_s: expected duration on the worker that the copy would get.
+      now: the monotonic clock, in seconds.
+    """
+    copy_end_s = copy_s + COPY_START_S
+    return copy_end_s < estimate_remaining_s(run, expected_s, now)
+
+
 def is_overdue(run: execution.Run, now: float) -> bool:
     """Returns whether a run goes on although its gang is done."""
     return run.done_at is not None and now - run.done_at > GANG_END_S
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -5,6 +5,7 @@
 latency objective, and last of all those that are too late to be of use.
 """
 
+from collections.abc import Sequence
 import math
 from typing import NamedTuple
 
@@ -36,28 +37,45 @@
     due_s: float
 
 
-def estimate_critical_path_ms(steps: list) -> float:
-    """Returns the estimated duration of the critical path of steps, in ms."""
+def estimate_critical_path_ms(
+    steps: list, run_ms: Sequence[float] | None = None
+) -> float:
+    """Returns the estimated duration of the critical path of steps, in ms.
+
+    Args:
+      steps: the steps of a submission.
+      run_ms: expected run time of the tasks of each step, in milliseconds;
+        None for the callers' estimates.
+    """
     ends_ms: list[float] = []
-    for spec in steps:
+    for number, spec in enumerate(steps):
         start = max(
             (ends_ms[dependency] for dependency in spec.after), default=0.0
         )
-        ends_ms.append(start + spec.estimated_ms)
+        ends_ms.append(start + _choose_run_ms(steps, number, run_ms))
     return max(ends_ms, default=0.0)
 
 
-def estimate_remaining_path_ms(steps: list, number: int) -> float:
+def _choose_run_ms(
+    steps: list, number: int, run_ms: Sequence[float] | None
+) -> float:
+    return steps[number].estimated_ms if run_ms is None else run_ms[number]
+
+
+def estimate_remaining_path_ms(
+    steps: list, number: int, run_ms: Sequence[float] | None = None
+) -> float:
     """Returns the estimated duration of the longest path from a step on, in ms.
 
     Args:
       steps: the steps of a submission.
       number: the number of the step, which is counted too.
+      run_ms: as in `estimate_critical_path_ms`.
     """
     if number >= len(steps):
         # The details of an ended submission have been dropped.
         return 0.0
-    ends_ms = {number: steps[number].estimated_ms}
+    ends_ms = {number: _choose_run_ms(steps, number, run_ms)}
     for later in range(number + 1, len(steps)):
         starts_ms = [
             ends_ms[dependency]
@@ -65,7 +83,8 @@
             if dependency in ends_ms
         ]
         if starts_ms:
-            ends_ms[later] = max(starts_ms) + steps[later].estimated_ms
+            later_ms = _choose_run_ms(steps, later, run_ms)
+            ends_ms[later] = max(starts_ms) + later_ms
     return max(ends_ms.values())
 
 
@@ -75,6 +94,7 @@
     age_s: float,
     critical_path_ms: float,
     now: float,
+    run_ms: Sequence[float] | None = None,
 ) -> Rank:
     """Returns the rank of a waiting step.
 
@@ -84,13 +104,19 @@
       age_s: seconds since its latency objective counts.
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
+      run_ms: as in `estimate_critical_path_ms`.
     """
     objective_s = compute_objective_s(queue, critical_path_ms)
     if step.spec.long_running:
         return Rank(False, queue.priority, False, now - age_s + objective_s)
-    remaining_s = _estimate_remaining_s(step)
+    remaining_s = _estimate_remaining_s(step, run_ms)
     finish_s = age_s + remaining_s
-    later_s = remaining_s - step.spec.estimated_ms / 1000
+    steps = step.submission.record.steps
+    if step.number < len(steps):
+        own_s = _choose_run_ms(steps, step.number, run_ms) / 1000
+    else:
+        own_s = step.spec.estimated_ms / 1000
+    later_s = remaining_s - own_s
     due_s = now - age_s + objective_s - later_s
     return Rank(
         finish_s > EXPIRY_FACTOR * objective_s,
@@ -100,9 +126,11 @@
     )
 
 
-def _estimate_remaining_s(step: execution.Step) -> float:
+def _estimate_remaining_s(
+    step: execution.Step, run_ms: Sequence[float] | None
+) -> float:
     steps = step.submission.record.steps
-    return estimate_remaining_path_ms(steps, step.number) / 1000
+    return estimate_remaining_path_ms(steps, step.number, run_ms) / 1000
 
 
 def compute_objective_s(
@@ -118,6 +146,7 @@
     age_s: float,
     critical_path_ms: float,
     now: float,
+    run_ms: Sequence[float] | None = None,
 ) -> float:
     """Returns when the rank of a waiting step changes next.
 
@@ -127,6 +156,7 @@
       age_s: seconds since its latency objective counts.
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
+      run_ms: as in `estimate_critical_path_ms`.
 
     Returns:
       A time in seconds of the monotonic clock, infinity if it doesn't change.
@@ -134,7 +164,7 @@
     if step.spec.long_running:
         return math.inf
     objective_s = compute_objective_s(queue, critical_path_ms)
-    finish_s = age_s + _estimate_remaining_s(step)
+    finish_s = age_s + _estimate_remaining_s(step, run_ms)
     for limit_s in (objective_s, EXPIRY_FACTOR * objective_s):
         if finish_s <= limit_s:
             return now + limit_s - finish_s
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from persimmonpath_entry.decisions import health
+from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 
@@ -185,6 +186,7 @@
     avoided: Iterable[str] = (),
     now: float = 0.0,
     reserved_for_others: Collection[str] = (),
+    need: speeds.TimeNeed | None = None,
 ) -> float:
     """Returns the cost of running a task on a worker; the lowest is chosen.
 
@@ -198,10 +200,11 @@
       avoided: ids of workers on which the task has failed.
       now: the monotonic clock, in seconds.
       reserved_for_others: ids of workers that are reserved for other steps.
+      need: how much the task needs a fast worker, None if that isn't known.
     """
     free = free_capacity.get_free(worker)
     return _compute_cost_of(
-        worker, spec, free, avoided, now, reserved_for_others
+        worker, spec, free, avoided, now, reserved_for_others, need
     )
 
 
@@ -212,6 +215,7 @@
     avoided: Iterable[str],
     now: float,
     reserved_for_others: Collection[str],
+    need: speeds.TimeNeed | None,
 ) -> float:
     registration = worker.registration
     cpu, memory_mb, gpu, filler_cpu, _ = free
@@ -238,6 +242,8 @@
     if worker.slowness > SLOWNESS_LIMIT:
         slowness = health.estimate_slowness(worker, now)
         cost += SLOWNESS_COST * max(0.0, slowness - SLOWNESS_LIMIT)
+    if need is not None:
+        cost += need.compute_cost(worker.run_time_factor)
     return cost + 0.5 * worker.recent_failures
 
 
@@ -249,6 +255,7 @@
     avoided: Iterable[str] = (),
     now: float = 0.0,
     reserved_for_others: Collection[str] = (),
+    need: speeds.TimeNeed | None = None,
 ) -> fleet.Worker | None:
     """Returns the worker with the lowest cost for a task.
 
@@ -260,6 +267,7 @@
       avoided: ids of workers that are the last choice.
       now: the monotonic clock, in seconds.
       reserved_for_others: ids of workers that are reserved for other steps.
+      need: how much the task needs a fast worker, None if that isn't known.
 
     Returns:
       The worker, or None if none has enough free capacity.
@@ -274,7 +282,7 @@
         if not _fits_in(worker, spec, free):
             continue
         cost = _compute_cost_of(
-            worker, spec, free, avoided, now, reserved_for_others
+            worker, spec, free, avoided, now, reserved_for_others, need
         )
         if best is None or cost < best_cost:
             best = worker
@@ -295,6 +303,7 @@
     now: float = 0.0,
     reserved_for_others: Collection[str] = (),
     choose_member: ChooseMember | None = None,
+    need: speeds.TimeNeed | None = None,
 ) -> list[fleet.Worker] | None:
     """Returns a worker for each member of a gang, or None if it doesn't fit.
 
@@ -310,11 +319,12 @@
       reserved_for_others: ids of workers that are reserved for other steps.
       choose_member: chooses among all these workers; by default each of them
         is examined.
+      need: how much the gang needs fast workers, None if that isn't known.
     """
 
     def choose_among(group: list[fleet.Worker]) -> ChooseMember:
         return lambda free, counts: choose_worker(
-            group, spec, free, counts, (), now, reserved_for_others
+            group, spec, free, counts, (), now, reserved_for_others, need
         )
 
     if spec.same_rack:
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -14,6 +14,7 @@
 
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.decisions import reservations
+from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
@@ -36,6 +37,13 @@
 
 # A task and the worker on which it is to run.
 Placement = tuple[execution.Task, fleet.Worker]
+# Returns how much the given number of waiting tasks of a step need fast workers
+# at a time, None if that isn't known.
+DescribeNeed = Callable[[execution.Step, int, float], speeds.TimeNeed | None]
+
+
+def _ignore_speeds(step: execution.Step, waiting: int, now: float) -> None:
+    return None
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,15 +91,18 @@
         self,
         pool: workerpool.WorkerPool,
         is_usable: Callable[[fleet.Worker, float], bool],
+        describe_need: DescribeNeed = _ignore_speeds,
     ):
         """Creates a planner.
 
         Args:
           pool: the workers that may get tasks.
           is_usable: returns whether a worker may still get tasks at a time.
+          describe_need: tells how much steps need fast workers.
         """
         self._pool = pool
         self._is_usable = is_usable
+        self._describe_need = describe_need
         # The capacity that each step holds in the current plan: workers and
         # numbers of tasks.
         self._held: dict[execution.Step, list[tuple[fleet.Worker, int]]] = {}
@@ -262,17 +273,18 @@
             return []
 
         reserved = self._list_reserved_for_others(step)
+        need = self._describe_need(step, len(waiting), now)
 
         def choose(counts, task=None):
             return self._choose_from_pool(
-                step, counts, now, allows, task, reserved
+                step, counts, now, allows, task, reserved, need
             )
 
         if spec.gang:
             workers = []
             if spec.same_rack:
                 workers = self.list_ever_fitting(step, allows)
-            pairs = self._plan_gang(step, waiting, workers, now, choose)
+            pairs = self._plan_gang(step, waiting, workers, now, choose, need)
         else:
             pairs = self._plan_tasks(step, waiting, choose)
         is_any_allowed = allows is None and not any(t.runs for t in waiting)
@@ -295,8 +307,9 @@
           workers: the usable workers that may run the step.
           now: the monotonic clock, in seconds.
         """
+        need = self._describe_need(step, len(waiting), now)
         if step.spec.gang:
-            return self._plan_gang(step, waiting, workers, now, None)
+            return self._plan_gang(step, waiting, workers, now, None, need)
         reserved = self._list_reserved_for_others(step)
 
         def choose(counts, task):
@@ -309,6 +322,7 @@
                 task.avoided,
                 now,
                 reserved,
+                need,
             )
 
         return self._plan_tasks(step, waiting, choose)
@@ -395,7 +409,7 @@
             return []
         return fitting
 
-    def _plan_gang(self, step, waiting, workers, now: float, choose):
+    def _plan_gang(self, step, waiting, workers, now: float, choose, need):
         def choose_member(_, counts):
             return choose(counts)
 
@@ -407,6 +421,7 @@
             now,
             self._list_reserved_for_others(step),
             None if choose is None else choose_member,
+            need,
         )
         if plan is None or not all(self._is_usable(w, now) for w in plan):
             return []
@@ -439,6 +454,7 @@
         allows: workerpool.Allows | None,
         task: execution.Task | None,
         reserved: Collection[str],
+        need: speeds.TimeNeed | None,
     ) -> fleet.Worker | None:
         """Chooses a worker of the pool that is still usable."""
         avoided: Iterable[str] = () if task is None else task.avoided
@@ -459,6 +475,7 @@
                 now,
                 reserved,
                 is_allowed,
+                need,
             )
             if worker is None or self._is_usable(worker, now):
                 return worker
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -5,19 +5,28 @@
 of the owner's processor time.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from persimmonpath import fitindex
 from persimmonpath import resources
 from persimmonpath_entry.decisions import placement
+from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
 
 # Workers of each distinct capacity whose costs are compared for a task.
 CANDIDATES = 16
+# The same for each class of speed, if workers are known to differ, so that all
+# of them together cost about as much.
+MIN_CANDIDATES = 4
+# Factor on the run time from which on a worker near the data isn't clearly
+# better than one of normal speed elsewhere.
+MAX_NEAR_FACTOR = 1.2
 
 # Returns whether a worker may run a task.
 Allows = Callable[[fleet.Worker], bool]
@@ -44,6 +53,8 @@
         self._entries: dict[str, _PooledWorker] = {}
         self.workers: dict[str, fleet.Worker] = {}
         self._racks: dict[str, dict[str, fleet.Worker]] = {}
+        # Number of workers by class of speed.
+        self._class_sizes: collections.Counter[int] = collections.Counter()
         self.free_capacity = placement.FreeCapacity(self.update)
 
     def begin_plan(self) -> placement.FreeCapacity:
@@ -90,14 +101,19 @@
             max(1, registration.memory_mb),
             registration.gpu,
         )
+        group = speeds.choose_class(worker.run_time_factor)
         entry = self._entries.get(worker.id)
-        if entry is not None and entry.capacity == capacity:
-            return
         if entry is not None:
+            if entry.capacity == capacity and entry.group == group:
+                return
             self.remove(worker)
         entry = _PooledWorker(
-            worker=worker, capacity=capacity, free=self._measure_free(worker)
+            worker=worker,
+            capacity=capacity,
+            free=self._measure_free(worker),
+            group=group,
         )
+        self._class_sizes[group] += 1
         self._entries[worker.id] = entry
         self.workers[worker.id] = worker
         self._index.add(entry)
@@ -110,6 +126,9 @@
         if entry is None:
             return
         self._index.remove(entry)
+        self._class_sizes[entry.group] -= 1
+        if not self._class_sizes[entry.group]:
+            del self._class_sizes[entry.group]
         del self.workers[worker.id]
         for rack in self._racks.values():
             rack.pop(worker.id, None)
@@ -125,13 +144,18 @@
         return resources.Resources(*self.free_capacity.get_free(worker)[:3])
 
     def list_candidates(
-        self, spec: submissions.StepSpec, allows: Allows
+        self,
+        spec: submissions.StepSpec,
+        allows: Allows,
+        max_near_factor: float = math.inf,
     ) -> list[fleet.Worker]:
         """Returns workers that fit a task, among them nearly the best fit.
 
         Args:
           spec: the step of the task.
           allows: returns whether a worker may run the task.
+          max_near_factor: factor on the run time from which on a worker near
+            the data may be worse than one far away.
         """
 
         def is_candidate(worker: fleet.Worker) -> bool:
@@ -151,17 +175,21 @@
         if spec.is_filler:
             # Fillers don't count against the CPU by which workers are indexed.
             return filter_fitting(self.list_workers())
+        found = []
         if spec.data_rack:
             near_data = self._racks.get(spec.data_rack, {}).values()
             found = filter_fitting(near_data)
-            if found:
+            if any(w.run_time_factor <= max_near_factor for w in found):
                 return found
+        limit = CANDIDATES
+        if len(self._class_sizes) > 1:
+            limit = max(MIN_CANDIDATES, CANDIDATES // len(self._class_sizes))
         entries = self._index.list_candidates(
             resources.Resources(spec.cpu, spec.memory_mb, spec.gpu),
-            CANDIDATES,
+            limit,
             lambda entry: is_candidate(entry.worker),
         )
-        return [entry.worker for entry in entries]
+        return found + [entry.worker for entry in entries]
 
     def may_fit(self, spec: submissions.StepSpec, count: int) -> bool:
         """Returns whether `count` tasks of a step may fit at the same time.
@@ -182,6 +210,7 @@
         now: float = 0.0,
         reserved_for_others: Collection[str] = (),
         allows: Allows | None = None,
+        need: speeds.TimeNeed | None = None,
     ) -> fleet.Worker | None:
         """Returns a worker with a low cost for a task, None if none fits.
 
@@ -193,6 +222,8 @@
           reserved_for_others: ids of workers that are reserved for other
             steps.
           allows: returns whether a worker may run the task, None if all may.
+          need: how much the task needs a fast worker, None if that isn't
+            known.
         """
         limit = spec.max_per_worker
 
@@ -201,7 +232,9 @@
                 return False
             return allows is None or allows(worker)
 
-        candidates = self.list_candidates(spec, is_allowed)
+        is_speed_needed = need is not None and need.weigh(1.0) > 0
+        max_near_factor = MAX_NEAR_FACTOR if is_speed_needed else math.inf
+        candidates = self.list_candidates(spec, is_allowed, max_near_factor)
         return placement.choose_worker(
             candidates,
             spec,
@@ -210,6 +243,7 @@
             avoided,
             now,
             reserved_for_others,
+            need,
         )
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
@@ -54,10 +54,13 @@
             if self._ranking.rank(step, now)[0].is_expired:
                 continue
             queue = shard.find_queue(step.submission)
-            typical_s = shard.run_end_handler.find_typical_duration(queue.name)
+            run_s = shard.learner.predict_run_s(step)
+            if run_s is None:
+                handler = shard.run_end_handler
+                run_s = handler.find_typical_duration(queue.name)
             yield admission.WaitingWork(
                 step.spec,
                 count,
-                typical_s or step.spec.estimated_ms / 1000,
+                run_s or step.spec.estimated_ms / 1000,
                 queue.priority,
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -23,6 +23,8 @@
 RETRY_PAUSE_S = 0.25
 # Run ends that occur within this time are fetched by one listing.
 BATCH_DELAY_S = 0.03
+# An answer within this time shows what had happened before the request.
+IMMEDIATE_ANSWER_S = 0.02
 # Longest delay of the next listing until the run ends of the last one have been
 # stored, so that it can acknowledge them.
 STORE_WAIT_S = 0.4
@@ -240,6 +242,10 @@
         if sent_at < worker.listed_at:
             return
         worker.listing_failures = 0
+        # An end after the request is listed at once.
+        is_immediate = now - sent_at < IMMEDIATE_ANSWER_S
+        gap_s = max(0.0, sent_at - worker.listed_at)
+        worker.listing_gap_s = gap_s if is_immediate else 0.0
         worker.listed_at = now
         if worker.unresponsive_since is not None:
             self._node.log.warn(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
@@ -1,7 +1,15 @@
 """Text overview of an entry VM's state for operators."""
 
+import heapq
+import itertools
+import math
+
+from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.transport import clock
 
+# Kinds of work, kinds of workers and slowest workers that are shown.
+MAX_LEARNED = 20
+
 
 def render(node) -> str:
     """Returns the state of an entry VM as lines of key=value pairs.
@@ -46,6 +54,7 @@
             f"free_cpu={worker.free_cpu} free_mb={worker.free_memory_mb} "
             f"free_gpu={worker.free_gpu}"
         )
+    lines += _render_learned(shard)
     for submission in shard.submissions.values():
         if submission.is_active:
             runs = len(submission.list_runs())
@@ -54,3 +63,35 @@
                 f"age_s={now - submission.known_since:.1f} runs={runs}"
             )
     return lines
+
+
+def _render_learned(shard) -> list[str]:
+    """Returns what was learned of the most recent kinds and slowest workers."""
+    learner = shard.learner
+    lines = []
+    for kind, average in itertools.islice(
+        learner.speeds.list_kinds(), MAX_LEARNED
+    ):
+        factor = math.exp(average.shrink(0.0))
+        lines.append(
+            f"kind={kind} run_time_factor={factor:.2f} runs={average.count:.0f}"
+        )
+    slowest = heapq.nlargest(
+        MAX_LEARNED,
+        (w for w in shard.workers.values() if w.run_time_factor > 1.0),
+        key=lambda worker: worker.run_time_factor,
+    )
+    for worker in slowest:
+        lines.append(
+            f"slow_worker={worker.id} kind={speeds.find_kind(worker)} "
+            f"run_time_factor={worker.run_time_factor:.2f}"
+        )
+    for kind, known in itertools.islice(
+        learner.run_times.list_learned(), MAX_LEARNED
+    ):
+        quotient = known.quotients.typical if known.quotients else 0.0
+        lines.append(
+            f"work={'_'.join(kind.split())} run_s={known.seconds.typical:.3f} "
+            f"high_s={known.seconds.high:.3f} to_declared={quotient:.2f}"
+        )
+    return lines
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/runends.py
@@ -25,7 +25,10 @@
         self._durations: dict[str, float] = {}
 
     def find_typical_duration(self, queue: str) -> float | None:
-        """Returns the typical run duration of a queue in seconds, or None."""
+        """Returns the typical run duration of a queue in seconds, or None.
+
+        It stands in for kinds of work of which too few runs have ended.
+        """
         return self._durations.get(queue)
 
     def update_worker_health(self, run: execution.Run, how: str):
@@ -55,14 +58,17 @@
             return
         now = clock.read_clock()
         queue = run.task.step.submission.record.queue
+        expected_s = self._shard.learner.predict_run_s(run.task.step)
+        ratio = self._shard.learner.observe(run)
         duration_s = max(0.01, now - run.sent_at)
         typical_s = self._durations.get(queue)
         if typical_s is None:
             self._durations[queue] = duration_s
             return
-        health.record_duration(
-            worker=run.worker, ratio=duration_s / typical_s, now=now
-        )
+        if expected_s is None:
+            ratio = duration_s / typical_s
+        if ratio is not None:
+            health.record_duration(worker=run.worker, ratio=ratio, now=now)
         self._durations[queue] += DURATION_WEIGHT * (duration_s - typical_s)
 
     def handle_run_end(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.decisions import readysteps
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import learning
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
 from persimmonpath_entry.engine import workerregistry
@@ -58,6 +59,7 @@
       dirty: submissions whose progress has to be stored, by id.
       recurring: active submissions with a schedule of occurrences, by id.
       occurrence_opener: opens and closes the occurrences of submissions.
+      learner: learns run times and speeds of workers from the ends of runs.
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
       has_read_workers: whether the table of the workers has been read.
@@ -109,6 +111,7 @@
         self.dirty: dict[str, execution.Submission] = {}
         self.recurring: dict[str, execution.Submission] = {}
         self.occurrence_opener = occurrences.OccurrenceOpener(self)
+        self.learner = learning.RunLearner(self)
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
         self.has_read_workers = False
@@ -381,6 +384,7 @@
         run = execution.Run(
             task, number, worker, execution.Phase.STARTING, clock.read_clock()
         )
+        run.is_resumed = bool(task.saved)
         task.last_number = number
         task.wants_copy = False
         task.is_accounted = True
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
@@ -7,6 +7,7 @@
 from persimmonpath_entry.engine import backlog
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import freshness
+from persimmonpath_entry.engine import learnedrows
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import persistence
@@ -65,6 +66,7 @@
             ("shard_maintenance", self.maintenance.run),
             ("scheduler", self.scheduler.run),
             ("backlog", meter.run),
+            ("learned_row", learnedrows.LearnedRowKeeper(shard).run),
         ):
             shard.spawn(supervision.keep_running(node, name, run))
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -209,10 +209,7 @@
         if worker.filler_runs and worker.latency_sensitive_runs:
             self._throttle_fillers(worker, now)
         for run in list(worker.runs.values()):
-            typical_s = self._shard.run_end_handler.find_typical_duration(
-                run.task.step.submission.record.queue
-            )
-            if health.may_start_copy(run, typical_s, now):
+            if self._may_start_copy(run, now):
                 self._shard.request_speculative_copy(run.task)
             if health.is_overdue(run, now):
                 self._commands.stop(run, "gang_done")
@@ -228,6 +225,38 @@
                 run.task.avoided.add(worker.id)
                 self._commands.stop(run, "stands_still")
 
+    def _may_start_copy(self, run: execution.Run, now: float) -> bool:
+        """Returns whether a run's task should get a speculative copy."""
+        spec = run.spec
+        if not spec.allow_copies:
+            return False
+        learner = self._shard.learner
+        run_s = learner.predict_run_s(run.task.step)
+        typical_s = run_s
+        if typical_s is None:
+            typical_s = self._shard.run_end_handler.find_typical_duration(
+                run.task.step.submission.record.queue
+            )
+        if not health.may_start_copy(run, typical_s, now):
+            return False
+        if run.worker.unresponsive_since is not None or run_s is None:
+            return True
+        pool = self._shard.pool
+        if pool.measure_free_share() < health.MIN_COPY_FREE_SHARE:
+            return False
+        worker = pool.choose_worker(
+            spec, {}, run.task.avoided, now, (), lambda w: w is not run.worker
+        )
+        if worker is None:
+            return False
+        copy = execution.Run(run.task, 0, worker, execution.Phase.STARTING, now)
+        return health.is_copy_faster(
+            run,
+            learner.predict_on_worker(run),
+            learner.predict_on_worker(copy),
+            now,
+        )
+
     def _evacuate_long_running(self, worker: fleet.Worker):
         """Stops the long-running tasks of a worker that may be missed now."""
         for run in list(worker.runs.values()):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -1,10 +1,16 @@
 """Ranks the waiting steps of a shard."""
 
 from persimmonpath_entry.decisions import ordering
+from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.decisions import stepplanner
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.state import execution
 
+# Priority of the most urgent queues.
+MOST_URGENT = 0
+# Tasks from which on a step is large, so that its last tasks delay its end.
+LARGE_STEP_TASKS = 8
+
 
 class StepRanking:
     """Ranks steps by the configuration of their queues and by the plan."""
@@ -17,17 +23,54 @@
         self, step: execution.Step, now: float
     ) -> tuple[ordering.Rank, float]:
         """Returns the rank of a step and the time at which it changes."""
+        arguments = self._describe(step, now)
+        return (
+            ordering.rank_step(*arguments),
+            ordering.find_rank_change(*arguments),
+        )
+
+    def _describe(self, step: execution.Step, now: float) -> tuple:
+        """Returns the arguments of `ordering.rank_step`."""
         submission = step.submission
-        arguments = (
+        run_ms = self._shard.learner.list_run_ms(submission.record)
+        return (
             step,
             self._shard.find_queue(submission),
             now - step.counted_since,
-            ordering.estimate_critical_path_ms(submission.record.steps),
+            ordering.estimate_critical_path_ms(submission.record.steps, run_ms),
             now,
+            run_ms,
         )
-        return (
-            ordering.rank_step(*arguments),
-            ordering.find_rank_change(*arguments),
+
+    def describe_need(
+        self, step: execution.Step, waiting: int, now: float
+    ) -> speeds.TimeNeed | None:
+        """Returns how much the tasks of a step need a fast worker.
+
+        Args:
+          step: the step.
+          waiting: number of its tasks that wait.
+          now: the monotonic clock, in seconds.
+
+        Returns:
+          None while no worker is known to differ in speed, and for
+          long-running tasks, which have no run time.
+        """
+        spec = step.spec
+        if spec.long_running or not self._shard.learner.has_speeds:
+            return None
+        if spec.is_filler:
+            return speeds.TimeNeed(0.0)
+        run_s = self._shard.learner.predict_run_s(step)
+        if run_s is None:
+            run_s = spec.estimated_ms / 1000
+        rank = ordering.rank_step(*self._describe(step, now))
+        return speeds.TimeNeed(
+            run_s,
+            rank.due_s - now,
+            rank.priority == MOST_URGENT,
+            spec.count >= LARGE_STEP_TASKS
+            and waiting <= speeds.LAST_TASKS_SHARE * spec.count,
         )
 
     def yields_capacity(self, step: execution.Step, now: float) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -63,7 +63,11 @@
         self._commands = commands
         self._poller = poller
         self._ticket_requester = ticketrequests.TicketRequester(shard, advisor)
-        self._planner = stepplanner.StepPlanner(shard.pool, self._is_usable)
+        self._planner = stepplanner.StepPlanner(
+            shard.pool,
+            self._is_usable,
+            lambda *arguments: self.ranking.describe_need(*arguments),
+        )
         self.ranking = stepranking.StepRanking(shard, self._planner)
         self._preemptor = preemptor.Preemptor(shard)
         self._gangs = gangpreparation.GangPreparer(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workercommands.py
@@ -82,6 +82,7 @@
             self._node.metrics.observe("start_latency", elapsed_ms)
             worker.record_clock(result.clock_ms, now)
             run.confirmed_at = now
+            run.started_at = now
             if run.phase is execution.Phase.STARTING:
                 run.phase = execution.Phase.RUNNING
             return
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -22,6 +22,7 @@
     grace_s: float = 6
     addr_reuse_s: float = 2
     maintenance_s: float = 2
+    far_x: float = 1.5
     status_s: float = msgspec.field(name="status_s", default=120)
 
 
@@ -112,6 +113,8 @@
         errors.append("internalPorts: empty; allowed: first and last port")
     if settings.store.row_bytes < MIN_ROW_BYTES:
         errors.append(f"platform.rowBytes: below {MIN_ROW_BYTES}")
+    if not settings.bounds.far_x >= 1:
+        errors.append("bounds.farX: below 1")
     if settings.bounds.hold_max_ms < 1000:
         errors.append("bounds.holdMaxMs: below 1000")
     return errors
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/execution.py
@@ -67,6 +67,9 @@
         All members end at the same time.
       is_being_stopped: whether a stop has been requested.
       is_being_paced: whether a call to change its CPU share is in flight.
+      started_at: when the worker answered that it has started, None if that
+        isn't known.
+      is_resumed: whether it began from a checkpoint.
     """
 
     task: "Task"
@@ -85,6 +88,8 @@
     done_at: float | None = None
     is_being_stopped: bool = False
     is_being_paced: bool = False
+    started_at: float | None = None
+    is_resumed: bool = False
 
     @property
     def spec(self) -> submissions.StepSpec:
--- a/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/state/fleet.py
@@ -67,6 +67,10 @@
       slowness: duration of its runs relative to the typical one of their
         queue, as a moving average; 1 is typical.
       slowness_at: when the slowness was last updated.
+      run_time_factor: duration of its runs relative to a worker of normal
+        speed, as learned over a long time; 1 is normal, 2 half as fast.
+      listing_gap_s: seconds before its last listing in which a run may have
+        ended without being listed.
     """
 
     def __init__(self, registration: messages.Registration):
@@ -107,6 +111,8 @@
         self.preempted_at = 0.0
         self.slowness = 1.0
         self.slowness_at = 0.0
+        self.run_time_factor = 1.0
+        self.listing_gap_s = 0.0
 
     def begin_incarnation(self, born: int):
         """Resets the state that belongs to the former incarnation.
@@ -124,6 +130,7 @@
         self.clock = None
         self.max_lease_end_ms = 0.0
         self.recent_failures = 0
+        self.run_time_factor = 1.0
 
     def choose_acknowledged_end(self, now: float) -> int:
         """Returns the number of the run end to acknowledge in a listing.
