--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.decisions import readysteps
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import learning
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
 from persimmonpath_entry.engine import tenantusage
@@ -59,6 +60,7 @@
       dirty: submissions whose progress has to be stored, by id.
       recurring: active submissions with a schedule of occurrences, by id.
       occurrence_opener: opens and closes the occurrences of submissions.
+      learner: learns run times and speeds of workers from the ends of runs.
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
       tenant_usage: what the tenants use and may use of their limits.
@@ -111,6 +113,7 @@
         self.dirty: dict[str, execution.Submission] = {}
         self.recurring: dict[str, execution.Submission] = {}
         self.occurrence_opener = occurrences.OccurrenceOpener(self)
+        self.learner = learning.RunLearner(self)
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
         self.tenant_usage = tenantusage.TenantUsage(self)
@@ -386,6 +389,7 @@
         )
         run.paced_at = run.sent_at
         run.saved = task.saved
+        run.is_resumed = bool(task.saved)
         task.last_number = number
         task.wants_copy = False
         task.is_accounted = True
