Hold submissions while the store may be back before their deadline

Cause: a submission was refused with Retry-After 2 as soon as the store wasn't reachable. In an outage of 6 s of 120 rejections 117 were of submissions first sent in its first seconds; their callers used up attempts, and were away when the store was back.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -224,14 +224,11 @@
         )
         if problem is not None:
             return make_error(413, problem)
-        if not self._reach.can_use_store():
-            return make_error(503, "store unreachable", RETRY_AFTER_S)
         refusal = await self._refuse_overload(queue, submission_id, record)
         if refusal is not None:
             return refusal
-        outcome, version = await self._acceptance.store(
-            submission_id, record, deadline
-        )
+        result = await self._acceptance.store(submission_id, record, deadline)
+        outcome = result.outcome
         self._node.log.write(
             "submission_stored",
             id=submission_id,
@@ -242,15 +239,21 @@
             version=self._node.configuration.version,
         )
         if outcome is acceptance.Outcome.UNKNOWN:
-            return make_error(504, "the store has not answered")
+            return make_error(
+                504, "the store has not answered", result.retry_after_s
+            )
         if outcome is acceptance.Outcome.REFUSED:
+            if result.retry_after_s is not None:
+                return make_error(
+                    503, "store unreachable", result.retry_after_s
+                )
             return make_error(503, "store unavailable", RETRY_AFTER_S)
         if outcome is acceptance.Outcome.TOO_LARGE:
             return make_error(413, "the store refuses a row of this size")
         if outcome is acceptance.Outcome.FOREIGN:
             return make_error(409, "id in use")
         if outcome is acceptance.Outcome.ACCEPTED:
-            self._notify_owner(submission_id, record, version)
+            self._notify_owner(submission_id, record, result.version)
         return httpserver.Response(200)
 
     async def _refuse_overload(
@@ -277,6 +280,10 @@
         )
         if decision.is_accepted:
             return None
+        if self._acceptance is not None and self._acceptance.is_holding():
+            # The owner couldn't start it in time once the store is back, and
+            # the store can't tell whether it is a repeat.
+            return self._make_overload(queue, submission_id, wait_s, decision)
         stored = await self._node.store.read_row(
             persistence.SUBMISSION_TABLE,
             persistence.find_partition(submission_id),
@@ -284,12 +291,21 @@
         )
         if not isinstance(stored, platform_store.Rows) or stored.rows:
             return None
+        return self._make_overload(queue, submission_id, wait_s, decision)
+
+    def _make_overload(
+        self, queue, submission_id, wait_s: float, decision: admission.Admission
+    ) -> httpserver.Response:
+        """Logs an overload and returns the response that tells of it."""
+        if self._acceptance is not None and self._acceptance.may_be_stored(
+            submission_id
+        ):
+            return make_error(504, "the store has not answered")
         self._node.log.write(
             "submission_refused",
             id=submission_id,
             queue=queue.name,
             wait_s=wait_s,
-            path_ms=path_ms,
             retry_after_s=decision.retry_after_s,
         )
         return make_error(503, "overloaded", decision.retry_after_s)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from persimmonpath_entry.decisions import outages
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.platform import messages
@@ -16,6 +17,9 @@
 # Timeout of a direct probe of the store, and the interval of these probes while
 # a peer relays. They show when the store can be reached directly again.
 RETRY_S = 0.5
+# Pause between the probes of a store that no peer reaches either. Submissions
+# are held until it answers.
+PROBE_PAUSE_S = 0.15
 # A VM that reaches no peer, and got no answer of the store for this time, takes
 # itself out of rotation. Shorter gaps come from single lost packets.
 ISOLATION_TIMEOUT_S = 1.3
@@ -55,6 +59,7 @@
 
     Attributes:
       reach: what this VM reaches.
+      outage_lengths: the lengths of the store's outages.
     """
 
     def __init__(self, node: context.Context, peers: members.Members):
@@ -65,6 +70,11 @@
         # Number of probes of peers since one last reached the store.
         self._failed_probes = 0
         self.reach = Reach.STORE
+        self.outage_lengths = outages.OutageLengths()
+        # When the present outage began.
+        self._away_since: float | None = None
+        # When a peer last ceased to make the calls of this VM.
+        self._relayed_until = 0.0
         node.store.on_failure = self._check_requested.set
 
     def reaches_store_directly(self) -> bool:
@@ -85,6 +95,54 @@
         """Returns whether the store is reachable, directly or by relay."""
         return self.reaches_store_directly() or self.reach is Reach.PEER
 
+    def find_outage(self) -> outages.Outage | None:
+        """Returns what is known of an outage of the store, None without one.
+
+        There is none as long as a peer makes the calls of this VM.
+        """
+        store = self._node.store
+        now = clock.read_clock()
+        began_at = now
+        if store.unanswered_since is not None:
+            # As long as a peer made the calls there was no outage.
+            began_at = max(store.unanswered_since, self._relayed_until)
+        age_s = now - began_at
+        if self.reach is Reach.PEER:
+            return None
+        if self.reaches_store_directly():
+            if store.is_quiet():
+                self._check_requested.set()
+                return outages.Outage(outages.Kind.SILENT, age_s)
+            if store.last_soft_failure > store.last_answer:
+                return outages.Outage(outages.Kind.SLOW, age_s)
+            return None
+        kind = outages.Kind.SILENT
+        if store.last_failure > store.last_soft_failure:
+            kind = outages.Kind.REFUSING
+        scope = {
+            Reach.NO_STORE: outages.Scope.EVERYWHERE,
+            Reach.ISOLATED: outages.Scope.ISOLATED,
+        }.get(self.reach, outages.Scope.UNKNOWN)
+        return outages.Outage(kind, age_s, scope)
+
+    def _record_outage(self):
+        """Records the length of an outage once it is over."""
+        store = self._node.store
+        if not self.can_use_store():
+            if self._away_since is None:
+                since = store.unanswered_since or clock.read_clock()
+                self._away_since = max(since, self._relayed_until)
+            return
+        if self._away_since is None:
+            return
+        length_s = clock.read_clock() - self._away_since
+        self._away_since = None
+        if self.reach is Reach.PEER:
+            # The store may be away for this VM only, and still be so.
+            return
+        self.outage_lengths.record(length_s)
+        self._node.log.warn("store_outage_over", length_s=length_s)
+
     async def run(self):
         """Checks every CHECK_INTERVAL_S, or after a failed call.
 
@@ -97,14 +155,17 @@
             except TimeoutError:
                 pass
             self._check_requested.clear()
+            self._record_outage()
             if self.reaches_store_directly():
                 self._set_reach(Reach.STORE, None)
+                if self._node.store.is_quiet():
+                    await self._probe_store()
                 continue
-            await self._probe_peers()
-            await asyncio.sleep(
-                RETRY_S if self._relay_peer else CHECK_INTERVAL_S
-            )
-            await self._probe_store()
+            await asyncio.gather(self._probe_peers(), self._probe_store())
+            if not self.reaches_store_directly():
+                await asyncio.sleep(
+                    RETRY_S if self._relay_peer else PROBE_PAUSE_S
+                )
 
     async def _probe_store(self):
         """Probes the store; once it answers again, fails the pending calls."""
@@ -156,6 +217,8 @@
                 store_silent_s=clock.read_clock()
                 - self._node.store.last_answer,
             )
+        if self.reach is Reach.PEER and reach is not Reach.PEER:
+            self._relayed_until = clock.read_clock()
         self.reach = reach
         self._relay_peer = relay_peer
         self._node.store.relay = self._relay if relay_peer else None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/members.py
@@ -145,6 +145,10 @@
             if name != self._node.name
         }
 
+    def count_vms(self) -> int:
+        """Returns the number of VMs, with this one."""
+        return len(self.list_peer_zones()) + 1
+
     async def ask_for_boot(self, name: str) -> str | None:
         """Asks a VM for the id of its incarnation; None without an answer."""
         record = self._records.get(name)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -68,9 +68,11 @@
             self.context, self.members, self._advisor
         )
         self._advisor.list_owners = self.ownership.list_owners
-        self._acceptance = acceptance.Acceptance(self.context)
         state_views = views.Views(self.context, self.ownership, self.members)
         self.reach = connectivity.Connectivity(self.context, self.members)
+        self._acceptance = acceptance.Acceptance(
+            self.context, self.reach, self.members.count_vms
+        )
         self.front = clientapi.ClientApi(
             self.context,
             self._acceptance,
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/store.py
@@ -27,6 +27,11 @@
 MAX_POLL_SLACK_S = 2.0
 POLL_SLACK_FACTOR = 3.0
 ROWS_PER_CALL = 500
+# A transaction that is unanswered for QUIET_FACTOR times the typical latency,
+# and for this time, shows that the store may be away. Reads don't count, since
+# a large one takes as long on a thin link.
+QUIET_S = 0.5
+QUIET_FACTOR = 5.0
 # Extra time for a read whose response has begun to arrive: a configuration of
 # 1,800 queues takes a second on a link of 10 Mbit/s that carries other traffic.
 ARRIVING_EXTRA_S = 5.0
@@ -222,6 +227,8 @@
         soft failure, such as a refused connection or status 503.
       last_soft_failure: when a direct call last timed out or got status 429.
         A slow store fails some calls this way and answers others.
+      unanswered_since: when the first call was sent, or failed, that the store
+        hasn't served, if it has served no direct call since; else None.
       on_failure: called after each failure of a direct call, or None.
       clock: the newest reading of the store's clock, or None.
     """
@@ -237,6 +244,7 @@
         self.last_answer = -1e9
         self.last_failure = -1e9
         self.last_soft_failure = -1e9
+        self.unanswered_since: float | None = None
         self.clock: StoreClock | None = None
         self._typical_latency_s = 0.02
 
@@ -245,6 +253,13 @@
         self._client.set_address(address)
         self._probe_client.set_address(address)
 
+    def is_quiet(self) -> bool:
+        """Returns whether the store has left calls unanswered for too long."""
+        if self.unanswered_since is None:
+            return False
+        limit_s = max(QUIET_S, QUIET_FACTOR * self._typical_latency_s)
+        return clock.read_clock() - self.unanswered_since > limit_s
+
     def choose_timeout(self) -> float:
         """Derives the timeout of a call in seconds from the typical latency."""
         scaled_s = TIMEOUT_FACTOR * self._typical_latency_s
@@ -294,7 +309,10 @@
             is_soft_failure = outcome.status == 429
         else:
             self.last_answer = now
+            self.unanswered_since = None
             return outcome
+        if self.unanswered_since is None:
+            self.unanswered_since = now
         if is_soft_failure:
             self.last_soft_failure = now
         else:
@@ -315,6 +333,8 @@
         if timeout_s is None:
             timeout_s = self.choose_timeout()
         if self.relay is None:
+            if kind == "tx" and self.unanswered_since is None:
+                self.unanswered_since = start
             outcome = await self.call_directly(method, target, body, timeout_s)
         else:
             outcome = await self.relay(
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -45,6 +45,7 @@
         self.last_answer = 0.0
         self.last_failure = -1.0
         self.last_soft_failure = -1.0
+        self.unanswered_since = None
         self.clock = None
         self.row = platform_store.Rows([], 1)
 
@@ -52,6 +53,10 @@
         """Returns the result set in `row`."""
         return self.row
 
+    def is_quiet(self):
+        """Returns that no call is unanswered."""
+        return False
+
     async def commit(self, part, expect, put, remove=(), timeout_s=1.0):
         """Keeps the transaction and returns the next outcome."""
         self.commits.append((part, expect, put, remove))
