Reject no submission that is being written, and take no slow store for away

Making room for a held submission could reject one whose transaction was under way; and an unanswered transaction led to a probe of 0.5 s, which a slow store fails. Change: submissions that are being written make no room; an ordinary read with the timeout of any call shows whether the store is there. Test: failed without the change: test_a_submission_that_is_being_written_makes_no_room: True is not false test_a_slow_store_isn_t_away: Reach.NO_STORE is not Reach.STORE Result: the tests of outages, connectivity and acceptance pass (39).

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -102,6 +102,7 @@
       deadline: monotonic time in seconds by which its caller needs a result.
       future: receives the AcceptanceResult.
       may_be_stored: whether a write of it was not answered.
+      is_being_written: whether a transaction with it is under way.
       is_suspect: whether the store has refused a transaction with it for good,
         so that it is written in one of its own.
       wait_s: how long its caller waits in this attempt, in seconds.
@@ -113,6 +114,7 @@
     deadline: float
     future: asyncio.Future
     may_be_stored: bool = False
+    is_being_written: bool = False
     is_suspect: bool = False
     version: int = 0
     wait_s: float = 0.0
@@ -221,7 +223,9 @@
         victims = [
             (queue, other)
             for queue, other in held
-            if other.tenant == tenant and not other.may_be_stored
+            if other.tenant == tenant
+            and not other.may_be_stored
+            and not other.is_being_written
         ]
         if not victims:
             return False
@@ -431,9 +435,17 @@
         return list(batch.values())
 
     async def _commit(self, batch: list[_Pending]) -> bool:
+        for pending in batch:
+            pending.is_being_written = True
+        result = await self._write(batch)
+        for pending in batch:
+            pending.is_being_written = False
+        return self._handle_result(batch, result)
+
+    async def _write(self, batch: list[_Pending]):
         now = clock.read_clock()
         remaining_s = max(pending.deadline for pending in batch) - now
-        result = await self._node.store.commit(
+        return await self._node.store.commit(
             self._partition,
             [
                 (
@@ -455,6 +467,13 @@
                 self._node.store.choose_timeout(), max(0.2, remaining_s)
             ),
         )
+
+    def _handle_result(self, batch: list[_Pending], result) -> bool:
+        """Resolves what a transaction has decided.
+
+        Returns:
+          Whether the next one may follow at once.
+        """
         if isinstance(result, platform_store.Committed):
             for pending in batch:
                 accepted = AcceptanceResult(Outcome.ACCEPTED, result.version)
@@ -514,10 +533,10 @@
             for pending in batch:
                 pending.is_suspect = True
             return True
-        outcome = Outcome.TOO_LARGE
+        result = AcceptanceResult(Outcome.TOO_LARGE)
         if batch[0].may_be_stored:
-            outcome = Outcome.UNKNOWN
-        self._resolve(batch[0], AcceptanceResult(outcome))
+            result = self._gate.refuse(batch[0])
+        self._resolve(batch[0], result)
         return True
 
     def _resolve(self, pending: _Pending, result: AcceptanceResult):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/connectivity.py
@@ -73,6 +73,7 @@
         self.outage_lengths = outages.OutageLengths()
         # When the present outage began.
         self._away_since: float | None = None
+        self._quiet_check: asyncio.Task | None = None
         # When a peer last ceased to make the calls of this VM.
         self._relayed_until = 0.0
         node.store.on_failure = self._check_requested.set
@@ -158,8 +159,7 @@
             self._record_outage()
             if self.reaches_store_directly():
                 self._set_reach(Reach.STORE, None)
-                if self._node.store.is_quiet():
-                    await self._probe_store()
+                self._check_quiet_store()
                 continue
             await asyncio.gather(self._probe_peers(), self._probe_store())
             if not self.reaches_store_directly():
@@ -167,6 +167,18 @@
                     RETRY_S if self._relay_peer else PROBE_PAUSE_S
                 )
 
+    def _check_quiet_store(self):
+        """Reads a row if a transaction is unanswered for long.
+
+        An answer shows that the store is there; it may take as long as that of
+        any other call, as the store may be slow.
+        """
+        is_checking = self._quiet_check and not self._quiet_check.done()
+        if self._node.store.is_quiet() and not is_checking:
+            self._quiet_check = asyncio.create_task(
+                self._node.store.read_row(members.VM_TABLE, "", self._node.name)
+            )
+
     async def _probe_store(self):
         """Probes the store; once it answers again, fails the pending calls."""
         store = self._node.store
--- a/tests/entry/test_outages.py
+++ b/tests/entry/test_outages.py
@@ -36,12 +36,14 @@
 
     Attributes:
       mode: None, SILENT or REFUSING.
+      latency_s: how long an answer takes.
       rows: version and value by table, partition and key.
       commits: the times of the transactions that it has read.
     """
 
     def __init__(self):
         self.mode = None
+        self.latency_s = LATENCY_S
         self.rows = {}
         self.version = 10
         self.commits = []
@@ -50,7 +52,7 @@
     async def call(
         self, method, target, body=b"", headers="", timeout_s=1.0, extra_s=0.0
     ):
-        """Answers after LATENCY_S, refuses, or stays silent."""
+        """Answers after the latency, refuses, or stays silent."""
         if method == "POST":
             self.commits.append(clock.read_clock())
         if self.mode == REFUSING:
@@ -63,7 +65,9 @@
             del self._open[future]
             reason = future.result() if future.done() else httpclient.TIMEOUT
             return httpclient.NoResponse(True, reason)
-        await asyncio.sleep(LATENCY_S)
+        await asyncio.sleep(min(self.latency_s, timeout_s))
+        if self.latency_s > timeout_s:
+            return httpclient.NoResponse(True, httpclient.TIMEOUT)
         if method == "GET":
             return httpclient.Response(200, b'{"rows":[],"ver":1}')
         return self.apply(msgspec.json.decode(body))
@@ -442,6 +446,41 @@
 
         self.play(main)
 
+    def test_a_submission_that_is_being_written_makes_no_room(self):
+        """It was called rejected while its transaction was under way."""
+
+        async def main(acceptor, reach, store):
+            reach.outage = None
+            commit = store.commit
+
+            async def commit_slowly(*arguments, **options):
+                await asyncio.sleep(0.5)
+                return await commit(*arguments, **options)
+
+            store.commit = commit_slowly
+            sent = [
+                self.hold(acceptor, n, "t-1", fakes.make_queue(priority=9))
+                for n in range(20)
+            ]
+            await asyncio.sleep(0.1)
+            reach.outage = FakeReach().outage
+            held = [
+                self.hold(acceptor, 100 + n, "t-1")
+                for n in range(acceptance.MAX_HELD)
+            ]
+            await asyncio.sleep(0.1)
+            self.assertFalse(any(task.done() for task in sent))
+            self.assertEqual(sum(task.done() for task in held), 20)
+            results = await asyncio.gather(*sent)
+            self.assertEqual(
+                {result.outcome for result in results},
+                {acceptance.Outcome.ACCEPTED},
+            )
+            reach.outage = None
+            await asyncio.gather(*held)
+
+        self.play(main)
+
     def test_the_most_urgent_are_stored_first_within_the_rate(self):
         """All VMs together would exceed the calls that the store takes."""
 
@@ -535,6 +574,21 @@
 
         self.play(main)
 
+    def test_a_slow_store_isn_t_away(self):
+        """A probe with a short timeout would make it look so."""
+
+        async def main(stand_in, store, reach, peers):
+            stand_in.latency_s = 0.9
+            for _ in range(6):
+                result = await store.commit("p", [], [])
+                self.assertIsInstance(result, platform_store.Committed)
+                self.assertIs(reach.reach, connectivity.Reach.STORE)
+                await asyncio.sleep(1.0)
+            outage = reach.find_outage()
+            self.assertTrue(outage is None or outage.may_send)
+
+        self.play(main)
+
     def test_an_unanswered_transaction_is_noticed_before_it_times_out(self):
         """What is sent meanwhile has an unknown outcome."""
 
