--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
@@ -51,6 +51,10 @@
             count = len(step.list_waiting())
             if not count or step.spec.long_running:
                 continue
+            if shard.tenant_usage.is_lacking(step.submission.record.tenant):
+                # It waits for its tenant's limit, and not for capacity that
+                # others could use.
+                continue
             if self._ranking.rank(step, now)[0].is_expired:
                 continue
             queue = shard.find_queue(step.submission)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -278,6 +278,8 @@
         if not step.submission.is_active:
             self._forget_step(step)
             return
+        if self._usage.is_blocked(step):
+            return
         has_advice = self._find_advice_policy(step) is not None
         if not has_advice and self._planner.is_hopeless(step):
             return
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -186,6 +186,22 @@
         self.assertEqual(self.run_pass(), 3)
         self.assertEqual(self.run_pass(), 3)
 
+    async def test_a_tenant_without_room_is_not_examined_step_by_step(self):
+        """Thousands of blocked steps took the time of the pass from others."""
+        self.allow(1500, 1000)
+        for number in range(9):
+            self.add_step(f"{number:016x}")
+        self.assertEqual(self.run_pass(), 1)
+        step = self.add_step(OTHER_ID)
+        self.assertTrue(self.usage.is_blocked(step))
+        # A smaller task is examined, and what is lacking is still known.
+        small = change_spec(SPEC, count=1, cpu=500)
+        small_step = self.add_step("cc" * 8, small)
+        self.assertFalse(self.usage.is_blocked(small_step))
+        self.assertEqual(self.run_pass(), 2)
+        want = self.usage.find_want("t-1", clock.read_clock())
+        self.assertFalse(want.fits_in(self.usage.limits["t-1"]))
+
     async def test_other_tenants_are_not_delayed(self):
         self.allow(0, 0)
         self.add_step()
