Keep the limits of removed tenants, and few unanswered writes

Cause: after a takeover the limit of a removed tenant was unknown, so that its accepted work started without one; its share was never given back. Each write without an answer in a long outage was kept and logged.

Change: the row holds the limits of all tenants with a share. A service gives the share of a removed tenant back once it has no work of it. Unanswered writes are merged into the least that any of them allows, and the first failure of an outage is logged.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
@@ -50,6 +50,8 @@
 GONE_AFTER_S = 20.0
 # Interval at which the owners of removed services are read, in seconds.
 GONE_CHECK_S = 5.0
+# Interval at which removed tenants are looked for, in seconds.
+IDLE_CHECK_S = 5.0
 # Interval of the metrics in seconds, most tenants with a label of their own,
 # and the label of all others together.
 METRICS_INTERVAL_S = 2.0
@@ -87,10 +89,13 @@
       version: newest version of the configuration by which it was written. An
         owner that knows only an older one raises no share.
       services: what each service holds, by its name.
+      limits: limits by tenant, 0 for a resource without one. They go on for the
+        accepted work of a tenant that was removed from the configuration.
     """
 
     version: numbers.SignedCount = 0
     services: dict[str, ServiceEntry] = {}
+    limits: dict[str, _Triple] = {}
 
 
 def list_holdings(
@@ -112,7 +117,21 @@
     record: SharesRecord, service: str, entry: ServiceEntry
 ) -> SharesRecord:
     """Returns a record in which one service has another entry."""
-    return SharesRecord(record.version, {**record.services, service: entry})
+    return SharesRecord(
+        record.version, {**record.services, service: entry}, record.limits
+    )
+
+
+def merge_entries(entries: list[ServiceEntry]) -> ServiceEntry:
+    """Returns an entry with the least share of each tenant in any entry."""
+    merged = dict(entries[0].shares)
+    for entry in entries[1:]:
+        merged = {
+            tenant: tuple(map(min, share, entry.shares[tenant]))
+            for tenant, share in merged.items()
+            if tenant in entry.shares
+        }
+    return ServiceEntry(entries[-1].fence, entries[-1].sequence, merged)
 
 
 class QuotaLedger:
@@ -136,6 +155,8 @@
         self._version = 0
         self._is_unreadable = False
         self._unreadable_since = 0.0
+        # Whether the last write failed.
+        self._is_failing = False
         # Entries of this service in writes that may still be applied.
         self._unsure: list[ServiceEntry] = []
         self._sequence = 0
@@ -152,6 +173,7 @@
         self._next_write_at = 0.0
         self._next_metrics_at = 0.0
         self._next_gone_check_at = 0.0
+        self._next_idle_check_at = 0.0
         self._gone: set[str] = set()
         self._usage.on_limits_changed = self.update_allowances
         # Tenants that are limited now: since when, and when last seen so.
@@ -290,6 +312,7 @@
         self._basis = {}
         if self._record is None:
             return
+        self._adopt_limits()
         moving = set(self._list_moving())
         for tenant, limit in self._usage.limits.items():
             if tenant in self._lowered:
@@ -422,9 +445,12 @@
         entry = ServiceEntry(self._shard.fence, self._sequence + 1)
         if own is not None and not self._shard.is_loaded:
             return None
-        is_changed = own is None or bool(self._lowered)
+        idle = self._find_idle(now)
+        is_changed = own is None or bool(self._lowered) or bool(idle)
         may_raise = self._may_raise()
         for tenant in self._list_moving():
+            if tenant in idle:
+                continue
             is_at_rest = (
                 tenant not in self._contended
                 and not self._usage.is_lacking(tenant)
@@ -437,7 +463,7 @@
             before = holdings.get(self._shard.service)
             after = before
             if before is None:
-                if may_raise:
+                if may_raise and self._needs_share(tenant):
                     after = self._claim(tenant, holdings)
                     is_changed = True
             elif own is not None:
@@ -455,11 +481,65 @@
         if stored is not None:
             # Shares of tenants that are unknown here stay.
             for tenant, share in stored.shares.items():
-                if tenant not in self._usage.limits:
+                if tenant not in self._usage.limits and tenant not in idle:
                     entry.shares[tenant] = share
         is_changed = is_changed or bool(self._gone)
         return entry if is_changed else None
 
+    def _needs_share(self, tenant: str) -> bool:
+        """Returns whether a tenant without a share here should get one."""
+        if tenant in self._node.configuration.tenants:
+            return True
+        return self._usage.is_lacking(tenant)
+
+    def _build_limits(self, record: SharesRecord) -> dict[str, tuple]:
+        """Returns the limits to store: of all tenants with a share."""
+        with_share = set()
+        for entry in record.services.values():
+            with_share.update(entry.shares)
+        limits = {
+            tenant: limit
+            for tenant, limit in record.limits.items()
+            if tenant in with_share
+        }
+        if self._may_raise():
+            for tenant in with_share & self._usage.limits.keys():
+                limits[tenant] = tuple(
+                    0 if amount >= quotashares.UNBOUNDED else amount
+                    for amount in quotashares.split(self._usage.limits[tenant])
+                )
+        return limits
+
+    def _adopt_limits(self):
+        """Takes over the last known limits of removed tenants."""
+        configured = self._node.configuration.tenants
+        for tenant, limit in self._record.limits.items():
+            if tenant not in configured and tenant not in self._usage.limits:
+                self._usage.limits[tenant] = resources.Resources(
+                    *(amount or quotashares.UNBOUNDED for amount in limit)
+                )
+
+    def _find_idle(self, now: float) -> set[str]:
+        """Returns removed tenants whose shares this service can give back."""
+        own = self._find_own_entry()
+        if own is None or now < self._next_idle_check_at:
+            return set()
+        configured = self._node.configuration.tenants
+        idle = {
+            tenant
+            for tenant in own.shares
+            if (tenant not in configured or tenant not in self._usage.limits)
+            and self._usage.find_counted(tenant) == resources.ZERO
+        }
+        self._next_idle_check_at = now + IDLE_CHECK_S
+        if idle and self._shard.is_loaded and self._may_raise():
+            return idle - {
+                submission.record.tenant
+                for submission in self._shard.submissions.values()
+                if submission.is_active
+            }
+        return set()
+
     def _rebalance(
         self, tenant: str, limit, holdings, now: float
     ) -> quotashares.Holding:
@@ -488,13 +568,18 @@
         for service in self._gone:
             record.services.pop(service, None)
         record.version = max(record.version, self._node.configuration.version)
+        record.limits = self._build_limits(record)
         expected = self._version
+        if self._unsure:
+            # Writes that go on without answers would make a long list.
+            self._unsure = [merge_entries(self._unsure)]
         self._unsure.append(entry)
         self.update_allowances()
         result = await self._node.store.commit(
             PART, [(TABLE, KEY, expected)], [(TABLE, KEY, self._encode(record))]
         )
         if isinstance(result, platform_store.Committed):
+            self._is_failing = False
             if result.version > self._version:
                 self._is_unreadable = False
                 self._set_record(record, result.version)
@@ -509,11 +594,13 @@
         is_refused = isinstance(result, platform_store.Refused)
         if is_refused and entry in self._unsure:
             self._unsure.remove(entry)
-        self._node.log.write(
-            "shares_unwritten",
-            service=self._shard.service,
-            outcome=type(result).__name__,
-        )
+        if not self._is_failing:
+            self._is_failing = True
+            self._node.log.write(
+                "shares_unwritten",
+                service=self._shard.service,
+                outcome=type(result).__name__,
+            )
 
     def _apply_conflict(self, row: platform_store.Row):
         if row.version:
--- a/tests/entry/test_quotaledger.py
+++ b/tests/entry/test_quotaledger.py
@@ -295,6 +295,43 @@
         share = self.read_record().services["s-2"].shares[TENANT]
         self.assertLessEqual(share[0], 400)
 
+    async def test_a_removed_tenant_keeps_its_limit_after_a_takeover(self):
+        """The new owner's configuration doesn't name the tenant any more."""
+        await self.claim(self.make_owner())
+        new = self.make_owner(fence=9, running=20)
+        new.set_limit(2, self.limit)
+        new.node.configuration.tenants = {"t-2": tenants.Tenant("t-2")}
+        new.wanted = 500
+        for _ in range(3):
+            new.read()
+            await new.examine()
+            new.start()
+        self.assertEqual(len(new.running), 120)
+        # Without work it is forgotten.
+        new.wanted = 0
+        while new.running:
+            new.end_run()
+        new.start()
+        new.now += quotaledger.IDLE_CHECK_S
+        await new.examine()
+        self.assertEqual(self.read_record().limits, {})
+
+    async def test_an_outage_of_the_store_leaves_the_shares(self):
+        owner = self.make_owner()
+        await self.claim(owner)
+        owner.wanted = 100
+        self.assertEqual(owner.start(), 40)
+        self.store.is_holding = True
+        for _ in range(5):
+            owner.begin_examining()
+            await asyncio.sleep(0)
+            self.store.release(0, "lose")
+            await owner.task
+        self.assertEqual(owner.start(), 0)
+        owner.end_run()
+        self.assertEqual(owner.start(), 1)
+        self.assertEqual(len(owner.node.log.list_events("shares_unwritten")), 1)
+
     async def test_an_unreadable_row_is_replaced(self):
         owner = self.make_owner()
         await self.claim(owner)
