Share capacity among tenants by weight

Cause: a tenant that sends several times its usual load delayed all others: hardly anything was refused, and one order by due times held for all. Change: work beyond the agreed rate of its tenant (a token bucket at the owner over the rows of all services) goes last and, while it would be late, is refused with 429 and a Retry-After that the owner keeps. Within a class of ranks the tenant with the lowest dominant share by weight comes first, by a lazy merge of the tenants' lists. Waits by tenant are published in a new optional field of the owner row. Preemption also evens out shares, at a bounded pace. Without tenants the order, the rows and the responses are as before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
@@ -3,7 +3,8 @@
 Covers a burst of several times what a service can carry. Work accepted behind a
 backlog that it can't pass before its result is of no use would only be started
 once its caller has given up. It is refused at once instead, and callers return
-one after the other when the backlog has been worked off.
+one after the other when the backlog has been worked off. Work beyond the agreed
+rate of its tenant is refused as soon as it would be late.
 """
 
 from collections.abc import Iterable
@@ -33,12 +34,16 @@
       count: the number of tasks.
       run_s: the expected duration of a run, in seconds.
       priority: the priority of their queue, 0 for the most urgent.
+      tenant: the name of their tenant, empty without one.
+      is_excess: whether they are beyond the agreed rate of their tenant.
     """
 
     spec: submissions.StepSpec
     count: int
     run_s: float
     priority: int
+    tenant: str = ""
+    is_excess: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,3 +148,31 @@
         False,
         min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s)),
     )
+
+
+def is_excess_late(
+    wait_s: float, critical_path_s: float, objective_s: float
+) -> bool:
+    """Returns whether work beyond an agreed rate would be late if accepted.
+
+    Capacity is short then. Otherwise the work does no harm, as it goes last.
+
+    Args:
+      wait_s: expected wait of such work, in seconds.
+      critical_path_s: estimated duration of its critical path, in seconds.
+      objective_s: its latency objective, in seconds.
+    """
+    return wait_s > 0 and wait_s + critical_path_s > objective_s
+
+
+def refuse_excess(delay_s: float, spread: float) -> Admission:
+    """Returns the refusal of work beyond the agreed rate of its tenant.
+
+    Args:
+      delay_s: seconds after which it is inside the rate. They differ by caller
+        unless they are above MAX_RETRY_AFTER_S.
+      spread: a number from 0 to 1 that differs by caller.
+    """
+    if delay_s >= MAX_RETRY_AFTER_S:
+        delay_s = MAX_RETRY_AFTER_S * (1 - spread / 2)
+    return Admission(False, max(MIN_RETRY_AFTER_S, math.ceil(delay_s)))
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -2,7 +2,8 @@
 
 Decides what starts first at peak load, when more tasks wait than fit: the more
 urgent queues first, within a queue priority the steps that can still meet their
-latency objective, and last of all those that are too late to be of use.
+latency objective, and last of all those that are too late to be of use. What a
+tenant sends beyond its agreed rate goes behind all work that is owed.
 """
 
 import math
@@ -20,10 +21,13 @@
     """Sort key of a waiting step; the smallest is placed first.
 
     A more urgent queue goes before a less urgent one even when it is late: its
-    tasks are short, and the others can wait longer before they are late.
+    tasks are short, and the others can wait longer before they are late. Work
+    beyond the agreed rate of its tenant goes last whatever its priority is:
+    otherwise a tenant could take from the others by calling its work urgent.
 
     Attributes:
       is_expired: whether the result will be too late to be of use.
+      is_excess: whether it is beyond the agreed rate of its tenant.
       priority: the priority of the queue, 0 for the most urgent.
       is_late: whether the latency objective can't be met any more.
       due_s: when the step must be done for the latency objective to be met, in
@@ -31,6 +35,7 @@
     """
 
     is_expired: bool
+    is_excess: bool
     priority: int
     is_late: bool
     due_s: float
@@ -75,6 +80,7 @@
     age_s: float,
     critical_path_ms: float,
     now: float,
+    is_excess: bool = False,
 ) -> Rank:
     """Returns the rank of a waiting step.
 
@@ -84,16 +90,19 @@
       age_s: seconds since its latency objective counts.
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
+      is_excess: whether it is beyond the agreed rate of its tenant.
     """
     objective_s = compute_objective_s(queue, critical_path_ms)
     if step.spec.long_running:
-        return Rank(False, queue.priority, False, now - age_s + objective_s)
+        due_s = now - age_s + objective_s
+        return Rank(False, is_excess, queue.priority, False, due_s)
     remaining_s = _estimate_remaining_s(step)
     finish_s = age_s + remaining_s
     later_s = remaining_s - step.spec.estimated_ms / 1000
     due_s = now - age_s + objective_s - later_s
     return Rank(
         finish_s > EXPIRY_FACTOR * objective_s,
+        is_excess,
         queue.priority,
         finish_s > objective_s,
         due_s,
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
@@ -2,10 +2,13 @@
 
 Covers a task that only one or two workers may run while less urgent tasks
 occupy them. It would wait until enough of those have ended at the same time.
-Tasks with checkpoints can be stopped instead and continue elsewhere.
+Tasks with checkpoints can be stopped instead and continue elsewhere. Among
+tenants, also covers one that has far more than its share while the others wait
+with work of the same priority.
 """
 
 from collections.abc import Callable
+import dataclasses
 
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
@@ -19,6 +22,75 @@
 # Minimum seconds between two preemptions on a worker, so that the capacity of
 # the first one has been released and used.
 MIN_PREEMPTION_INTERVAL_S = 1.5
+# Runs that are preempted for the sake of the tenants' shares in a second. More
+# would only restart work: freed shares are filled by what ends, too.
+SHARE_PREEMPTIONS_PER_S = 8
+# Seconds after which a task may be preempted a second time for other tenants;
+# twice as long for each further time.
+TASK_PAUSE_S = 10.0
+# Preempted tasks that are remembered before those that are done are dropped.
+MAX_REMEMBERED_TASKS = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VictimPolicy:
+    """Which runs may be preempted for a step, in a service with tenants.
+
+    Attributes:
+      may_preempt: returns whether a run that can be stopped without loss may be
+        preempted.
+      rank: returns the order in which runs are preempted, lowest first.
+    """
+
+    may_preempt: Callable[[execution.Run], bool]
+    rank: Callable[[execution.Run], tuple]
+
+
+class PreemptionHistory:
+    """Bounds how often tasks are preempted for the tenants' shares."""
+
+    def __init__(self):
+        """Starts without any preemption."""
+        # Number of preemptions and time of the last one, by task.
+        self._tasks: dict[execution.Task, tuple[int, float]] = {}
+        self._budget = float(SHARE_PREEMPTIONS_PER_S)
+        self._budget_at = 0.0
+
+    def is_spared(self, task: execution.Task, now: float) -> bool:
+        """Returns whether a task was preempted too recently.
+
+        Args:
+          task: the task.
+          now: the monotonic clock, in seconds.
+        """
+        count, at = self._tasks.get(task, (0, 0.0))
+        return count > 0 and now - at < TASK_PAUSE_S * 2 ** (count - 1)
+
+    def has_budget(self, now: float) -> bool:
+        """Returns whether a run may be preempted for another's share now."""
+        limit = SHARE_PREEMPTIONS_PER_S
+        elapsed_s = max(0.0, now - self._budget_at)
+        self._budget = min(limit, self._budget + limit * elapsed_s)
+        self._budget_at = now
+        return self._budget >= 1
+
+    def record(self, task: execution.Task, is_for_share: bool, now: float):
+        """Records a preemption.
+
+        Args:
+          task: the preempted task.
+          is_for_share: whether another tenant's share was the reason, and not
+            the priority.
+          now: the monotonic clock, in seconds.
+        """
+        if is_for_share:
+            self._budget -= 1
+        if len(self._tasks) >= MAX_REMEMBERED_TASKS:
+            for other in list(self._tasks):
+                if other.is_done or not other.step.submission.is_active:
+                    del self._tasks[other]
+        count, _ = self._tasks.get(task, (0, 0.0))
+        self._tasks[task] = (count + 1, now)
 
 
 def is_preemptible(run: execution.Run) -> bool:
@@ -35,6 +107,7 @@
     count: int,
     priority: int,
     find_priority: Callable[[execution.Run], int],
+    policy: VictimPolicy | None = None,
 ) -> list[execution.Run]:
     """Returns the runs to preempt on a worker so that tasks fit there.
 
@@ -47,6 +120,7 @@
       count: number of tasks that have to fit.
       priority: the priority of their queue, 0 for the most urgent.
       find_priority: returns the priority of a run's queue.
+      policy: replaces the rule by priority in a service with tenants.
 
     Returns:
       The runs; empty if none has to be stopped, or if stopping all candidates
@@ -61,9 +135,12 @@
     for run in worker.runs.values():
         if run.phase is execution.Phase.STOPPING:
             _subtract(shortfall, run.spec)
-        elif is_preemptible(run) and find_priority(run) > priority:
+        elif _is_candidate(run, priority, find_priority, policy):
             candidates.append(run)
-    candidates.sort(key=lambda run: (-find_priority(run), -run.sent_at))
+    if policy is None:
+        candidates.sort(key=lambda run: (-find_priority(run), -run.sent_at))
+    else:
+        candidates.sort(key=policy.rank)
     victims = []
     for run in candidates:
         if max(shortfall) <= 0:
@@ -77,6 +154,7 @@
     worker: fleet.Worker,
     priority: int,
     find_priority: Callable[[execution.Run], int],
+    policy: VictimPolicy | None = None,
 ) -> tuple[int, int, int]:
     """Returns the capacity that preemption would add to the free one.
 
@@ -84,6 +162,7 @@
       worker: the worker.
       priority: the priority of the queue for which runs would be preempted.
       find_priority: returns the priority of a run's queue.
+      policy: replaces the rule by priority in a service with tenants.
 
     Returns:
       CPU in thousandths of a core, memory in MB and accelerators, including
@@ -92,13 +171,19 @@
     added = [0, 0, 0]
     for run in worker.runs.values():
         is_stopping = run.phase is execution.Phase.STOPPING
-        if is_stopping or (
-            is_preemptible(run) and find_priority(run) > priority
-        ):
+        if is_stopping or _is_candidate(run, priority, find_priority, policy):
             _subtract(added, run.spec)
     return -added[0], -added[1], -added[2]
 
 
+def _is_candidate(run, priority, find_priority, policy) -> bool:
+    if not is_preemptible(run):
+        return False
+    if policy is None:
+        return find_priority(run) > priority
+    return policy.may_preempt(run)
+
+
 def _subtract(shortfall: list[int], spec: submissions.StepSpec):
     shortfall[0] -= 0 if spec.is_filler else spec.cpu
     shortfall[1] -= spec.memory_mb
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -175,6 +175,10 @@
         for worker, count in self._held.pop(step, ()):
             self.free_capacity.release(worker, step.spec, count)
 
+    def count_held(self, step: execution.Step) -> int:
+        """Returns for how many tasks a step holds capacity."""
+        return sum(count for _, count in self._held.get(step, ()))
+
     def forget(self, step: execution.Step):
         """Forgets a step that has nothing to place any more."""
         self.release(step)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/backlog.py
@@ -20,18 +20,26 @@
 
     async def run(self):
         """Measures every INTERVAL_S until the shard is closed."""
-        shard = self._shard
-        while shard.is_open:
-            shard.waits = admission.estimate_waits(
-                self._list_workers(),
-                self._list_waiting(clock.read_clock()),
-            )
-            shard.node.metrics.set(
-                f'expected_wait{{service="{shard.service}"}}',
-                max(shard.waits.values(), default=0.0),
-            )
+        while self._shard.is_open:
+            self.measure(clock.read_clock())
             await asyncio.sleep(INTERVAL_S)
 
+    def measure(self, now: float):
+        """Measures once.
+
+        Args:
+          now: the monotonic clock, in seconds.
+        """
+        shard = self._shard
+        workers = self._list_workers()
+        waiting = list(self._list_waiting(now))
+        shard.waits = admission.estimate_waits(workers, waiting)
+        shard.fair_shares.measure_waits(workers, waiting, now)
+        shard.node.metrics.set(
+            f'expected_wait{{service="{shard.service}"}}',
+            max(shard.waits.values(), default=0.0),
+        )
+
     def _list_workers(self) -> list[fleet.Worker]:
         """Returns the workers in service, whether they answer now or not."""
         return [
@@ -51,7 +59,8 @@
             count = len(step.list_waiting())
             if not count or step.spec.long_running:
                 continue
-            if self._ranking.rank(step, now)[0].is_expired:
+            rank = self._ranking.rank(step, now)[0]
+            if rank.is_expired:
                 continue
             queue = shard.find_queue(step.submission)
             typical_s = shard.run_end_handler.find_typical_duration(queue.name)
@@ -60,4 +69,6 @@
                 count,
                 typical_s or step.spec.estimated_ms / 1000,
                 queue.priority,
+                step.submission.record.tenant,
+                rank.is_excess,
             )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -11,6 +11,7 @@
 from persimmonpath_entry.engine import acceptance
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
@@ -22,6 +23,7 @@
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.state import tenants
 from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpclient
 from persimmonpath_entry.transport import httpserver
 
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
@@ -34,6 +36,10 @@
 # Retry-After of rejected requests: an outage of the store or a takeover of a
 # service lasts some seconds.
 RETRY_AFTER_S = 2
+# Longest time that the owner of a service is asked whether a submission is
+# beyond the rate of its tenant, in seconds. Without an answer it isn't refused
+# for that.
+ADMISSION_TIMEOUT_S = 0.3
 # The caller of a queue that asks for no key.
 ANONYMOUS = tenants.Tenant("")
 
@@ -86,6 +92,7 @@
         self._ownership = ownership
         self._peers = peers
         self._views = state_views
+        self._labels = fairshares.TenantLabels()
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Routes a request by host and path prefix and handles it."""
@@ -264,11 +271,25 @@
           The response, None if the submission is accepted.
         """
         wait_s = self._ownership.find_wait(queue.service, queue.priority)
-        if not wait_s or record.occurrences:
+        tenant_waits = None
+        if record.tenant:
+            tenant_waits = self._ownership.find_tenant_waits(queue.service)
+        if not wait_s and tenant_waits is None:
             return None
-        if submissions.has_long_running(record):
+        if record.occurrences or submissions.has_long_running(record):
             return None
         path_ms = ordering.estimate_critical_path_ms(record.steps)
+        if tenant_waits is not None:
+            waits, age_s = tenant_waits
+            refusal = await self._refuse_excess(
+                queue, submission_id, record, waits, age_s
+            )
+            if refusal is not None:
+                return refusal
+            own_wait_s = waits.find_wait(record.tenant, queue.priority) - age_s
+            wait_s = min(wait_s, max(0.0, own_wait_s))
+            if not wait_s:
+                return None
         decision = admission.decide(
             wait_s,
             path_ms / 1000,
@@ -277,22 +298,107 @@
         )
         if decision.is_accepted:
             return None
+        if await self._may_be_stored(submission_id):
+            return None
+        self._node.log.write(
+            "submission_refused",
+            id=submission_id,
+            queue=queue.name,
+            wait_s=wait_s,
+            path_ms=path_ms,
+            retry_after_s=decision.retry_after_s,
+        )
+        self._count_refusal(record.tenant, 503)
+        return make_error(503, "overloaded", decision.retry_after_s)
+
+    async def _may_be_stored(self, submission_id: str) -> bool:
+        """Returns whether the store has a submission, or can't be read."""
         stored = await self._node.store.read_row(
             persistence.SUBMISSION_TABLE,
             persistence.find_partition(submission_id),
             submission_id,
         )
-        if not isinstance(stored, platform_store.Rows) or stored.rows:
+        return not isinstance(stored, platform_store.Rows) or bool(stored.rows)
+
+    def _count_refusal(self, tenant: str, status: int):
+        if tenant:
+            label = self._labels.find(tenant)
+            self._node.metrics.count(
+                f'tenant_refusals{{tenant="{label}",status="{status}"}}'
+            )
+
+    async def _refuse_excess(
+        self, queue, submission_id, record, waits, age_s: float
+    ) -> httpserver.Response | None:
+        """Refuses a submission beyond its tenant's rate that would be late.
+
+        Args:
+          queue: its queue.
+          submission_id: its id.
+          record: the submission.
+          waits: the expected waits that the owner has published.
+          age_s: their age in seconds.
+
+        Returns:
+          The response, None if it isn't beyond the rate or capacity isn't
+          short.
+        """
+        if record.tenant not in waits.exceeding:
+            return None
+        path_ms = ordering.estimate_critical_path_ms(record.steps)
+        wait_s = max(
+            0.0,
+            waits.find_excess_wait(record.tenant, queue.priority) - age_s,
+        )
+        if not admission.is_excess_late(
+            wait_s,
+            path_ms / 1000,
+            ordering.compute_objective_s(queue, path_ms),
+        ):
+            return None
+        delay_s = await self._ask_admission(queue, submission_id, record.tenant)
+        if delay_s <= 0 or await self._may_be_stored(submission_id):
             return None
+        decision = admission.refuse_excess(delay_s, random.random())
         self._node.log.write(
             "submission_refused",
             id=submission_id,
             queue=queue.name,
+            tenant=record.tenant,
             wait_s=wait_s,
             path_ms=path_ms,
             retry_after_s=decision.retry_after_s,
         )
-        return make_error(503, "overloaded", decision.retry_after_s)
+        self._count_refusal(record.tenant, 429)
+        return make_error(429, "above the agreed rate", decision.retry_after_s)
+
+    async def _ask_admission(
+        self, queue, submission_id: str, tenant: str
+    ) -> float:
+        """Asks the owner when a submission is inside its tenant's rate.
+
+        Returns:
+          Seconds, 0 if it is inside now or the owner doesn't answer in time.
+        """
+        shard = self._ownership.find_shard(queue.service)
+        if shard is not None:
+            return shard.fair_shares.admit(submission_id, tenant)
+        address = self._ownership.find_owner(queue.service)
+        if address is None:
+            return 0.0
+        outcome = await self._peers.call(
+            address,
+            "POST",
+            f"/peer/admission/{queue.service}/{submission_id}",
+            tenant.encode(),
+            timeout_s=ADMISSION_TIMEOUT_S,
+        )
+        if isinstance(outcome, httpclient.NoResponse) or outcome.status != 200:
+            return 0.0
+        try:
+            return msgspec.json.decode(outcome.body, type=float)
+        except ValueError:
+            return 0.0
 
     def _notify_owner(self, submission_id, record, version: int):
         """Passes a stored submission to the owner of its service.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerdirectory.py
@@ -1,6 +1,7 @@
 """Tracks the owner of each service and detects failed owners."""
 
 from persimmonpath_entry.decisions import admission
+from persimmonpath_entry.decisions import tenantwaits
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownerrows
@@ -105,6 +106,25 @@
         wait_s = admission.find_wait(observed.record.waits, priority)
         return max(0.0, wait_s - age_s)
 
+    def find_tenant_waits(
+        self, service: str
+    ) -> tuple[tenantwaits.TenantWaits, float] | None:
+        """Returns the waits by tenant and their age in seconds.
+
+        Args:
+          service: the service.
+
+        Returns:
+          None if the owner has published none or the row is too old.
+        """
+        observed = self.observed_owners.get(service)
+        if observed is None or observed.record.tenant_waits is None:
+            return None
+        age_s = clock.read_clock() - observed.renewed_at
+        if age_s > admission.MAX_WAIT_AGE_S:
+            return None
+        return observed.record.tenant_waits, max(0.0, age_s)
+
     def mark_exited(self, service: str) -> bool:
         """Marks the process of an owner as exited.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from persimmonpath_entry.decisions import tenantwaits
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import fleet
@@ -46,6 +47,7 @@
         milliseconds, 0 if unknown.
       waits: expected waits of new tasks in seconds, by the priority of their
         queue; short ones are left out.
+      tenant_waits: expected waits by tenant, None without tenants.
     """
 
     owner: str = ""
@@ -55,6 +57,7 @@
     horizon: numbers.Count | None = None
     renewed_ms: numbers.Count = 0
     waits: dict[int, float] = {}
+    tenant_waits: tenantwaits.TenantWaits | None = None
 
 
 class WorkersRecord(msgspec.Struct, omit_defaults=True):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownership.py
@@ -7,6 +7,7 @@
 
 from persimmonpath_entry.decisions import admission
 from persimmonpath_entry.decisions import ownerselection
+from persimmonpath_entry.decisions import tenantwaits
 from persimmonpath_entry.engine import advicebalancer
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import members
@@ -86,6 +87,20 @@
             return admission.find_wait(shard.waits, priority)
         return self._directory.find_wait(service, priority)
 
+    def find_tenant_waits(
+        self, service: str
+    ) -> tuple[tenantwaits.TenantWaits, float] | None:
+        """Returns the expected waits by tenant and their age, None if unknown.
+
+        Args:
+          service: the service.
+        """
+        shard = self.find_shard(service)
+        if shard is None:
+            return self._directory.find_tenant_waits(service)
+        waits = shard.fair_shares.waits
+        return None if waits is None else (waits, 0.0)
+
     def find_shard(self, service: str) -> shards.Shard | None:
         """Returns the shard if this VM owns the service, or None."""
         shard = self.shards.get(service)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/peerapi.py
@@ -49,6 +49,10 @@
                 if count is None:
                     return httpserver.Response(421)
                 return httpserver.Response(200, str(count).encode())
+            case ["admission", service, submission_id]:
+                return self._answer_admission(
+                    service, submission_id, request.body
+                )
             case ["empty", service, worker_id]:
                 shard = self._ownership.find_shard(service)
                 if shard is None:
@@ -83,6 +87,14 @@
         shard.apply_submission(submission_id, record, version=version)
         return httpserver.Response(200)
 
+    def _answer_admission(self, service, submission_id, body):
+        """Answers after how many seconds a submission is inside a rate."""
+        shard = self._ownership.find_shard(service)
+        if shard is None or not shard.is_loaded:
+            return httpserver.Response(421)
+        delay_s = shard.fair_shares.admit(submission_id, body.decode())
+        return httpserver.Response(200, msgspec.json.encode(delay_s))
+
     async def _answer_state(self, service, submission_id):
         view = await self._views.describe_owned(service, submission_id)
         if view is None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/persistence.py
@@ -168,6 +168,7 @@
             self._horizon.choose(self._shard.newest_version, self._version),
             ownerrows.bound_store_ms(self._node.store.clock, sent_at),
             {p: round(wait_s, 1) for p, wait_s in self._shard.waits.items()},
+            self._shard.fair_shares.waits,
         )
 
     async def _commit(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.decisions import readysteps
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
 from persimmonpath_entry.engine import workerregistry
@@ -60,6 +61,7 @@
       occurrence_opener: opens and closes the occurrences of submissions.
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
+      fair_shares: what its tenants have, sent and wait for.
       has_read_workers: whether the table of the workers has been read.
       is_open: whether this process still acts as the owner.
       is_leaving: whether the owner is about to release the service.
@@ -111,6 +113,7 @@
         self.occurrence_opener = occurrences.OccurrenceOpener(self)
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
+        self.fair_shares = fairshares.FairShares(self)
         self.has_read_workers = False
         self.is_open = True
         self.is_leaving = False
@@ -290,6 +293,7 @@
         )
         submission.stored_blocks = dict.fromkeys(stored_blocks, 0)
         self.submissions[submission_id] = submission
+        self.fair_shares.record_submission(submission_id, record)
         if version > self.newest_version:
             self.newest_version = version
             if version > self.stored_horizon:
@@ -333,6 +337,7 @@
         submission.progress.state = state
         submission.progress.ended_ms = int(time.time() * 1000)
         self.recurring.pop(submission.id, None)
+        self.fair_shares.forget_submission(submission.id)
         for step in submission.steps.values():
             self.ready_steps.discard(step)
             self.next_steps.pop(step, None)
@@ -386,6 +391,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.fair_shares.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -422,6 +428,7 @@
         task.is_accounted = True
         task.runs.append(run)
         worker.add_run(run)
+        self.fair_shares.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -438,6 +445,7 @@
         """
         task = run.task
         run.worker.remove_run(run)
+        self.fair_shares.remove_run(run)
         self.pool.update(run.worker)
         if run in task.runs:
             task.runs.remove(run)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -93,7 +93,11 @@
         record = rowcodec.decode_row(
             self._node, row, submissions.SubmissionRecord
         )
-        if record is not None and record.service == self._shard.service:
+        if record is None:
+            return
+        if record.service != self._shard.service:
+            self._shard.fair_shares.record_submission(row.key, record)
+        else:
             self._shard.apply_submission(
                 row.key,
                 record,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -25,16 +25,19 @@
             ordering.estimate_critical_path_ms(submission.record.steps),
             now,
         )
+        is_excess = self._shard.fair_shares.is_excess(submission)
         return (
-            ordering.rank_step(*arguments),
+            ordering.rank_step(*arguments, is_excess),
             ordering.find_rank_change(*arguments),
         )
 
     def yields_capacity(self, step: execution.Step, now: float) -> bool:
         """Returns whether a step leaves capacity that it lacks to others.
 
-        It does if its result will be too late to be of use and capacity is
-        scarce. It must start one day, at the latest when there is enough.
+        It does if its result will be too late to be of use, or if it is beyond
+        the agreed rate of its tenant, and capacity is scarce. It must start one
+        day, at the latest when there is enough.
         """
-        is_expired = self.rank(step, now)[0].is_expired
-        return is_expired and self._planner.is_capacity_scarce
+        rank = self.rank(step, now)[0]
+        is_last = rank.is_expired or rank.is_excess
+        return is_last and self._planner.is_capacity_scarce
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 
 from persimmonpath_entry.decisions import backfilling
+from persimmonpath_entry.decisions import fairness
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import passpacing
 from persimmonpath_entry.decisions import placement
@@ -37,6 +39,9 @@
 # is left out.
 BROKEN_STEP_PAUSE_S = 5.0
 
+# Waiting steps, taken from the left in the order in which they are placed.
+StepOrder = collections.deque[execution.Step] | fairness.TenantMerge
+
 
 class TaskScheduler:
     """Places the waiting tasks of a shard.
@@ -74,7 +79,7 @@
         )
         self._started = 0
         # Steps for which a pass had no time, and whether they are next.
-        self._left_out: collections.deque[execution.Step] = collections.deque()
+        self._left_out: StepOrder = collections.deque()
         self._are_left_out_next = False
         self._pacer = passpacing.PassPacer()
         self._backfilled_at = -backfilling.MIN_INTERVAL_S
@@ -166,11 +171,14 @@
         """Plans the most urgent steps first; returns whether it got to all."""
         self._shard.changed_steps.clear()
         self._planner.begin_plan(now)
+        shares = self._shard.fair_shares
+        if shares.is_enabled:
+            shares.begin_plan(self._shard.workers.values(), now)
         self._ticket_requester.begin_pass()
         for step, until in list(self._broken_until.items()):
             if until <= now:
                 del self._broken_until[step]
-        steps = collections.deque(self._list_ranked(now))
+        steps = self._list_ranked(now)
         if self._handle_until_over(steps, now):
             self._left_out.clear()
             return True
@@ -179,25 +187,28 @@
             self._left_out = steps
         return False
 
-    def _handle_until_over(
-        self, steps: collections.deque[execution.Step], now: float
-    ) -> bool:
+    def _handle_until_over(self, steps: StepOrder, now: float) -> bool:
         """Places steps in order and removes them, until the pass is over.
 
         Returns:
           Whether all of them were handled.
         """
         self._started = 0
+        shares = self._shard.fair_shares
+        has_tenants = shares.is_enabled
         while steps:
             step = steps.popleft()
             if step in self._shard.ready_steps:
                 self._planner.release(step)
                 self._handle_step_safely(step, now)
+                if has_tenants:
+                    held = self._planner.count_held(step)
+                    shares.record_planned(step, held)
             if steps and self._is_pass_over(now):
                 return False
         return True
 
-    def _backfill(self, steps: list[execution.Step], now: float):
+    def _backfill(self, steps: Iterable[execution.Step], now: float):
         """Lets preemptible tasks run where other steps only hold capacity."""
         if (
             now - self._backfilled_at < backfilling.MIN_INTERVAL_S
@@ -235,10 +246,24 @@
         if not steps:
             return
         self._refresh_pool(now)
-        steps.sort(key=lambda step: self.ranking.rank(step, now)[0])
-        if not self._handle_until_over(collections.deque(steps), now):
+        if not self._handle_until_over(self._order_changed(steps, now), now):
             self._shard.request_schedule()
 
+    def _order_changed(
+        self, steps: list[execution.Step], now: float
+    ) -> StepOrder:
+        """Returns changed steps in order, as far as they are placed now.
+
+        Those beyond the agreed rates are left to the next pass over all steps.
+        """
+        ranked = [(self.ranking.rank(step, now)[0], step) for step in steps]
+        if self._shard.fair_shares.is_enabled:
+            if any(rank.is_excess for rank, _ in ranked):
+                self._shard.request_schedule()
+            return self._shard.fair_shares.order_changed(ranked)
+        ranked.sort(key=lambda row: row[0])
+        return collections.deque(step for _, step in ranked)
+
     def _is_pass_over(self, began_at: float) -> bool:
         """Returns whether a pass has started enough or taken long enough."""
         return (
@@ -310,14 +335,20 @@
             **context.describe_error(error),
         )
 
-    def _list_ranked(self, now: float) -> list[execution.Step]:
+    def _list_ranked(self, now: float) -> StepOrder:
         """Returns the ready steps, the one to be placed first in front."""
+        ready = self._shard.ready_steps
+        shares = self._shard.fair_shares
         if self._ranked_configuration is not self._node.configuration:
             self._ranked_configuration = self._node.configuration
-            self._shard.ready_steps.rerank()
-        return self._shard.ready_steps.list_ranked(
-            now, lambda step: self.ranking.rank(step, now)
-        )
+            ready.rerank(shares.is_enabled)
+
+        def rank(step):
+            return self.ranking.rank(step, now)
+
+        if shares.is_enabled:
+            return shares.order(ready.list_by_tenant(now, rank))
+        return collections.deque(ready.list_ranked(now, rank))
 
     def _find_advice_policy(
         self, step: execution.Step
