Finish a begun step before other tenants have their turn

Cause: tenants took turns by task, so many steps ran in parts and ended late. Beside that: marks of submissions that ended before they were judged stayed in memory, a tiny weight could make a published wait infinite and the owner row unreadable, the mark of a schedule held for all its occurrences, and refused callers came back within the peak, in the place of new work of their tenant. Change: a step of up to 60 tasks of which a part has started goes first in its class; marks are dropped every half second once their submission isn't active; weights are bounded; later occurrences and long-running tasks are never beyond the rate; refused callers come back after 5 s at the earliest.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
@@ -24,6 +24,8 @@
 # random arrivals are beyond it with 3, and 4% with 5.
 BURST_S = 2.0
 MIN_BURST = 5
+MIN_WEIGHT = 1e-6
+MAX_WEIGHT = 1e9
 # Most seconds by which acceptance times lag: a slow store takes several seconds
 # to store a submission. A larger difference is the jump of a clock, and says
 # nothing about a rate.
@@ -34,6 +36,9 @@
 # Part of the agreed rate at which refused callers may come back. They take no
 # tokens: new submissions, which are owed, would be beyond the rate instead.
 PROMISED_SHARE = 0.25
+# Shortest time after which one may come back, in seconds: most of a peak is over
+# then. Sooner, it takes the place of new work of its own tenant.
+MIN_PROMISE_S = 5.0
 # Longest time for which a promise is given, in seconds.
 MAX_PROMISE_S = 30.0
 # Most promises that are kept; a caller without one is judged anew.
@@ -43,6 +48,14 @@
 EXCEEDING_S = 3.0
 
 
+def bound_weight(weight: float) -> float:
+    """Returns a weight within bounds in which all shares and waits are finite.
+
+    A wait that isn't finite would make the row of the owner unreadable.
+    """
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, weight))
+
+
 def bound_acceptance(
     accepted_s: float, now_s: float, is_live: bool
 ) -> float | None:
@@ -99,7 +112,7 @@
         After MAX_PROMISE_S nothing is promised.
         """
         refilled_at = self.full_at - _choose_tolerance(rate)
-        due = max(self.promised_until, refilled_at, at)
+        due = max(self.promised_until, refilled_at, at + MIN_PROMISE_S)
         if due - at <= MAX_PROMISE_S:
             self.promised_until = due + 1 / (rate * PROMISED_SHARE)
         return due
@@ -162,9 +175,13 @@
         self._count_arrivals()
         return submission_id in self._excess
 
-    def forget(self, submission_id: str):
-        """Forgets whether a submission, which has ended, was beyond a rate."""
-        self._excess.discard(submission_id)
+    def keep_excess(self, is_active: Callable[[str], bool]):
+        """Forgets which submissions were beyond a rate once they have ended.
+
+        Args:
+          is_active: returns whether the submission with an id is active.
+        """
+        self._excess = {i for i in self._excess if is_active(i)}
 
     def admit(self, submission_id: str, tenant: str, at: float) -> float:
         """Returns after how many seconds a new submission is inside the rate.
@@ -387,6 +404,7 @@
         self,
         steps_by_tenant: Mapping[str, Sequence[QueuedStep]],
         measure_share: Callable[[str], float],
+        is_begun: Callable[[Any], bool] = lambda step: False,
     ):
         """Begins the order.
 
@@ -395,8 +413,11 @@
             are not copied.
           measure_share: returns what a tenant has, relative to its weight. It
             is called again after each step of the tenant.
+          is_begun: returns whether a step goes before those of tenants with
+            lower shares, since a part of its tasks has started.
         """
         self._measure_share = measure_share
+        self._is_begun = is_begun
         self._heap: list[tuple] = []
         # The steps that follow the last one at its tenant, its class and the
         # share that its tenant had before it.
@@ -444,9 +465,12 @@
         self, queued: QueuedStep, following: Iterator[QueuedStep]
     ) -> tuple:
         """Returns the heap entry of a tenant whose next step is given."""
+        share = -1.0
+        if not self._is_begun(queued.step):
+            share = self._measure_share(queued.tenant)
         return (
             queued.rank_class,
-            self._measure_share(queued.tenant),
+            share,
             queued.rank,
             queued.sequence,
             queued,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -272,7 +272,7 @@
         """
         wait_s = self._ownership.find_wait(queue.service, queue.priority)
         tenant_waits = None
-        if record.tenant:
+        if self._node.configuration.tenants:
             tenant_waits = self._ownership.find_tenant_waits(queue.service)
         if not wait_s and tenant_waits is None:
             return None
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
@@ -18,6 +18,10 @@
 # Seconds between two log lines on the shares, and most tenants in one.
 LOG_INTERVAL_S = 10.0
 MAX_LOGGED_TENANTS = 8
+# Most tasks of a step that is placed as a whole before other tenants have their
+# turn. If the tenants took turns by task, all steps would end as late as the
+# last one.
+MAX_TURN_TASKS = 60
 # Seconds between two sums of the capacity of all workers.
 CAPACITY_INTERVAL_S = 0.5
 
@@ -74,11 +78,14 @@
     def find_weight(self, name: str) -> float:
         """Returns the weight of a tenant, the default of an unknown one."""
         tenant = self._find_tenant(name)
-        return tenant_types.DEFAULT_WEIGHT if tenant is None else tenant.weight
+        if tenant is None:
+            return tenant_types.DEFAULT_WEIGHT
+        return fairness.bound_weight(tenant.weight)
 
     def _find_rate(self, name: str) -> float | None:
-        tenant = self._find_tenant(name)
-        return None if tenant is None else tenant.weight
+        return (
+            None if self._find_tenant(name) is None else self.find_weight(name)
+        )
 
     def _find_tenant(self, name: str) -> tenant_types.Tenant | None:
         current = self._node.configuration
@@ -99,7 +106,7 @@
           record: the submission.
         """
         is_live = self._shard.is_loaded
-        if not record.tenant or not record.accepted_ms:
+        if not self.is_enabled or not record.tenant or not record.accepted_ms:
             return
         if record.cancelled and is_live:
             # Its row was counted when it was accepted.
@@ -115,13 +122,15 @@
                 record.service == self._shard.service,
             )
 
-    def forget_submission(self, submission_id: str):
-        """Forgets a submission that has ended."""
-        self._rates.forget(submission_id)
+    def is_excess(self, step: execution.Step) -> bool:
+        """Returns whether a step is beyond the agreed rate of its tenant.
 
-    def is_excess(self, submission: execution.Submission) -> bool:
-        """Returns whether a submission is beyond its tenant's agreed rate."""
-        return self.is_enabled and self._rates.is_excess(submission.id)
+        Long-running tasks and later occurrences of a schedule aren't: the rate
+        of a few seconds would decide on their days.
+        """
+        if not self.is_enabled or step.occurrence or step.spec.long_running:
+            return False
+        return self._rates.is_excess(step.submission.id)
 
     def admit(self, submission_id: str, tenant: str) -> float:
         """Returns after how many seconds a submission is inside the rate.
@@ -198,7 +207,7 @@
 
     def order(self, steps_by_tenant) -> fairness.TenantMerge:
         """Returns the ranked steps of all tenants in one order."""
-        return fairness.TenantMerge(steps_by_tenant, self.measure)
+        return fairness.TenantMerge(steps_by_tenant, self.measure, _is_begun)
 
     def order_changed(
         self, ranked: Iterable[tuple[ordering.Rank, execution.Step]]
@@ -243,6 +252,7 @@
         if not self.is_enabled:
             self.waits = None
             return
+        self._rates.keep_excess(self._is_active)
         exceeding = self._rates.list_exceeding(time.time())
         if waiting or exceeding:
             self.waits = tenantwaits.estimate(
@@ -252,6 +262,10 @@
             self.waits = None
         self._report(now)
 
+    def _is_active(self, submission_id: str) -> bool:
+        submission = self._shard.submissions.get(submission_id)
+        return submission is not None and submission.is_active
+
     def _report(self, now: float):
         metrics = self._node.metrics
         service = self._shard.service
@@ -287,5 +301,13 @@
         )
 
 
+def _is_begun(step: execution.Step) -> bool:
+    """Returns whether some but not all tasks of a small step have started."""
+    if step.spec.gang or step.spec.count > MAX_TURN_TASKS:
+        return False
+    waiting = sum(task.is_waiting for task in step.tasks)
+    return 0 < waiting < step.spec.count
+
+
 def _get_rank(row: tuple[ordering.Rank, execution.Step]) -> ordering.Rank:
     return row[0]
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
@@ -88,7 +88,8 @@
 
         Runs of less urgent queues may, as without tenants. Work inside the
         agreed rates may also preempt work beyond them, and runs of the same
-        priority of a tenant that has more, as far as there is a budget.
+        priority of a tenant that has more, as far as there is a budget and they
+        don't end soon.
 
         Returns:
           None in a deployment without tenants.
@@ -99,14 +100,14 @@
         taker_name = step.submission.record.tenant
         taker = shares.describe_holding(taker_name)
         task_share = shares.measure_task(step.spec)
-        is_excess = shares.is_excess(step.submission)
+        is_excess = shares.is_excess(step)
         has_budget = self._history.has_budget(now)
 
         def may_preempt(run: execution.Run) -> bool:
             if self._history.is_spared(run.task, now):
                 return False
             victim = run.task.step.submission
-            is_victim_excess = shares.is_excess(victim)
+            is_victim_excess = shares.is_excess(run.task.step)
             if is_excess and not is_victim_excess:
                 return False
             run_priority = self._find_priority(run)
@@ -114,6 +115,8 @@
                 return True
             if not has_budget or victim.record.tenant == taker_name:
                 return False
+            if preemption.ends_soon(run, now):
+                return False
             if is_victim_excess and not is_excess:
                 return True
             return run_priority == priority and fairness.may_take_over_share(
@@ -126,7 +129,7 @@
         def rank(run: execution.Run) -> tuple:
             victim = run.task.step.submission
             return (
-                not shares.is_excess(victim),
+                not shares.is_excess(run.task.step),
                 -shares.measure(victim.record.tenant),
                 -self._find_priority(run),
                 -run.sent_at,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -337,7 +337,6 @@
         submission.progress.state = state
         submission.progress.ended_ms = int(time.time() * 1000)
         self.recurring.pop(submission.id, None)
-        self.fair_shares.forget_submission(submission.id)
         for step in submission.steps.values():
             self.ready_steps.discard(step)
             self.next_steps.pop(step, None)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -25,7 +25,7 @@
             ordering.estimate_critical_path_ms(submission.record.steps),
             now,
         )
-        is_excess = self._shard.fair_shares.is_excess(submission)
+        is_excess = self._shard.fair_shares.is_excess(step)
         return (
             ordering.rank_step(*arguments, is_excess),
             ordering.find_rank_change(*arguments),
--- a/tests/entry/test_fairness.py
+++ b/tests/entry/test_fairness.py
@@ -285,6 +285,7 @@
         self.first_calls = {}
         self.refusals = []
         self.stopped = []
+        self.saved = {}
         self.ages = collections.defaultdict(list)
 
     async def run(self):
@@ -360,13 +361,16 @@
     def start(self, run, ticket):
         """Takes a start for sent; the task ends after its estimated time."""
         run.phase = execution.Phase.RUNNING
-        end = self.now + run.spec.estimated_ms / 1000
+        done_s = self.saved.get(run.task, 0.0)
+        end = self.now + run.spec.estimated_ms / 1000 - done_s
         heapq.heappush(self.ends, (end, self.count, run))
         self.count += 1
 
     def stop(self, run, reason):
         """Stops a run at once; its task goes on from its checkpoint."""
         self.stopped.append(run)
+        done_s = self.saved.get(run.task, 0.0)
+        self.saved[run.task] = done_s + self.now - run.sent_at
         self.shard.remove_run(run, "stopped", "saved")
 
     def _end_run(self, run):
@@ -538,7 +542,11 @@
     """A shard whose configuration has tenants."""
 
     SPEC = submissions.StepSpec(
-        count=4, cpu=4000, memory_mb=100, checkpointing=True
+        count=4,
+        cpu=4000,
+        memory_mb=100,
+        checkpointing=True,
+        estimated_ms=60_000.0,
     )
 
     def setUp(self):
@@ -593,8 +601,12 @@
                 accepted_ms=int(time.time() * 1000) - 100,
             )
             self.shard.fair_shares.record_submission(f"{number:x}", record)
-        self.assertTrue(self.shard.fair_shares.is_excess(self.submit("a")))
-        self.assertFalse(self.shard.fair_shares.is_excess(self.submit("b")))
+        self.assertTrue(
+            self.shard.fair_shares.is_excess(self.submit("a").steps["0.0"])
+        )
+        self.assertFalse(
+            self.shard.fair_shares.is_excess(self.submit("b").steps["0.0"])
+        )
 
     async def test_a_tenant_that_has_all_is_preempted_for_another(self):
         """The other one waited for the end of tasks of many minutes."""
