--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/ordering.py
@@ -2,7 +2,8 @@
 
 Decides what starts first at peak load, when more tasks wait than fit: the more
 urgent queues first, within a queue priority the steps that can still meet their
-latency objective, and last of all those that are too late to be of use.
+latency objective, and last of all those that are too late to be of use. What a
+tenant sends beyond its agreed rate goes behind all work that is owed.
 """
 
 from collections.abc import Sequence
@@ -21,10 +22,13 @@
     """Sort key of a waiting step; the smallest is placed first.
 
     A more urgent queue goes before a less urgent one even when it is late: its
-    tasks are short, and the others can wait longer before they are late.
+    tasks are short, and the others can wait longer before they are late. Work
+    beyond the agreed rate of its tenant goes last whatever its priority is:
+    otherwise a tenant could take from the others by calling its work urgent.
 
     Attributes:
       is_expired: whether the result will be too late to be of use.
+      is_excess: whether it is beyond the agreed rate of its tenant.
       priority: the priority of the queue, 0 for the most urgent.
       is_late: whether the latency objective can't be met any more.
       due_s: when the step must be done for the latency objective to be met, in
@@ -32,6 +36,7 @@
     """
 
     is_expired: bool
+    is_excess: bool
     priority: int
     is_late: bool
     due_s: float
@@ -95,6 +100,7 @@
     critical_path_ms: float,
     now: float,
     run_ms: Sequence[float] | None = None,
+    is_excess: bool = False,
 ) -> Rank:
     """Returns the rank of a waiting step.
 
@@ -105,10 +111,12 @@
       critical_path_ms: estimated duration of the submission's critical path.
       now: the monotonic clock, in seconds.
       run_ms: as in `estimate_critical_path_ms`.
+      is_excess: whether it is beyond the agreed rate of its tenant.
     """
     objective_s = compute_objective_s(queue, critical_path_ms)
     if step.spec.long_running:
-        return Rank(False, queue.priority, False, now - age_s + objective_s)
+        due_s = now - age_s + objective_s
+        return Rank(False, is_excess, queue.priority, False, due_s)
     remaining_s = _estimate_remaining_s(step, run_ms)
     finish_s = age_s + remaining_s
     steps = step.submission.record.steps
@@ -120,6 +128,7 @@
     due_s = now - age_s + objective_s - later_s
     return Rank(
         finish_s > EXPIRY_FACTOR * objective_s,
+        is_excess,
         queue.priority,
         finish_s > objective_s,
         due_s,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -8,6 +8,7 @@
 from persimmonpath_entry.decisions import readysteps
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import learning
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
@@ -64,6 +65,7 @@
       run_end_handler: applies the ends of runs.
       worker_registry: applies changes of the set of workers.
       tenant_usage: what the tenants use and may use of their limits.
+      fair_shares: what its tenants have, sent and wait for.
       has_read_workers: whether the table of the workers has been read.
       is_open: whether this process still acts as the owner.
       is_leaving: whether the owner is about to release the service.
@@ -117,6 +119,7 @@
         self.run_end_handler = runends.RunEndHandler(self)
         self.worker_registry = workerregistry.WorkerRegistry(self)
         self.tenant_usage = tenantusage.TenantUsage(self)
+        self.fair_shares = fairshares.FairShares(self)
         self.has_read_workers = False
         self.is_open = True
         self.is_leaving = False
@@ -296,6 +299,7 @@
         )
         submission.stored_blocks = dict.fromkeys(stored_blocks, 0)
         self.submissions[submission_id] = submission
+        self.fair_shares.record_submission(submission_id, record)
         if version > self.newest_version:
             self.newest_version = version
             if version > self.stored_horizon:
@@ -396,6 +400,7 @@
         task.runs.append(run)
         worker.add_run(run)
         self.tenant_usage.add_run(run)
+        self.fair_shares.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -434,6 +439,7 @@
         task.runs.append(run)
         worker.add_run(run)
         self.tenant_usage.add_run(run)
+        self.fair_shares.add_run(run)
         self.pool.update(worker)
         return run
 
@@ -451,6 +457,7 @@
         task = run.task
         if run.worker.remove_run(run):
             self.tenant_usage.remove_run(run)
+        self.fair_shares.remove_run(run)
         self.pool.update(run.worker)
         if run in task.runs:
             task.runs.remove(run)
--- a/tests/entry/test_tenants.py
+++ b/tests/entry/test_tenants.py
@@ -143,6 +143,9 @@
     def find_wait(self, service, priority):
         return 0.0
 
+    def find_tenant_waits(self, service):
+        return None
+
 
 class CancelledRowStore(fakes.FakeStore):
     """Holds one submission of the tenant north."""
