Limit what clients may send to the entry VM's HTTP ports

Cause: the server limited only the body, at 1 MiB. Heads, targets, header lines, queued requests, unread responses and the time of a request had no bound, and the bytes of all connections together had none either.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -28,6 +28,8 @@
 DEADLINE_HEADER = "x-deadline-ms"
 KEY_HEADER = "authorization"
 KEY_SCHEME = "token"
+# The header fields that the APIs for callers and peers read.
+HEADER_FIELDS = ("host", KEY_HEADER, DEADLINE_HEADER)
 DEFAULT_WAIT_S = 3.0
 # Time reserved for the response to reach the caller before its deadline.
 ANSWER_MARGIN_S = 0.35
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import functools
 import signal
 
 from persimmonpath_entry.engine import acceptance
@@ -110,12 +111,18 @@
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         peer = await self._listen(
-            self.context.peer_address, self._peer_api.handle
+            self.context.peer_address, self._peer_api.handle, "peer"
+        )
+        front = await self._listen(
+            settings.listen.front, self.front.handle, "front"
+        )
+        ready = await self._listen(
+            settings.listen.ready, self._answer_ready, "ready"
         )
-        front = await self._listen(settings.listen.front, self.front.handle)
-        ready = await self._listen(settings.listen.ready, self._answer_ready)
         await self._listen(
-            f"{settings.ip}:{settings.metrics_port}", self._answer_metrics
+            f"{settings.ip}:{settings.metrics_port}",
+            self._answer_metrics,
+            "metrics",
         )
         self.context.log.warn(
             "started",
@@ -142,16 +149,31 @@
         await self._stop.wait()
         await self._shut_down(front, peer, ready)
 
-    async def _listen(self, address: str, handler) -> httpserver.HttpServer:
+    async def _listen(
+        self, address: str, handler, port_name: str = "front"
+    ) -> httpserver.HttpServer:
         """Starts an HTTP server at host:port.
 
         The address may be in use by a former process for a short time, which
         is waited for.
 
+        Args:
+          address: host and port.
+          handler: answers the requests.
+          port_name: which part of the limits for clients the server gets.
+
         Raises:
           OSError: if the address can't be bound.
         """
-        server = httpserver.HttpServer(handler, self._log_request_error)
+        server = httpserver.HttpServer(
+            handler,
+            self._log_request_error,
+            platform_settings.derive_http_limits(
+                self.context.settings, port_name
+            ),
+            clientapi.HEADER_FIELDS,
+            functools.partial(self._record_rejected, port_name),
+        )
         host, _, port = address.rpartition(":")
         reuse_s = self.context.settings.bounds.addr_reuse_s
         deadline = clock.read_clock() + reuse_s + BIND_SLACK_S
@@ -175,6 +197,17 @@
     def _log_request_error(self, text: str):
         self.context.log.warn("request_broken", reason=text)
 
+    def _record_rejected(self, port: str, reason: str, count: int):
+        """Counts and logs the clients that a server rejected for a reason."""
+        self.context.metrics.count(
+            f'clients_rejected{{port="{port}",reason="{reason}"}}', count
+        )
+        # Clients leave idle connections open; closing them tells nothing.
+        if reason != "idle":
+            self.context.log.warn(
+                "clients_rejected", port=port, reason=reason, count=count
+            )
+
     def _reload_settings(self):
         """Reads the settings again and applies their bounds, if valid."""
         settings = platform_settings.load_settings()
