Wait for near or fast workers while that pays

Cause: a task was placed away from its data, and a gang across racks, as soon as nothing near had room, even if a near worker was about to become free; urgent tasks were started on slow workers, where they miss their objective for certain, though fast ones free capacity all the time.

The normal speed is now the median of the workers, as run times and factors drifted together by 3 percent.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -42,6 +43,10 @@
 MIN_CLASS = -2
 MAX_CLASS = 4
 
+# Seconds beside its run time that a task takes to start and to be listed as
+# ended, with a reserve for what differs from run to run.
+START_AND_END_S = 0.07
+
 # Cost of a run time that is longer by the whole of itself. A task half as long
 # again, as one away from its data, costs 4; leaving a worker empty costs 1.5.
 SLOWDOWN_COST = 8.0
@@ -108,6 +113,28 @@
         self._kinds: collections.OrderedDict[str, Average] = (
             collections.OrderedDict()
         )
+        # Logarithm of the factor that counts as normal.
+        self._center = 0.0
+
+    def set_normal(self, workers: Iterable[fleet.Worker]):
+        """Takes the median of the known workers for the normal speed.
+
+        Run times and factors are learned from each other, so that a common
+        factor would drift from one to the other.
+
+        Args:
+          workers: the workers of the service.
+        """
+        logs = sorted(
+            average.shrink(self._find_prior(worker))
+            for worker, average in (
+                (worker, self._workers.get((worker.id, worker.born)))
+                for worker in workers
+            )
+            if average is not None and average.count >= MIN_SAMPLES
+        )
+        if logs:
+            self._center = logs[(len(logs) - 1) // 2]
 
     def record(self, worker: fleet.Worker, factor: float, is_degraded: bool):
         """Records a run.
@@ -135,12 +162,17 @@
         """
         average = self._workers.get((worker.id, worker.born))
         prior = self._find_prior(worker)
-        return math.exp(prior if average is None else average.shrink(prior))
+        log = prior if average is None else average.shrink(prior)
+        return math.exp(log - self._center)
 
     def _find_prior(self, worker: fleet.Worker) -> float:
         kind = self._kinds.get(find_kind(worker))
         return 0.0 if kind is None else kind.shrink(0.0)
 
+    def measure_kind_factor(self, average: Average) -> float:
+        """Returns the factor on the run time of a kind, by its average."""
+        return math.exp(average.shrink(0.0) - self._center)
+
     def choose_factor(self, worker: fleet.Worker) -> float:
         """Returns the factor on the run time that decisions rely on.
 
@@ -222,12 +254,17 @@
         to be met, None without a deadline.
       is_urgent: whether its queue is among the most urgent ones.
       is_last: whether it is one of the last tasks of a large step.
+      far_x: factor on the run time away from the data, or of a gang on several
+        racks.
+      share: what its tenant uses, divided by its share; 1 without tenants.
     """
 
     run_s: float
     left_s: float | None = None
     is_urgent: bool = False
     is_last: bool = False
+    far_x: float = 1.0
+    share: float = 1.0
 
     def weigh(self, factor: float) -> float:
         """Returns the weight of speed on a worker, from 0 to 1.
@@ -246,6 +283,16 @@
             share = (share - COMFORTABLE_SHARE) / (1 - COMFORTABLE_SHARE)
         return share if share > weight else weight
 
+    def is_missed(self, factor: float) -> bool:
+        """Returns whether a task that starts now is likely to end too late.
+
+        Args:
+          factor: the factor on its run time.
+        """
+        if self.left_s is None:
+            return False
+        return self.run_s * factor + START_AND_END_S > self.left_s
+
     def compute_cost(self, factor: float) -> float:
         """Returns the cost of a worker's speed in placement.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/workerpool.py
@@ -78,6 +78,10 @@
         """Returns those of the given workers that are in the pool."""
         return [self.workers[i] for i in ids if i in self.workers]
 
+    def list_rack(self, rack: str) -> list[fleet.Worker]:
+        """Returns the workers of the pool on a rack."""
+        return list(self._racks.get(rack, {}).values())
+
     def measure_free_share(self) -> float:
         """Returns the share of the CPU of all workers that runs don't use."""
         workers = self.list_workers()
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learnedrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learnedrows.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import itertools
-import math
 
 import msgspec
 
@@ -263,9 +262,9 @@
         for kind, average in itertools.islice(
             learner.speeds.list_kinds(), MAX_GAUGES
         ):
-            factor = math.exp(average.shrink(0.0))
             metrics.set(
-                f'run_time_factor{{service="{service}",kind="{kind}"}}', factor
+                f'run_time_factor{{service="{service}",kind="{kind}"}}',
+                learner.speeds.measure_kind_factor(average),
             )
         slow = sum(
             worker.run_time_factor > 1.0
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
@@ -1,5 +1,7 @@
 """Learns run times and speeds of workers from the runs of a shard."""
 
+import math
+
 from persimmonpath_entry.decisions import health
 from persimmonpath_entry.decisions import placement
 from persimmonpath_entry.decisions import runtimes
@@ -90,6 +92,24 @@
             run_s * self.choose_far_factor([run]) * (run.worker.run_time_factor)
         )
 
+    def predict_remaining_s(self, run: execution.Run, now: float) -> float:
+        """Returns for how long a run is expected to go on, in seconds.
+
+        A run that is late is expected to take half as long again as it is late.
+        Long-running tasks go on for ever.
+        """
+        if run.spec.long_running:
+            return math.inf
+        if run.phase is execution.Phase.STOPPING:
+            return 0.0
+        expected_s = self.predict_on_worker(run)
+        if expected_s is None:
+            expected_s = run.spec.estimated_ms / 1000
+            expected_s *= run.worker.run_time_factor
+            expected_s *= self.choose_far_factor([run])
+        left_s = run.sent_at + expected_s - now
+        return left_s if left_s > 0 else -left_s / 2
+
     def choose_far_factor(self, runs: list[execution.Run]) -> float:
         """Returns the factor on the run time away from data or other members.
 
@@ -154,6 +174,7 @@
 
     def refresh_factors(self):
         """Updates the factors of all workers, as those of kinds change."""
+        self.speeds.set_normal(self._shard.workers.values())
         for worker in self._shard.workers.values():
             self._update_factor(worker)
         self.has_speeds = any(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import math
 
 from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.transport import clock
@@ -72,7 +71,7 @@
     for kind, average in itertools.islice(
         learner.speeds.list_kinds(), MAX_LEARNED
     ):
-        factor = math.exp(average.shrink(0.0))
+        factor = learner.speeds.measure_kind_factor(average)
         lines.append(
             f"kind={kind} run_time_factor={factor:.2f} runs={average.count:.0f}"
         )
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -77,6 +77,7 @@
       stop_run: callback that stops a run, given the run and a reason.
       on_worker_added: callback for a worker that was added.
       on_worker_restarted: callback for a worker that has restarted.
+      on_run_removed: callback for a run that no longer uses capacity, or None.
       refresh_submission: coroutine function that brings a submission up to
         date before its state is shown.
       queues: last known configuration of each queue in use, by name.
@@ -128,6 +129,7 @@
         self.stop_run = None
         self.on_worker_added = None
         self.on_worker_restarted = None
+        self.on_run_removed = None
         self.refresh_submission = None
         self.queues: dict[str, configuration.Queue] = {}
         self.waits: dict[int, float] = {}
@@ -445,6 +447,8 @@
         self.pool.update(run.worker)
         if run in task.runs:
             task.runs.remove(run)
+        if self.on_run_removed is not None:
+            self.on_run_removed(run)
         self.node.metrics.count(f'runs_ended{{how="{how}"}}')
         self.node.log.write(
             "run_ended",
