Close HTTP connections without losing responses; fuzz the server

Cause: the fuzz run found that closing a connection with unread data resets it, so that the client may lose the last response, and that the end of the sending side raises once the client has reset the connection. Change: the server ends its sending side and reads until the client closes, for at most 1 s.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: process-soak process-mutants install run up down format lint test measure proto soak mutants faults
+.PHONY: fuzz-http process-soak process-mutants install run up down format lint test measure proto soak mutants faults
 
 BIN = .venv/bin
 PACKAGES = packages/persimmonpath packages/persimmonpath_daemon packages/persimmonpath_ctl \
@@ -60,3 +60,7 @@
 # Real processes of the entry VM under random faults, against the stand-ins.
 process-soak: install
 	$(BIN)/python -m tests.entry.soak --seed $(SEED) --seconds $(SECONDS)
+
+# Random, odd and damaged requests to the entry VM's HTTP server.
+fuzz-http: install
+	$(BIN)/python -m tests.entry.fuzzhttp --seed $(SEED)
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import functools
 import socket
 
 import httptools
@@ -37,6 +38,8 @@
 RECEIVE_BYTES = 65536
 # What is parsed at once, so that few requests are queued beyond the limit.
 SLICE_BYTES = 4096
+# What a header line has beside its name and its value, at least.
+LINE_BYTES = 3
 # Most bytes between two requests: empty lines, which clients needn't send.
 BLANK_BYTES = 4096
 # After a rejection the connection is read for this long, since closing it with
@@ -97,6 +100,53 @@
     """Stands in where nobody counts the rejected clients."""
 
 
+@functools.cache
+def _format_status(status: int) -> bytes:
+    """Returns the lines with which all responses of a status begin."""
+    phrase = REASON_PHRASES.get(status, "Other")
+    head = f"HTTP/1.1 {status} {phrase}\r\nContent-Type: application/json\r\n"
+    return head.encode("latin-1")
+
+
+def _decode_name(name: bytes) -> str:
+    return name.decode("latin-1")
+
+
+class _BodyCallbacks:
+    """The callbacks of a parser that gets a body behind a replaced head.
+
+    Requests that follow the body are parsed as usual.
+    """
+
+    def __init__(self, connection: "_ServerConnection"):
+        self._connection = connection
+        self._is_head_replaced = True
+        self.on_body = connection.on_body
+
+    def on_message_begin(self):
+        if not self._is_head_replaced:
+            self._connection.on_message_begin()
+
+    def on_url(self, url: bytes):
+        if not self._is_head_replaced:
+            self._connection.on_url(url)
+
+    def on_header(self, name: bytes, value: bytes):
+        if not self._is_head_replaced:
+            self._connection.on_header(name, value)
+
+    def on_headers_complete(self):
+        if not self._is_head_replaced:
+            self._connection.on_headers_complete()
+
+    def on_message_complete(self):
+        if self._is_head_replaced:
+            self._is_head_replaced = False
+            self._connection.complete_request()
+        else:
+            self._connection.on_message_complete()
+
+
 class _ServerConnection(asyncio.BufferedProtocol):
     """An accepted connection; pipelined requests are answered in order."""
 
@@ -127,12 +177,14 @@
         self._is_discarding = False
         self._is_at_eof = False
         self._is_lost = False
+        # Whether no further request is answered.
+        self._has_ended = False
         self._is_charged = True
-        self._is_replaying = False
+        self._find_field = server.find_field
         self._needs_continue = False
         # Whether the last part contained a piece of a body or ended a request.
         self._has_advanced = False
-        self._method = ""
+        self._method = b""
         self._blank_bytes = 0
         self._stage = NONE
         self._stage_since = 0.0
@@ -141,11 +193,13 @@
     def _reset_request(self):
         self._target = b""
         self._headers: dict[str, str] = {}
+        # The fields of the head, while those of a trailer may follow.
+        self._kept: dict[str, str] | None = None
         self._body: bytes | bytearray = b""
         # Bytes of the head by complete lines, and all received in this stage.
         self._head_bytes = 0
         self._raw_bytes = 0
-        self._lines = 0
+        self._line_count = 0
 
     # Events of the transport.
 
@@ -166,6 +220,7 @@
 
     def connection_lost(self, exc):
         self._is_lost = True
+        self._has_ended = True
         self._release()
         self._server.remove(self)
         self._wake()
@@ -176,7 +231,11 @@
     def buffer_updated(self, nbytes):
         if self._is_discarding:
             return
-        self._feed_slices(self._server.buffer[:nbytes])
+        data = self._server.buffer[:nbytes]
+        if nbytes > SLICE_BYTES or self._queue:
+            self._feed_slices(data)
+        else:
+            self._feed_all(data)
         if len(self._queue) >= self._limits.queued:
             self._stop_reading()
 
@@ -230,38 +289,33 @@
                 self._budget.used += len(rest)
                 self._server.count("queued")
                 return
-            rest = self._feed(data[start : start + SLICE_BYTES])
-            while rest is not None:
-                rest = self._feed(rest)
+            self._feed_all(data[start : start + SLICE_BYTES])
             if self._is_discarding:
                 return
 
-    def _feed(self, data: memoryview) -> memoryview | None:
-        """Parses received data and checks what it leaves incomplete.
-
-        Returns:
-          What is left to be parsed, None if nothing is.
-        """
-        self._has_advanced = False
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            if self._is_discarding:
-                return None
-            self._replay_without_upgrade()
-            rest = data[error.args[0] :]
-            return rest if len(rest) and not self._is_discarding else None
-        except (httptools.HttpParserError, ValueError):
-            if not self._is_discarding:
-                self._reject(*(self._rejection or (400, "malformed")))
-            return None
+    def _feed_all(self, data: memoryview):
+        """Parses received data and checks what it leaves incomplete."""
+        while True:
+            self._has_advanced = False
+            try:
+                self._parser.feed_data(data)
+                break
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                if not self._is_discarding:
+                    self._replay_without_upgrade()
+                if self._is_discarding or not len(data):
+                    return
+            except (httptools.HttpParserError, ValueError):
+                if not self._is_discarding:
+                    self._reject(*(self._rejection or (400, "malformed")))
+                return
         if self._stage != NONE:
             self._check_incomplete(len(data))
         elif not self._has_advanced:
             self._blank_bytes += len(data)
             if self._blank_bytes > BLANK_BYTES:
                 self._reject(400, "blank")
-        return None
 
     def _check_incomplete(self, size: int):
         """Checks and counts the incomplete request after a part of `size`."""
@@ -274,8 +328,11 @@
             self._raw_bytes += size
         elif self._stage == BODY:
             self._raw_bytes = 0
+        self._check_head()
         if self._raw_bytes > self._limits.head_bytes:
-            self._reject(431, "head_bytes")
+            self._rejection = (431, "head_bytes")
+        if self._rejection is not None:
+            self._reject(*self._rejection)
             return
         held = max(self._head_bytes, self._raw_bytes, 1) + len(self._body)
         self._budget.used += held - self._held
@@ -319,48 +376,51 @@
         raise ValueError(reason)
 
     def on_message_begin(self):
-        if not self._is_replaying:
-            self._stage = HEAD
-            self._blank_bytes = 0
+        self._stage = HEAD
 
     def on_url(self, url: bytes):
-        if self._is_replaying:
-            return
         self._target += url
         if len(self._target) > self._limits.target_bytes:
             self._stop_parser(414, "target")
-        self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes):
-        if self._is_replaying:
-            return
-        self._head_bytes += len(name) + len(value) + 3
-        self._lines += 1
-        if self._head_bytes > self._limits.head_bytes:
-            self._stop_parser(431, "head_bytes")
-        if self._lines > self._limits.head_lines:
-            self._stop_parser(431, "head_lines")
-        # Fields of a trailer aren't used.
-        if self._stage == BODY:
-            return
-        key = self._server.find_field(name)
-        if key is None:
-            return
-        if key == "host" and key in self._headers:
-            self._stop_parser(400, "malformed")
-        self._headers[key] = value.decode("latin-1")
+        self._line_count += 1
+        self._head_bytes += len(name) + len(value)
+        key = self._find_field(name.lower())
+        if key is not None:
+            if key == "host" and key in self._headers:
+                self._stop_parser(400, "malformed")
+            self._headers[key] = value.decode("latin-1")
+
+    def _check_head(self):
+        """Notes whether the head and the trailer exceed their limits.
+
+        All that isn't checked before is less than a slice of received data, of
+        which the server keeps only the fields that are read.
+        """
+        limits = self._limits
+        count = self._line_count
+        size = self._head_bytes + LINE_BYTES * count + len(self._target)
+        if size > limits.head_bytes:
+            self._rejection = (431, "head_bytes")
+        elif count > limits.head_lines:
+            self._rejection = (431, "head_lines")
 
     def on_headers_complete(self):
-        if self._is_replaying:
-            return
         self._stage = BODY
         self._raw_bytes = 0
+        self._check_head()
         headers = self._headers
         length = headers.get("content-length")
         if length is not None and int(length) > self._limits.body_bytes:
-            self._stop_parser(413, "body")
+            self._rejection = self._rejection or (413, "body")
+        if self._rejection is not None:
+            raise ValueError(self._rejection)
         if "expect" in headers:
             self._expect_body(length)
+        if "transfer-encoding" in headers:
+            # Fields of a trailer aren't used.
+            self._kept, self._headers = headers, {}
 
     def _expect_body(self, length: str | None):
         is_expected = length not in (None, "0") or (
@@ -393,34 +453,43 @@
 
     def on_message_complete(self):
         parser = self._parser
-        if not self._is_replaying:
-            self._method = parser.get_method().decode("latin-1")
-            if parser.should_upgrade():
-                return
+        self._method = parser.get_method()
+        # Otherwise, the body isn't parsed yet.
+        if not parser.should_upgrade():
+            self.complete_request()
+
+    def complete_request(self):
+        """Queues the current request to be handled."""
+        if self._kept is not None:
+            self._check_head()
+            if self._rejection is not None:
+                raise ValueError(self._rejection)
+            self._headers, self._kept = self._kept, None
         self._has_advanced = True
-        self._is_replaying = False
         self._needs_continue = False
         request = Request(
-            self._method,
+            self._method.decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
             bytes(self._body),
         )
-        if not parser.should_keep_alive():
+        if not self._parser.should_keep_alive():
             request.headers["connection"] = "close"
             self._is_discarding = True
         size = self._head_bytes + len(self._body) + httplimits.REQUEST_BYTES
         self._stage = NONE
+        budget = self._budget
         if self._held:
-            self._budget.used -= self._held
+            budget.used -= self._held
             self._held = 0
             self._server.receiving.pop(self, None)
+        self._blank_bytes = 0
         self._reset_request()
         if self._task is None:
             self._server.waiting.pop(self, None)
-        self._budget.used += size
-        if self._budget.is_exceeded and not self._server.relieve():
-            self._budget.used -= size
+        budget.used += size
+        if budget.used > budget.total and not self._server.relieve():
+            budget.used -= size
             self._is_discarding = False
             self._stop_parser(503, "budget")
         self._queue.append((request, size))
@@ -437,24 +506,24 @@
         """
         version = self._parser.get_http_version()
         lines = [f"POST / HTTP/{version}\r\n"]
+        headers = self._headers if self._kept is None else self._kept
         for name in ("content-length", "transfer-encoding"):
-            if name in self._headers:
-                lines.append(f"{name}: {self._headers[name]}\r\n")
-        options = self._headers.get("connection", "").lower()
+            if name in headers:
+                lines.append(f"{name}: {headers[name]}\r\n")
+        options = headers.get("connection", "").lower()
         for option in ("close", "keep-alive"):
             if option in options:
                 lines.append(f"connection: {option}\r\n")
         lines.append("\r\n")
-        self._parser = httptools.HttpRequestParser(self)
-        self._is_replaying = True
-        self._feed(memoryview("".join(lines).encode("latin-1")))
+        self._parser = httptools.HttpRequestParser(_BodyCallbacks(self))
+        self._feed_all(memoryview("".join(lines).encode("latin-1")))
 
     # Responses.
 
     async def _serve(self):
         limits = self._limits
         try:
-            while self._queue and not self._transport.is_closing():
+            while self._queue and not self._has_ended:
                 request, size = self._queue.popleft()
                 try:
                     response = await self._server.handle(request)
@@ -473,7 +542,7 @@
         finally:
             self._task = None
             self._server.busy_connections -= 1
-            if self._transport.is_closing():
+            if self._has_ended:
                 self._drop_queue()
         self._finish_serving()
 
@@ -492,10 +561,10 @@
 
     def _finish_serving(self):
         """Continues the connection once all requests are answered."""
-        if self._is_lost or self._transport.is_closing():
+        if self._has_ended:
             return
         if self._last_words is not None:
-            self._write_rejection(self._last_words)
+            self._write(self._last_words, close=True)
         elif self._is_at_eof:
             self.close()
         else:
@@ -505,22 +574,43 @@
             self._read_on()
 
     def _write(self, response: Response, close: bool):
-        if self._transport is None or self._transport.is_closing():
+        if self._has_ended or self._transport.is_closing():
             return
-        extra_headers = ""
+        head = _format_status(response.status)
         if response.retry_after_s is not None:
-            extra_headers = f"Retry-After: {response.retry_after_s}\r\n"
+            head += b"Retry-After: %d\r\n" % response.retry_after_s
         if close:
-            extra_headers += "Connection: close\r\n"
-        head = (
-            f"HTTP/1.1 {response.status} "
-            f"{REASON_PHRASES.get(response.status, 'Other')}\r\n"
-            f"Content-Type: application/json\r\n{extra_headers}"
-            f"Content-Length: {len(response.body)}\r\n\r\n"
+            head += b"Connection: close\r\n"
+        body = response.body
+        self._transport.write(
+            b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
         )
-        self._transport.write(head.encode("latin-1") + response.body)
         if close:
+            self._close_gently()
+
+    def _close_gently(self):
+        """Closes the connection once the client has read the last response.
+
+        Closing it with unread data would discard the response on its way.
+        """
+        if self._is_at_eof:
             self.close()
+            return
+        self._has_ended = True
+        self._is_discarding = True
+        self._drop_incomplete()
+        self._uncharge()
+        self._server.start_closing(
+            self, self._limits.unread_s if self._is_blocked else LINGER_S
+        )
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            self.abort()
+            return
+        if not self._is_blocked:
+            self._read_on()
 
     def _reject(self, status: int, reason: str):
         """Answers an incomplete or invalid request and ends the connection.
@@ -533,21 +623,10 @@
         retry_after_s = RETRY_AFTER_S if status in (429, 503) else None
         response = Response(status, b"", retry_after_s)
         if self._task is None:
-            self._write_rejection(response)
+            self._write(response, close=True)
         else:
             self._last_words = response
 
-    def _write_rejection(self, response: Response):
-        if self._transport.is_closing():
-            return
-        self._write(response, close=False)
-        if self._is_at_eof or not self._is_reading:
-            self.close()
-            return
-        self._uncharge()
-        self._server.start_closing(self, LINGER_S)
-        self._transport.write_eof()
-
     # Calls of the server.
 
     @property
@@ -580,12 +659,11 @@
 
     def refuse(self, status: int, reason: str):
         """Answers a new connection that isn't served."""
-        self._server.count(reason)
-        self._is_discarding = True
-        self._write(Response(status, b"", RETRY_AFTER_S), close=True)
+        self._reject(status, reason)
 
     def close(self):
         """Closes the connection once its responses are sent."""
+        self._has_ended = True
         self._is_discarding = True
         self._drop_incomplete()
         self._uncharge()
@@ -594,6 +672,7 @@
 
     def abort(self):
         """Closes the connection at once; unsent responses are lost."""
+        self._has_ended = True
         self._is_discarding = True
         self._release()
         self._transport.abort()
@@ -641,10 +720,11 @@
         self.limits = limits or httplimits.HttpLimits()
         self.budget = httplimits.ByteBudget(self.limits.budget_bytes)
         self.buffer = memoryview(bytearray(RECEIVE_BYTES))
-        self._fields: dict[bytes, str] | None = None
+        # Returns the name of a field as text, None if it isn't needed.
+        self.find_field: Callable[[bytes], str | None] = _decode_name
         if fields is not None:
             names = {*fields, *FRAMING_FIELDS}
-            self._fields = {name.encode(): name for name in names}
+            self.find_field = {name.encode(): name for name in names}.get
         self._listener: asyncio.Server | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self.connections: set[_ServerConnection] = set()
@@ -696,12 +776,6 @@
         """Returns the time of the event loop in seconds."""
         return self._loop.time()
 
-    def find_field(self, name: bytes) -> str | None:
-        """Returns the name of a header field, None if it isn't needed."""
-        if self._fields is None:
-            return name.decode("latin-1").lower()
-        return self._fields.get(name.lower())
-
     def count(self, reason: str):
         """Counts a client that was rejected or closed."""
         self._rejected[reason] += 1
@@ -718,10 +792,10 @@
                 return
         if len(self.connections) - len(self._closing) > limits.connections:
             self._evict_one("connections")
-        if (
-            len(self.connections) - len(self._closing) > limits.connections
-            or len(self.connections) > CLOSING_FACTOR * limits.connections
-        ):
+        if len(self.connections) > CLOSING_FACTOR * limits.connections:
+            self.count("connections")
+            connection.abort()
+        elif len(self.connections) - len(self._closing) > limits.connections:
             connection.refuse(503, "connections")
         elif self.budget.is_exceeded and not self.relieve():
             connection.refuse(503, "budget")
