Limit what clients may send to the daemon's HTTP port

Cause: cheroot's limits were off: heads and chunks of any size were stored, its timeout starts again with each byte, a second Host or Content-Length and control bytes were taken, new connections occupied a thread before they sent anything, and each of 64 threads could hold a body of 4 MiB. Change: limits of the head, deadlines for a whole head and body, a limit for waiting connections and a budget for bodies, from the same module as those of the entry VM, with settings under [clients]. A rejection is counted and logged at most once a second for each status.

--- a/packages/persimmonpath/persimmonpath/httplimits.py
+++ b/packages/persimmonpath/persimmonpath/httplimits.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import resource
+import threading
 
 # What the connection itself occupies: its transport, parser and protocol.
 CONNECTION_BYTES = 6000
@@ -108,3 +109,25 @@
     def is_exceeded(self) -> bool:
         """Whether more bytes are in use than there are."""
         return self.used > self.total
+
+
+class SharedByteBudget:
+    """A budget of bytes that several threads use."""
+
+    def __init__(self, total: int):
+        self._total = total
+        self._used = 0
+        self._lock = threading.Lock()
+
+    def acquire(self, amount: int) -> bool:
+        """Reserves bytes; returns whether there were enough."""
+        with self._lock:
+            if self._used + amount > self._total:
+                return False
+            self._used += amount
+            return True
+
+    def release(self, amount: int) -> None:
+        """Gives reserved bytes back."""
+        with self._lock:
+            self._used -= amount
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpapi.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from persimmonpath import entry as entry_module
+from persimmonpath import httplimits
 from persimmonpath import router as router_module
 from persimmonpath import spans
 from persimmonpath_daemon import cellapi
@@ -38,6 +39,7 @@
         router: router_module.Router,
         instruments: instrumentation.Instruments,
         run_limit: int = 48,
+        body_budget: int = httplimits.HttpLimits().budget_bytes,
     ):
         """Creates the application of an entry VM.
 
@@ -46,7 +48,9 @@
             router: Its router.
             instruments: Metrics and tracer.
             run_limit: Maximum number of requests that wait for their answers.
+            body_budget: Bytes that the bodies of all calls may occupy.
         """
+        self._bodies = httplimits.SharedByteBudget(body_budget)
         self._instruments = instruments
         self.requests = requestapi.RequestApi(
             entry, router, instruments, run_limit
@@ -79,8 +83,7 @@
         try:
             route, groups = self._find_route(environ)
             name = route.name
-            call = _read_call(environ)
-            return name, route.handle(call, *groups)
+            return name, self._handle(environ, route, groups)
         except replies.CallError as error:
             return name, error.reply
         except Exception:
@@ -88,6 +91,20 @@
             body = {"error": "internal", "outcome": "unknown"}
             return name, replies.Reply(500, body)
 
+    def _handle(self, environ, route: replies.Route, groups) -> replies.Reply:
+        """Handles a call whose body fits the budget."""
+        text = environ.get("CONTENT_LENGTH", "")
+        size = min(int(text), MAX_BODY_BYTES) if text.isdecimal() else 0
+        if not self._bodies.acquire(size):
+            httpserver.close_after_reply(environ)
+            raise replies.CallError(
+                503, "overloaded", "body", "too many bodies are received"
+            )
+        try:
+            return route.handle(_read_call(environ), *groups)
+        finally:
+            self._bodies.release(size)
+
     def _find_route(self, environ) -> tuple[replies.Route, tuple]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         allowed = []
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -2,15 +2,23 @@
 
 import http
 import json
+import re
+import socket
+import time
 
+from cheroot import errors as cheroot_errors
+from cheroot import makefile
 from cheroot import server as cheroot_server
 from cheroot import wsgi
 
 from persimmonpath import events
+from persimmonpath import httplimits
 
 _ENVIRON_KEY = "persimmonpath.request"
 # A full backlog drops SYN packets, which clients resend only after 1 s.
 LISTEN_BACKLOG = 128
+# Shortest time between two log lines about rejections with the same status.
+REPORT_S = 1.0
 
 
 def format_status(status: int) -> str:
@@ -23,12 +31,94 @@
     environ[_ENVIRON_KEY].close_connection = True
 
 
+_CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_SINGLE_FIELDS = frozenset({b"Host", b"Content-Length"})
+
+
+class _Fields(dict):
+    """The header fields of a request; rejects what has no clear meaning."""
+
+    def __init__(self, max_lines: int):
+        super().__init__()
+        self._lines_left = max_lines
+
+    def __setitem__(self, name: bytes, value: bytes):
+        self._lines_left -= 1
+        if self._lines_left < 0:
+            raise cheroot_errors.MaxSizeExceeded
+        if name in _SINGLE_FIELDS and name in self:
+            raise ValueError(f"Second {name.decode()}.")
+        if _CONTROL_BYTES.search(name) or _CONTROL_BYTES.search(value):
+            raise ValueError("Control byte in a header field.")
+        super().__setitem__(name, value)
+
+
+class _SocketReader(socket.SocketIO):
+    """Reads from a socket until a deadline, however the data is divided."""
+
+    def __init__(self, sock, timeout_s: float):
+        super().__init__(sock, "rb")
+        self._socket = sock
+        self._timeout_s = timeout_s
+        self._deadline = 0.0
+
+    def start_part(self, limit_s: float):
+        """Starts the time in which a head or a body has to arrive."""
+        self._deadline = time.monotonic() + limit_s
+
+    def readinto(self, buffer):
+        """Reads once; raises TimeoutError after the deadline."""
+        left_s = self._deadline - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("timed out")
+        self._socket.settimeout(min(self._timeout_s, left_s))
+        try:
+            return super().readinto(buffer)
+        finally:
+            # Responses are written to the same socket.
+            self._socket.settimeout(self._timeout_s)
+
+
 class _Request(cheroot_server.HTTPRequest):
     """An HTTP request; errors that the server itself detects are JSON too."""
 
+    def parse_request(self):
+        """Parses the head, which has to arrive in time."""
+        limits = self.server.limits
+        self.inheaders = _Fields(limits.head_lines)
+        self.conn.rfile.raw.start_part(limits.head_s)
+        super().parse_request()
+        self.conn.rfile.raw.start_part(limits.body_s)
+
+    def read_request_line(self):
+        """Returns whether the request line is valid."""
+        if not super().read_request_line():
+            return False
+        if len(self.uri) > self.server.limits.target_bytes:
+            raise cheroot_errors.MaxSizeExceeded
+        if _CONTROL_BYTES.search(self.uri):
+            self.simple_response("400 Bad Request", "Control byte in the URI.")
+            return False
+        return True
+
+    def read_request_headers(self):
+        """Returns whether the header fields are valid."""
+        if not super().read_request_headers():
+            return False
+        if self.chunked_read and b"Content-Length" in self.inheaders:
+            self.simple_response(
+                "400 Bad Request", "Content-Length with Transfer-Encoding."
+            )
+            return False
+        return True
+
     def simple_response(self, status, msg=""):
         """Sends an error reply of the server and closes the connection."""
         code = int(str(status)[:3])
+        # cheroot rejects only heads with this status here.
+        if code == 413:
+            code = 431
+        self.server.record_rejected(code)
         field = "Content-Length" if "Content-Length" in msg else "request"
         error = "timed_out" if code == 408 else "bad_http"
         if field == "Content-Length":
@@ -55,6 +145,16 @@
 class _Connection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(self, server, sock, make_file=makefile.MakeFile):
+        super().__init__(server, sock, make_file)
+        self.rfile = _StreamReader(sock, self.rbufsize, server.timeout)
+
+
+class _StreamReader(makefile.StreamReader):
+    def __init__(self, sock, size: int, timeout_s: float):
+        super().__init__(sock, "rb", size)
+        self._raw = _SocketReader(sock, timeout_s)
+
 
 class _Gateway(wsgi.Gateway_10):
     def get_environ(self):
@@ -68,6 +168,33 @@
     """HTTP server that logs errors as events instead of stack traces."""
 
     ConnectionClass = _Connection
+    limits = httplimits.HttpLimits()
+    # Receives the status of each call that the server itself rejects.
+    on_rejected = staticmethod(lambda status: None)
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        # When a rejection was last logged, by status.
+        self._logged_at: dict[int, float] = {}
+
+    def record_rejected(self, status: int):
+        """Counts a rejected call; logs each status at most once a second."""
+        self.on_rejected(str(status))
+        now = time.monotonic()
+        if now - self._logged_at.get(status, -REPORT_S) >= REPORT_S:
+            self._logged_at[status] = now
+            events.log_warning("client_rejected", status=status)
+
+    def process_conn(self, conn):
+        """Passes a connection to a thread once there is something to read.
+
+        A new one waits for that as those between two calls do, so that idle
+        clients occupy no thread.
+        """
+        if conn.last_used is None:
+            self._connections.put(conn)
+        else:
+            super().process_conn(conn)
 
     def error_log(self, msg="", level=20, traceback=False):
         """Logs an error that the server itself detected."""
@@ -76,7 +203,12 @@
 
 
 def create_server(
-    application, host: str, port: int, threads: int, timeout_s: float
+    application,
+    host: str,
+    port: int,
+    threads: int,
+    timeout_s: float,
+    limits: httplimits.HttpLimits | None = None,
 ) -> Server:
     """Returns an HTTP server that is not started.
 
@@ -87,14 +219,22 @@
         threads: Number of calls served concurrently.
         timeout_s: Timeout in seconds for reading from a client in the middle of
             a call; afterwards its connection is closed.
+        limits: Limits for clients, None for the defaults; `connections` limits
+            those that wait for a thread.
     """
+    limits = limits or httplimits.HttpLimits()
     server = Server(
         (host, port),
         application,
         numthreads=threads,
         timeout=timeout_s,
         request_queue_size=LISTEN_BACKLOG,
+        accepted_queue_size=limits.connections,
+        # Further connections are rejected with 503 at once.
+        accepted_queue_timeout=0,
     )
+    server.limits = limits
+    server.max_request_header_size = limits.head_bytes
     server.gateway = _Gateway
     server.shutdown_timeout = 5
     return server
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -1,5 +1,6 @@
 """Entry point of the daemon `persimmond`."""
 
+import functools
 import os
 import pathlib
 import signal
@@ -11,6 +12,7 @@
 
 from persimmonpath import errors
 from persimmonpath import events
+from persimmonpath import httplimits
 from persimmonpath import invariants
 from persimmonpath import router as router_module
 from persimmonpath import timers
@@ -94,6 +96,7 @@
         router_module.create_router(entry),
         instruments,
         settings.threads.http - settings_module.RESERVED_HTTP_THREADS,
+        settings.clients.body_budget_bytes,
     )
     counter = node_module.CallCounter(application)
     http_server = httpserver.create_server(
@@ -102,6 +105,17 @@
         settings.http.port,
         settings.threads.http,
         settings.client_timeout_s,
+        httplimits.HttpLimits(
+            head_bytes=settings.clients.head_bytes,
+            head_lines=settings.clients.head_lines,
+            target_bytes=settings.clients.target_bytes,
+            head_s=settings.clients.head_s,
+            body_s=settings.clients.body_s,
+            connections=settings.clients.waiting,
+        ),
+    )
+    http_server.on_rejected = functools.partial(
+        instruments.http_calls.increment, "rejected"
     )
     peer_servicer = servicer.PeerServicer(entry, instruments.tracer)
     stopping = _catch_signals()
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -68,6 +68,33 @@
     """Other calls in flight to workers."""
 
 
+class ClientSettings(_Model):
+    """Limits for the clients of the address that serves callers."""
+
+    head_bytes: Annotated[int, pydantic.Field(ge=1024, le=1 << 20)] = 32768
+    """Largest head of a call in bytes; larger ones are rejected with 431."""
+
+    head_lines: Annotated[int, pydantic.Field(ge=16, le=65536)] = 4096
+    """Most header lines; more are rejected with 431."""
+
+    target_bytes: Annotated[int, pydantic.Field(ge=256, le=1 << 20)] = 16384
+    """Longest path and query in bytes; longer ones are rejected with 414."""
+
+    head_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 5.0
+    """Time in seconds for a whole head to arrive; later ones are rejected
+    with 408."""
+
+    body_s: Annotated[float, pydantic.Field(gt=0, le=600)] = 20.0
+    """Time in seconds for a whole body to arrive."""
+
+    waiting: Annotated[int, pydantic.Field(ge=16, le=65536)] = 512
+    """Connections with a call that wait for a thread; more get 503."""
+
+    body_budget_bytes: Annotated[int, pydantic.Field(ge=4 << 20)] = 64 << 20
+    """Bytes that the bodies of all calls may occupy; a call beyond it is
+    rejected with 503."""
+
+
 class LogSettings(_Model):
     """Log output to standard error."""
 
@@ -111,6 +138,9 @@
     platform: PlatformSettings
     """The platform's services."""
 
+    clients: ClientSettings = ClientSettings()
+    """Limits for the clients of the address that serves callers."""
+
     threads: ThreadSettings = ThreadSettings()
     """Numbers of threads, which limit concurrent work."""
 
