Bound how long room is kept for a large task or gang

Change: room is kept for 2 s at first, then longer, with pauses of twice that. Only what is above a quarter of the limit comes before the demand of other services; the step is reconsidered after each start.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
@@ -28,10 +28,20 @@
 # Part of a limit by which the shares may exceed it for one service to give all
 # of that.
 SMALL_EXCESS = 1 / 4
-# Tasks and gangs above this part of the limit may find no room for ever while
-# smaller ones use what becomes free. Room is kept for one of them at a time.
-LARGE_SHARE = 1 / 8
-
+# Smaller tasks of a tenant at its limit use whatever becomes free, so that a
+# task or gang above KEPT_SHARE of the limit may never fit. Room is kept for one
+# of them in each service, once it has waited for KEEP_WAIT_S seconds. One above
+# FIRST_SHARE may not fit into what its service gets beside the others; it comes
+# before their demand.
+KEPT_SHARE = 1 / 16
+FIRST_SHARE = 1 / 4
+KEEP_WAIT_S = 2.0
+# Room is kept for this long at first and at most, in seconds, each time twice
+# as long as before, with a pause of KEEP_PAUSE times that in between. It isn't
+# known whether what runs ends soon: long-running tasks don't.
+FIRST_KEEP_S = 2.0
+MAX_KEEP_S = 32.0
+KEEP_PAUSE = 2.0
 # Sorts after every service with a large task that waits.
 _NO_LARGE = (numbers.MAX_NUMBER, "")
 
@@ -76,14 +86,34 @@
     return amount.cpu_millis, amount.memory_mib, amount.accelerators
 
 
-def is_large(limit: resources.Resources, size: resources.Resources) -> bool:
-    """Returns whether a task or gang is large relative to a limit."""
-    return any(
-        part > whole * LARGE_SHARE
-        for part, whole in zip(split(size), split(limit), strict=True)
+def find_part(limit: resources.Resources, part: float) -> _Amounts:
+    """Returns a part of a limit, in each resource."""
+    return tuple(int(whole * part) for whole in split(limit))
+
+
+def exceeds(amounts: _Amounts, bounds: _Amounts) -> bool:
+    """Returns whether any amount is above its bound."""
+    return (
+        amounts[0] > bounds[0]
+        or amounts[1] > bounds[1]
+        or amounts[2] > bounds[2]
     )
 
 
+def is_keeping(waited_s: float) -> bool:
+    """Returns whether room is kept for a large task or gang now.
+
+    Args:
+      waited_s: seconds since it first found no room.
+    """
+    waited_s -= KEEP_WAIT_S
+    keep_s = FIRST_KEEP_S
+    while waited_s >= keep_s * (1 + KEEP_PAUSE):
+        waited_s -= keep_s * (1 + KEEP_PAUSE)
+        keep_s = min(2 * keep_s, MAX_KEEP_S)
+    return 0 <= waited_s < keep_s
+
+
 def is_contended(
     limit: resources.Resources, holdings: Mapping[str, Holding]
 ) -> bool:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
@@ -545,7 +545,7 @@
     ) -> quotashares.Holding:
         usage = self._usage
         large_since = 0
-        if usage.find_large(tenant, now) is not None:
+        if usage.comes_first(tenant, now):
             stored = holdings[self._shard.service].large_since
             large_since = stored or int(time.time())
         return quotashares.rebalance(
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -23,10 +23,6 @@
 LACK_TTL_S = 1.0
 # Sizes without room that are remembered for each tenant in a plan.
 MAX_BLOCKED_SIZES = 8
-# Seconds for which a large task or gang finds no room before room is kept for
-# it, which other work of its tenant could use meanwhile.
-LARGE_WAIT_S = 2.0
-
 _Amounts = tuple[int, int, int]
 
 
@@ -76,6 +72,8 @@
         # Tenants whose demand needs no further counting in the current plan,
         # with the sizes of tasks and gangs that found no room.
         self._blocked: dict[str, list[_Amounts]] = {}
+        # Sizes above which tasks and gangs are large, by tenant.
+        self._large_from: dict[str, _Amounts] = {}
         # The large task or gang of each tenant that has found no room, and
         # since when.
         self._large: dict[str, tuple[execution.Step, float]] = {}
@@ -86,10 +84,13 @@
         if current is not self._configuration and current is not None:
             self._configuration = current
             self._apply_limits(current)
+            self._find_large_sizes()
             if self.on_limits_changed is not None:
                 self.on_limits_changed()
         if self.limits:
             self._count_unknown()
+        if self._large_from.keys() != self.limits.keys():
+            self._find_large_sizes()
 
     def _apply_limits(self, current: configuration.Configuration):
         for name, tenant in current.tenants.items():
@@ -99,6 +100,12 @@
             else:
                 self.limits[name] = limit
 
+    def _find_large_sizes(self):
+        self._large_from = {
+            tenant: quotashares.find_part(limit, quotashares.KEPT_SHARE)
+            for tenant, limit in self.limits.items()
+        }
+
     def add_run(self, run: execution.Run):
         """Counts a run that is about to be sent, or that a worker lists."""
         tenant = run.task.step.submission.record.tenant
@@ -143,18 +150,16 @@
     def find_want(self, tenant: str, now: float) -> resources.Resources:
         """Returns what a tenant could use: also what is planned or lacks room.
 
-        While room is kept for a large step, nothing else of the tenant starts
-        and counts.
+        While a large task or gang comes first, nothing else counts.
 
         Args:
           tenant: the name of the tenant.
           now: the monotonic clock, in seconds.
         """
-        large = self.find_large(tenant, now)
         planned = self._planned_sums.get(tenant, resources.ZERO)
         used = self.find_used(tenant) + planned
-        if large is not None:
-            return used + measure_unit(large)
+        if self.comes_first(tenant, now):
+            return used + measure_unit(self._large[tenant][0])
         row = self._last_lacking.get(tenant)
         lacking = resources.ZERO if row is None else row[0]
         return used + lacking
@@ -175,10 +180,23 @@
           now: the monotonic clock, in seconds.
         """
         row = self._large.get(tenant)
-        if row is None or now - row[1] < LARGE_WAIT_S:
+        if row is None or not quotashares.is_keeping(now - row[1]):
             return None
         return row[0]
 
+    def comes_first(self, tenant: str, now: float) -> bool:
+        """Returns whether a large step comes before other services' demand.
+
+        Args:
+          tenant: the name of the tenant.
+          now: the monotonic clock, in seconds.
+        """
+        large = self.find_large(tenant, now)
+        return large is not None and quotashares.exceeds(
+            quotashares.split(measure_unit(large)),
+            quotashares.find_part(self.limits[tenant], quotashares.FIRST_SHARE),
+        )
+
     # Planning.
 
     def begin_plan(self):
@@ -217,15 +235,14 @@
             return False
         spec = step.spec
         count = step.remaining if spec.gang else 1
-        if all(
-            spec.cpu * count < cpu
-            or spec.memory_mb * count < memory_mb
-            or spec.gpu * count < gpu
-            for cpu, memory_mb, gpu in sizes
-        ):
+        unit = (spec.cpu * count, spec.memory_mb * count, spec.gpu * count)
+        if all(quotashares.exceeds(size, unit) for size in sizes):
             return False
-        row = self._large.get(step.submission.record.tenant)
-        return row is None or row[0] is not step
+        tenant = step.submission.record.tenant
+        row = self._large.get(tenant)
+        if row is None:
+            return not quotashares.exceeds(unit, self._large_from[tenant])
+        return row[0] is not step
 
     def limit_waiting(
         self, step: execution.Step, waiting: list[execution.Task], now: float
@@ -245,10 +262,11 @@
         startable = self._count_for_step(step, count, now)
         if step.spec.gang and startable < count:
             startable = 0
+        row = self._large.get(tenant)
+        if startable and row is not None and row[0] is step:
+            del self._large[tenant]
         if startable < count:
             self._record_lacking(step, count - startable, now)
-        elif tenant in self._large and self._large[tenant][0] is step:
-            del self._large[tenant]
         return waiting[:startable]
 
     def count_startable(
@@ -298,7 +316,10 @@
             sizes = self._blocked.setdefault(tenant, [])
             if len(sizes) < MAX_BLOCKED_SIZES:
                 sizes.append(quotashares.split(unit))
-        if tenant not in self._large and quotashares.is_large(limit, unit):
+        is_large = quotashares.exceeds(
+            quotashares.split(unit), self._large_from[tenant]
+        )
+        if is_large and tenant not in self._large:
             self._large[tenant] = (step, now)
 
     def hold(self, step: execution.Step, count: int):
--- a/tests/entry/tenantsoak.py
+++ b/tests/entry/tenantsoak.py
@@ -21,11 +21,15 @@
 SERVICES = (soak.SERVICE, "annex")
 PREFIXES = {soak.SERVICE: soak.PREFIX, "annex": "/annex/"}
 LIMITS = {
-    "t-1": {"cpu": 6000, "memMb": 0, "gpu": 0},
+    "t-1": {"cpu": 9000, "memMb": 0, "gpu": 0},
     "t-2": {"cpu": 0, "memMb": 1000, "gpu": 0},
     "t-3": {},
 }
 ARRIVALS_PER_S = 9.0
+# The first tenant's CPU limit from the middle of the run on, and seconds until
+# every owner has to know it, also one that was cut off from the store.
+LOWERED_CPU = 6000
+KNOWN_AFTER_S = 6.0
 # Seconds after which the demand moves to the other service.
 DEMAND_PERIOD_S = 4.0
 
@@ -37,6 +41,7 @@
 
     Attributes:
       tenants: the tenant of each submission, by id.
+      lowered_at: when the CPU limit of the first tenant was lowered, or None.
       peaks: most CPU and memory that a tenant had running at once.
       tenant_starts: number of starts by tenant and service.
     """
@@ -44,6 +49,7 @@
     def __init__(self, seed):
         super().__init__(seed)
         self.tenants = {}
+        self.lowered_at = None
         self.peaks = {name: [0, 0] for name in LIMITS}
         self.tenant_starts = {}
 
@@ -58,7 +64,7 @@
         used = self.measure(tenant)
         peak = self.peaks[tenant]
         peak[:] = map(max, peak, used)
-        limit = LIMITS[tenant]
+        limit = self.find_limit(tenant)
         for amount, name in zip(used, ("cpu", "memMb"), strict=True):
             if limit.get(name) and amount > limit[name]:
                 self.violations.add(
@@ -66,6 +72,15 @@
                 )
         return duration_s
 
+    def find_limit(self, tenant):
+        """Returns the limit that holds now."""
+        now = time.monotonic()
+        if tenant != "t-1" or self.lowered_at is None:
+            return LIMITS[tenant]
+        if now - self.lowered_at < KNOWN_AFTER_S:
+            return LIMITS[tenant]
+        return {"cpu": LOWERED_CPU}
+
     def measure(self, tenant):
         """Returns the CPU and memory that a tenant truly uses."""
         used = [0, 0]
@@ -114,8 +129,18 @@
     def list_activities(self):
         """Leaves the faults out of a quiet run."""
         if self.has_faults:
-            return super().list_activities()
-        return [self.submit_all()]
+            return [*super().list_activities(), self.lower_limit()]
+        return [self.submit_all(), self.lower_limit()]
+
+    async def lower_limit(self):
+        """Lowers the limit of a tenant in the middle of the run."""
+        await asyncio.sleep(self.seconds / 2)
+        configuration = self.make_configuration()
+        configuration["version"] += 1
+        configuration["tenants"][0]["maxCount"] = {"cpu": LOWERED_CPU}
+        await self.store.write("op", "config", configuration)
+        self.checker.lowered_at = time.monotonic()
+        self.record_event("lower_limit")
 
     async def submit_all(self):
         """Submits more often than the plain soak."""
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonpath import resources
+from persimmonpath_entry.decisions import quotashares
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.state import configuration
@@ -227,7 +228,7 @@
         self.add_step("cc" * 8, gang)
         self.run_pass()
         step, since = self.usage._large["t-1"]
-        self.usage._large["t-1"] = (step, since - 10)
+        self.usage._large["t-1"] = (step, since - quotashares.KEEP_WAIT_S)
         self.add_step(OTHER_ID)
         self.assertEqual(self.run_pass(), 0)
         self.shard.remove_run(run, "done", "")
