Look at two tasks only to tell whether a step has begun

Cause: all tasks of the first step of each tenant were examined in each pass. A weight of 1e-6 beside one of 1e9 cost the digits of the expected waits (10.2 s instead of 10.0 s in a test).

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
@@ -24,8 +24,9 @@
 # random arrivals are beyond it with 3, and 4% with 5.
 BURST_S = 2.0
 MIN_BURST = 5
-MIN_WEIGHT = 1e-6
-MAX_WEIGHT = 1e9
+# Bounds of a weight. Between them the sums of waits lose no digits that count.
+MIN_WEIGHT = 1e-3
+MAX_WEIGHT = 1e6
 # Most seconds by which acceptance times lag: a slow store takes several seconds
 # to store a submission. A larger difference is the jump of a clock, and says
 # nothing about a rate.
@@ -36,8 +37,8 @@
 # Part of the agreed rate at which refused callers may come back. They take no
 # tokens: new submissions, which are owed, would be beyond the rate instead.
 PROMISED_SHARE = 0.25
-# Shortest time after which one may come back, in seconds: most of a peak is over
-# then. Sooner, it takes the place of new work of its own tenant.
+# Shortest time after which one may come back, in seconds: most of a peak is
+# over then. Sooner, it takes the place of new work of its own tenant.
 MIN_PROMISE_S = 5.0
 # Longest time for which a promise is given, in seconds.
 MAX_PROMISE_S = 30.0
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
@@ -302,11 +302,15 @@
 
 
 def _is_begun(step: execution.Step) -> bool:
-    """Returns whether some but not all tasks of a small step have started."""
+    """Returns whether a part of the tasks of a small step has started.
+
+    Tasks start in their order, and one that is started again is most often
+    between others, so that the first and the last one tell.
+    """
     if step.spec.gang or step.spec.count > MAX_TURN_TASKS:
         return False
-    waiting = sum(task.is_waiting for task in step.tasks)
-    return 0 < waiting < step.spec.count
+    tasks = step.tasks
+    return not (tasks[0].is_waiting and tasks[-1].is_waiting)
 
 
 def _get_rank(row: tuple[ordering.Rank, execution.Step]) -> ordering.Rank:
--- a/tests/entry/test_fairness.py
+++ b/tests/entry/test_fairness.py
@@ -18,6 +18,7 @@
 from persimmonpath_entry.engine import clientapi
 from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import ownerrows
+from persimmonpath_entry.engine import peerapi
 from persimmonpath_entry.engine import preemptor
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import store as platform_store
@@ -28,6 +29,7 @@
 from persimmonpath_entry.state import tenants
 from persimmonpath_entry.transport import clock
 from persimmonpath_entry.transport import httpclient
+from persimmonpath_entry.transport import httpserver
 from tests.entry import fakes
 
 START_S = 1_000_000.0
@@ -497,6 +499,18 @@
         self.assertAlmostEqual(waits.find_wait("a", 2), 5.0)
         self.assertIn("b", waits.exceeding)
 
+    def test_waits_are_finite_for_any_weight(self):
+        """An infinite one would make the owner's row unreadable."""
+        node = fakes.make_context()
+        configure(node, {"a": 5e-324, "b": 1e300})
+        shares = fakes.make_shard(node).fair_shares
+        self.WEIGHTS = {n: shares.find_weight(n) for n in "ab"}
+        waits = self.estimate(
+            self.make_work(400, "a"), self.make_work(400, "b")
+        )
+        found = [waits.find_wait(name, 0) for name in "ab"]
+        self.assertEqual(found, [20.0, 10.0])
+
     def test_the_published_waits_are_bounded(self):
         """Every VM reads the row of the owner again and again."""
         names = [f"t-{n}" for n in range(500)] + ["x" * 1000]
@@ -655,6 +669,29 @@
         self.assertFalse([label for label in found if '"' in label])
 
 
+class AdmissionRouteTest(unittest.IsolatedAsyncioTestCase):
+    """What the owner answers a peer that asks for a rate."""
+
+    async def test_the_owner_answers_in_seconds(self):
+        node = fakes.make_context()
+        configure(node, {"a/ö": 1.0})
+        caller = Caller(node, fakes.make_shard(node))
+        api = peerapi.PeerApi(node, None, caller, None, None)
+        answers = []
+        for number in range(10):
+            request = httpserver.Request(
+                "POST",
+                f"/peer/admission/{fakes.SERVICE}/{number:016x}",
+                {},
+                "a/ö".encode(),
+            )
+            response = await api.handle(request)
+            self.assertEqual(response.status, 200)
+            answers.append(msgspec.json.decode(response.body, type=float))
+        self.assertEqual(answers[: fairness.MIN_BURST], [0.0] * 5)
+        self.assertGreater(min(answers[fairness.MIN_BURST :]), 0.0)
+
+
 class RefusalTest(unittest.IsolatedAsyncioTestCase):
     """What a caller beyond its tenant's rate is answered."""
 
