--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/localitywait.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/localitywait.py
@@ -39,6 +39,9 @@
 MAX_SLOTS = 64
 # The place of a worker of normal speed on any rack.
 ANY_FAST = "*"
+# Shortest time in seconds between two plans of waiting steps as runs end, which
+# would otherwise take much of an owner's time while many runs end.
+RECHECK_INTERVAL_S = 0.02
 # Half-life in seconds of the rate at which runs free capacity, and the share of
 # it that one step is expected to get.
 RATE_HALF_LIFE_S = 1.0
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/runtimes.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/runtimes.py
@@ -150,6 +150,26 @@
             return None
         return known.predict_s(declared_s)
 
+    def list_run_ms(
+        self, queue: str, steps: list[submissions.StepSpec]
+    ) -> list[float]:
+        """Returns the expected run time of the tasks of each step, in ms.
+
+        Callers' estimates are used where too few runs have ended.
+
+        Args:
+          queue: the queue of the submission.
+          steps: its steps.
+        """
+        run_ms = []
+        for number, spec in enumerate(steps):
+            kind = name_kind(queue, spec, number)
+            learned_s = self.predict_s(kind, spec.estimated_ms / 1000)
+            run_ms.append(
+                spec.estimated_ms if learned_s is None else learned_s * 1000
+            )
+        return run_ms
+
     def list_learned(self) -> Iterator[tuple[str, LearnedRunTime]]:
         """Yields the kinds with enough runs, the most recent one first."""
         for kind, known in reversed(self._learned.items()):
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/stepplanner.py
@@ -20,6 +20,7 @@
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
+from persimmonpath_entry.state import submissions
 
 # Steps that may reserve workers in one plan, and the share of all capacity
 # after which no further step may. Many gangs that each keep a part of what they
@@ -132,8 +133,11 @@
         # The slots that open on a rack for tasks of a size, and when they were
         # found.
         self._slots: dict[tuple, tuple[float, list[localitywait.Slot]]] = {}
+        # Whether a worker of normal speed may run tasks of a size.
+        self._fast_sizes: dict[tuple, bool] = {}
         # Steps to be planned although their size fitted nowhere before.
         self._rechecked: set[execution.Step] = set()
+        self._recheck_at = 0.0
         # The capacity that each step holds in the current plan: workers and
         # numbers of tasks.
         self._held: dict[execution.Step, list[tuple[fleet.Worker, int]]] = {}
@@ -161,6 +165,7 @@
         self._reserved.clear()
         self.waits.clear()
         self._slots.clear()
+        self._fast_sizes.clear()
         self._rechecked.clear()
         self._unplaceable = workerpool.UnplaceableSizes()
         self.is_capacity_scarce = (
@@ -494,7 +499,7 @@
             worker = choose(counts, waiting[len(pairs)])
             if worker is None:
                 break
-            place = _find_better_place(step, worker, need)
+            place = self._find_better_place(step, worker, need)
             if place is not None and place not in checked:
                 checked.add(place)
                 count = self._count_waiting(
@@ -515,6 +520,47 @@
             pairs += [(task, worker) for task in group]
         return pairs
 
+    def _find_better_place(
+        self,
+        step: execution.Step,
+        worker: fleet.Worker,
+        need: speeds.TimeNeed | None,
+    ) -> str | None:
+        """Returns the place for which a task may rather wait than start now.
+
+        Returns:
+          The rack of its data; ANY_FAST if an urgent task would miss its
+          objective only because the worker is slow; None if there is no better
+          place.
+        """
+        if need is None or not need.run_s:
+            return None
+        spec = step.spec
+        if spec.data_rack and worker.registration.rack != spec.data_rack:
+            return spec.data_rack
+        if not need.is_urgent or not need.is_missed(worker.run_time_factor):
+            return None
+        if speeds.choose_class(worker.run_time_factor) <= 0:
+            return None
+        return localitywait.ANY_FAST if self._may_be_fast(spec) else None
+
+    def _may_be_fast(self, spec: submissions.StepSpec) -> bool:
+        """Returns whether any worker of normal speed may run a task.
+
+        A step that is bound to labels, accelerators or many workers gets few of
+        those that become free.
+        """
+        if spec.label or spec.gpu or spec.max_per_worker:
+            return False
+        key = (localitywait.ANY_FAST, spec.cpu, spec.memory_mb)
+        if key not in self._fast_sizes:
+            self._fast_sizes[key] = any(
+                speeds.choose_class(worker.run_time_factor) <= 0
+                and placement.count_attainable(worker, spec)
+                for worker in self._pool.list_workers()
+            )
+        return self._fast_sizes[key]
+
     def _count_waiting(
         self, step, worker, place: str, count: int, need, now: float, allows
     ) -> int:
@@ -610,16 +656,23 @@
         self.waits.set(step, rack, len(plan), now)
         return True
 
-    def recheck_waiting(self, worker: fleet.Worker) -> list[execution.Step]:
+    def recheck_waiting(
+        self, worker: fleet.Worker, now: float
+    ) -> list[execution.Step]:
         """Returns the steps to be planned as capacity on a worker is free.
 
         Args:
           worker: the worker on which a run has ended.
+          now: the monotonic clock, in seconds.
         """
+        if now < self._recheck_at:
+            return []
         rack = worker.registration.rack
         steps = self.waits.list_steps(rack, MAX_RECHECKED)
         if speeds.choose_class(worker.run_time_factor) <= 0:
             steps += self.waits.list_steps(localitywait.ANY_FAST, MAX_RECHECKED)
+        if steps:
+            self._recheck_at = now + localitywait.RECHECK_INTERVAL_S
         self._rechecked.update(steps)
         return steps
 
@@ -790,30 +843,6 @@
         }
 
 
-def _find_better_place(
-    step: execution.Step,
-    worker: fleet.Worker,
-    need: speeds.TimeNeed | None,
-) -> str | None:
-    """Returns the place for which a task may rather wait than run on a worker.
-
-    Returns:
-      The rack of its data, ANY_FAST if an urgent task would miss its objective
-      only because the worker is slow, None if there is no better place.
-    """
-    if need is None or not need.run_s:
-        return None
-    rack = step.spec.data_rack
-    if rack and worker.registration.rack != rack:
-        return rack
-    if not need.is_urgent or need.left_s is None:
-        return None
-    if speeds.choose_class(worker.run_time_factor) <= 0:
-        return None
-    is_missed = need.is_missed(worker.run_time_factor)
-    return localitywait.ANY_FAST if is_missed else None
-
-
 def _drop_older(choices: dict[execution.Step, _Choice], limit: float):
     for step, choice in list(choices.items()):
         if choice.chosen_at <= limit:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -11,6 +11,7 @@
 from persimmonpath_entry.engine import acceptance
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import learnedrows
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
@@ -86,6 +87,7 @@
         self._ownership = ownership
         self._peers = peers
         self._views = state_views
+        self.learned: learnedrows.LearnedReader | None = None
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Routes a request by host and path prefix and handles it."""
@@ -268,7 +270,10 @@
             return None
         if submissions.has_long_running(record):
             return None
-        path_ms = ordering.estimate_critical_path_ms(record.steps)
+        run_ms = None
+        if self.learned is not None:
+            run_ms = self.learned.predict_run_ms(record)
+        path_ms = ordering.estimate_critical_path_ms(record.steps, run_ms)
         decision = admission.decide(
             wait_s,
             path_ms / 1000,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learnedrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learnedrows.py
@@ -1,20 +1,24 @@
 """The row that keeps what the owner of a service has learned.
 
 The next owner reads it once, beside everything else: its decisions don't wait
-for it, and do as well without it as before anything was learned.
+for it, and do as well without it as before anything was learned. Other VMs read
+it while the service is overloaded.
 """
 
 import asyncio
+from collections.abc import Callable
 import itertools
 
 import msgspec
 
 from persimmonpath_entry.decisions import runtimes
 from persimmonpath_entry.decisions import speeds
+from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import numbers
+from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
 
 LEARNED_TABLE = "learned"
@@ -27,9 +31,14 @@
 # which follow those of their kinds.
 WRITE_INTERVAL_S = 5.0
 REFRESH_INTERVAL_S = 1.0
+# Shortest time between two reads of the row by a VM that isn't the owner.
+READ_INTERVAL_S = 5.0
 # Kinds of workers that get a gauge each.
 MAX_GAUGES = 20
 
+# Returns the shard of a service that this VM owns, None for others.
+FindShard = Callable[[str], shards.Shard | None]
+
 
 class StoredRunTime(msgspec.Struct, array_like=True):
     """What is known of a kind of work.
@@ -146,6 +155,19 @@
     Values that can't be right are left out.
     """
     learner = shard.learner
+    restore_run_times(learner.run_times, record)
+    for kind, stored in record.kinds.items():
+        average = speeds.Average(stored.log, stored.count)
+        learner.speeds.restore_kind(kind, average)
+    for worker_id, stored in record.workers.items():
+        average = speeds.Average(stored.log, stored.count)
+        learner.speeds.restore_worker(worker_id, stored.born, average)
+    learner.refresh_factors()
+    shard.ready_steps.rerank()
+
+
+def restore_run_times(run_times: runtimes.RunTimes, record: LearnedRecord):
+    """Adds the run times in a row to others."""
     for kind, stored in record.run_times.items():
         quotients = None
         if stored.typical_quotient:
@@ -157,15 +179,7 @@
             runtimes.Quantiles(stored.typical_s, stored.high_s),
             quotients,
         )
-        learner.run_times.restore(kind, known)
-    for kind, stored in record.kinds.items():
-        average = speeds.Average(stored.log, stored.count)
-        learner.speeds.restore_kind(kind, average)
-    for worker_id, stored in record.workers.items():
-        average = speeds.Average(stored.log, stored.count)
-        learner.speeds.restore_worker(worker_id, stored.born, average)
-    learner.refresh_factors()
-    shard.ready_steps.rerank()
+        run_times.restore(kind, known)
 
 
 class LearnedRowKeeper:
@@ -275,3 +289,64 @@
             f'learned_run_times{{service="{service}"}}',
             sum(1 for _ in learner.run_times.list_learned()),
         )
+
+
+class LearnedReader:
+    """Predicts run times on every VM, for the admission of submissions.
+
+    A VM that doesn't own the service reads the row only while it has to decide
+    on submissions of an overloaded one, and never waits for it.
+    """
+
+    def __init__(self, node: context.Context, find_shard: FindShard):
+        """Creates it without any row.
+
+        Args:
+          node: the context of the process.
+          find_shard: returns the shard of a service that this VM owns, or None.
+        """
+        self._node = node
+        self._find_shard = find_shard
+        self._run_times: dict[str, runtimes.RunTimes] = {}
+        self._read_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def predict_run_ms(
+        self, record: submissions.SubmissionRecord
+    ) -> list[float] | None:
+        """Returns the expected run time of the tasks of each step, in ms.
+
+        Returns:
+          Milliseconds, None if nothing is known of the service.
+        """
+        shard = self._find_shard(record.service)
+        if shard is not None:
+            return shard.learner.list_run_ms(record)
+        now = clock.read_clock()
+        if now >= self._read_at.get(record.service, 0.0) + READ_INTERVAL_S:
+            self._read_at[record.service] = now
+            task = asyncio.get_running_loop().create_task(
+                self.read(record.service)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        run_times = self._run_times.get(record.service)
+        if run_times is None:
+            return None
+        return run_times.list_run_ms(record.queue, record.steps)
+
+    async def read(self, service: str):
+        """Reads the row of a service; what is known stays if that fails."""
+        result = await self._node.store.read_row(
+            LEARNED_TABLE, service, LEARNED_KEY
+        )
+        if not isinstance(result, platform_store.Rows):
+            return
+        for row in result.rows:
+            if row.is_deleted:
+                continue
+            record = rowcodec.decode_row(self._node, row, LearnedRecord)
+            if record is not None:
+                run_times = runtimes.RunTimes()
+                restore_run_times(run_times, record)
+                self._run_times[service] = run_times
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
@@ -69,15 +69,7 @@
         Args:
           record: the submission.
         """
-        run_ms = []
-        for number, spec in enumerate(record.steps):
-            kind = runtimes.name_kind(record.queue, spec, number)
-            declared_s = spec.estimated_ms / 1000
-            learned_s = self.run_times.predict_s(kind, declared_s)
-            run_ms.append(
-                spec.estimated_ms if learned_s is None else learned_s * 1000
-            )
-        return run_ms
+        return self.run_times.list_run_ms(record.queue, record.steps)
 
     def predict_on_worker(self, run: execution.Run) -> float | None:
         """Returns the expected duration of a run on its worker, in seconds.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/node.py
@@ -9,6 +9,7 @@
 from persimmonpath_entry.engine import clientapi
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
+from persimmonpath_entry.engine import learnedrows
 from persimmonpath_entry.engine import machinemaintenance
 from persimmonpath_entry.engine import memberexpiry
 from persimmonpath_entry.engine import members
@@ -79,6 +80,9 @@
             self.reach,
             state_views,
         )
+        self.front.learned = learnedrows.LearnedReader(
+            self.context, self.ownership.find_shard
+        )
         self._peer_api = peerapi.PeerApi(
             self.context,
             state_views,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -110,7 +110,7 @@
         now = clock.read_clock()
         if speeds.choose_class(worker.run_time_factor) <= 0:
             self._planner.freed_capacity.record(run.spec.cpu, now)
-        for step in self._planner.recheck_waiting(worker):
+        for step in self._planner.recheck_waiting(worker, now):
             self._shard.request_placement(step)
 
     def _place(self, now: float):
--- a/tests/entry/test_localitywait.py
+++ b/tests/entry/test_localitywait.py
@@ -219,6 +219,42 @@
         self.assertEqual(len(set(list_racks(service, submission_id))), 2)
 
 
+class FastWorkerTest(unittest.TestCase):
+    """Covers urgent tasks for which only slow workers are free."""
+
+    def start(self, **changes):
+        """Returns the ids of the workers on which an urgent task starts."""
+        service = make_service(racks=1, workers=0)
+        slow = service.add_worker("slow", 2.0, labels=("b",))
+        service.add_worker("fast", labels=("a",))
+        service.run(service.now + 0.1)
+        learner = service.shard.learner
+        for _ in range(20):
+            learner.speeds.record(slow, 2.0, False)
+            learner.speeds.record(service.shard.workers["fast"], 1.0, False)
+        learner.refresh_factors()
+        # Short runs that end one after the other keep the fast one busy.
+        short = make_spec(count=90, cpu=4000, label="a", estimated_ms=100)
+        service.submit(service.now, LOCAL, [short], [0.1])
+        service.run(service.now + 2.5)
+        while service.shard.workers["fast"].free_cpu:
+            service.run(service.now + 0.01)
+        spec = make_spec(cpu=4000, estimated_ms=1000, **changes)
+        submission_id = service.submit(service.now, URGENT, [spec], [1.0])
+        service.run(service.now + 0.4)
+        return [
+            worker.id
+            for worker, run in service.starts
+            if run.task.step.submission.id == submission_id
+        ]
+
+    def test_it_waits_for_a_fast_worker_that_is_about_to_be_free(self):
+        self.assertEqual(self.start(), ["fast"])
+
+    def test_a_step_that_is_bound_to_slow_workers_starts_at_once(self):
+        self.assertEqual(self.start(label="b"), ["slow"])
+
+
 class WaitsTest(unittest.TestCase):
     """Covers the account of who waits: a leak would stop all others."""
 
--- a/tests/entry/test_runtimes.py
+++ b/tests/entry/test_runtimes.py
@@ -1,5 +1,6 @@
 """Tests of learned run times and of the row that keeps them."""
 
+import asyncio
 import json
 import unittest
 
@@ -213,6 +214,36 @@
         self.assertEqual(store.commits, [])
 
 
+class LearnedReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Covers VMs that decide on submissions for another owner."""
+
+    async def test_it_predicts_from_the_owners_row_without_waiting(self):
+        owner = fakes.make_shard()
+        observe(owner.learner.run_times, [1.5] * 20)
+        store = fakes.VersionedStore()
+        value = learnedrows.encode_learned(owner)
+        store.rows["learned", fakes.SERVICE, "runtimes"] = (3, value)
+        reader = learnedrows.LearnedReader(
+            fakes.make_context(store), lambda service: None
+        )
+        spec = submissions.StepSpec(count=1, estimated_ms=300, image="img")
+        record = fakes.make_record(spec)
+        self.assertIsNone(reader.predict_run_ms(record))
+        await asyncio.gather(*reader._tasks)
+        (run_ms,) = reader.predict_run_ms(record)
+        self.assertAlmostEqual(run_ms, 1500)
+        self.assertEqual(reader._tasks, set())
+
+    async def test_an_unreadable_row_changes_nothing(self):
+        store = fakes.VersionedStore()
+        store.rows["learned", fakes.SERVICE, "runtimes"] = (3, b"{")
+        reader = learnedrows.LearnedReader(
+            fakes.make_context(store), lambda service: None
+        )
+        await reader.read(fakes.SERVICE)
+        self.assertIsNone(reader.predict_run_ms(fakes.make_record()))
+
+
 class RankingTest(unittest.TestCase):
     """Covers an estimate of a fifth of the true run time."""
 
