Rely on a worker's factor only if it is certain enough

Cause: for work whose run times are very uneven, a few runs made equal workers look slow or fast.

Change: the mean deviation of a worker's runs is kept, and a factor that may be off by more than it differs from 1 counts as 1.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
@@ -32,6 +32,12 @@
 DEGRADED_WEIGHT = 0.1
 # Factors this close to 1 are taken for 1, as runs differ anyway.
 MIN_FACTOR_DIFFERENCE = 0.1
+# A factor is relied on only if it differs from 1 by as many times the mean
+# deviation of one run, by the root of their number. With 2.5, two standard
+# errors of a normal distribution, up to 6 percent of equal workers counted as
+# slow for work whose run times vary by a factor of 2.2, as deviations are
+# clipped; with 4 it is up to 1.5 percent.
+ERROR_FACTOR = 4.0
 # Largest logarithm of a factor in a stored record.
 MAX_STORED_LOG = math.log(16)
 # Factors that are kept for workers and for kinds; the least recent are dropped.
@@ -71,10 +77,12 @@
     Attributes:
       log: the average.
       count: number of runs in it, at most as many as count.
+      deviation: mean absolute deviation of the runs from it.
     """
 
     log: float = 0.0
     count: float = 0.0
+    deviation: float = 0.0
 
     def add(self, log: float, weight: float, max_count: int):
         """Adds a run.
@@ -84,10 +92,19 @@
           weight: its weight, 1 for an ordinary run.
           max_count: number of the most recent runs that count.
         """
+        is_first = not self.count
         self.count = min(float(max_count), self.count + weight)
         deviation = log - self.log
         deviation = max(-MAX_DEVIATION, min(MAX_DEVIATION, deviation))
-        self.log += deviation * weight / max(1.0, self.count)
+        share = weight / max(1.0, self.count)
+        self.log += deviation * share
+        if not is_first:
+            self.deviation += (abs(deviation) - self.deviation) * share
+
+    @property
+    def error(self) -> float:
+        """How far off the average may be, by its runs, as a logarithm."""
+        return ERROR_FACTOR * self.deviation / math.sqrt(max(1.0, self.count))
 
     def shrink(self, prior_log: float) -> float:
         """Returns the logarithm expected with some runs at a prior value."""
@@ -176,17 +193,22 @@
     def choose_factor(self, worker: fleet.Worker) -> float:
         """Returns the factor on the run time that decisions rely on.
 
-        It is 1 before enough runs have ended, and if it is near 1.
+        It is 1 before enough runs have ended, and if it differs from 1 by no
+        more than it may be off.
         """
         average = self._workers.get((worker.id, worker.born))
         kind = self._kinds.get(find_kind(worker))
-        samples = [a.count for a in (average, kind) if a is not None]
-        if max(samples, default=0.0) < MIN_SAMPLES:
+        known = [
+            a
+            for a in (average, kind)
+            if a is not None and a.count >= MIN_SAMPLES
+        ]
+        if not known:
             return 1.0
         factor = self.measure_factor(worker)
         if abs(factor - 1) < MIN_FACTOR_DIFFERENCE:
             return 1.0
-        return factor
+        return factor if abs(math.log(factor)) > known[0].error else 1.0
 
     def list_workers(self) -> Iterator[tuple[str, int, Average]]:
         """Yields id, incarnation and average, the most recent one first."""
--- a/tests/entry/test_speeds.py
+++ b/tests/entry/test_speeds.py
@@ -1,5 +1,6 @@
 """Tests of learned speeds and of what they change in placement."""
 
+import random
 import unittest
 
 from persimmonpath_entry.decisions import health
@@ -88,6 +89,18 @@
         self.record(5.0, 20, is_degraded=True)
         self.assertLess(self.speeds.choose_factor(self.worker), 1.2)
 
+    def test_work_of_very_uneven_run_times_makes_few_workers_slow(self):
+        generator = random.Random(1)
+        workers = [make_worker(f"w{number}") for number in range(200)]
+        wrong = 0
+        for _ in range(40):
+            for worker in workers:
+                factor = generator.lognormvariate(0.0, 0.8)
+                self.speeds.record(worker, factor, False)
+            factors = [self.speeds.choose_factor(w) for w in workers]
+            wrong += sum(factor > 1.3 for factor in factors)
+        self.assertLess(wrong / (40 * len(workers)), 0.03)
+
     def test_classes_of_speed_are_few(self):
         factors = (0.01, 0.6, 1.0, 1.1, 2.0, 1000.0)
         classes = [speeds.choose_class(factor) for factor in factors]
