--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -12,6 +12,7 @@
 from persimmonpath_entry.engine import connectivity
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import fairshares
+from persimmonpath_entry.engine import learnedrows
 from persimmonpath_entry.engine import members
 from persimmonpath_entry.engine import ownership as owners
 from persimmonpath_entry.engine import persistence
@@ -91,6 +92,7 @@
         self._peers = peers
         self._views = state_views
         self._labels = fairshares.TenantLabels()
+        self.learned: learnedrows.LearnedReader | None = None
 
     async def handle(self, request: httpserver.Request) -> httpserver.Response:
         """Routes a request by host and path prefix and handles it."""
@@ -318,11 +320,14 @@
             return None
         if record.occurrences or submissions.has_long_running(record):
             return None
-        path_ms = ordering.estimate_critical_path_ms(record.steps)
+        run_ms = None
+        if self.learned is not None:
+            run_ms = self.learned.predict_run_ms(record)
+        path_ms = ordering.estimate_critical_path_ms(record.steps, run_ms)
         if tenant_waits is not None:
             waits, age_s = tenant_waits
             refusal = await self._refuse_excess(
-                queue, submission_id, record, waits, age_s
+                queue, submission_id, record, waits, age_s, path_ms
             )
             if refusal is not None:
                 return refusal
@@ -390,7 +395,13 @@
             )
 
     async def _refuse_excess(
-        self, queue, submission_id, record, waits, age_s: float
+        self,
+        queue,
+        submission_id,
+        record,
+        waits,
+        age_s: float,
+        path_ms: float,
     ) -> httpserver.Response | None:
         """Refuses a submission beyond its tenant's rate that would be late.
 
@@ -400,6 +411,7 @@
           record: the submission.
           waits: the expected waits that the owner has published.
           age_s: their age in seconds.
+          path_ms: expected duration of its critical path, in milliseconds.
 
         Returns:
           The response, None if it isn't beyond the rate or capacity isn't
@@ -407,7 +419,6 @@
         """
         if record.tenant not in waits.exceeding:
             return None
-        path_ms = ordering.estimate_critical_path_ms(record.steps)
         wait_s = max(
             0.0,
             waits.find_excess_wait(record.tenant, queue.priority) - age_s,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
@@ -61,6 +61,14 @@
         kind = runtimes.name_kind(queue, step.spec, step.number)
         return self.run_times.predict_s(kind, step.spec.estimated_ms / 1000)
 
+    def predict_mean_s(self, step: execution.Step) -> float | None:
+        """Returns the mean run time of a step's tasks, as `predict_run_s`."""
+        queue = step.submission.record.queue
+        kind = runtimes.name_kind(queue, step.spec, step.number)
+        return self.run_times.predict_mean_s(
+            kind, step.spec.estimated_ms / 1000
+        )
+
     def list_run_ms(self, record) -> list[float]:
         """Returns the expected run time of the tasks of each step, in ms.
 
@@ -69,15 +77,7 @@
         Args:
           record: the submission.
         """
-        run_ms = []
-        for number, spec in enumerate(record.steps):
-            kind = runtimes.name_kind(record.queue, spec, number)
-            declared_s = spec.estimated_ms / 1000
-            learned_s = self.run_times.predict_s(kind, declared_s)
-            run_ms.append(
-                spec.estimated_ms if learned_s is None else learned_s * 1000
-            )
-        return run_ms
+        return self.run_times.list_run_ms(record.queue, record.steps)
 
     def predict_on_worker(self, run: execution.Run) -> float | None:
         """Returns the expected duration of a run on its worker, in seconds.
--- a/tests/entry/test_runtimes.py
+++ b/tests/entry/test_runtimes.py
@@ -1,5 +1,6 @@
 """Tests of learned run times and of the row that keeps them."""
 
+import asyncio
 import json
 import unittest
 
@@ -34,6 +35,13 @@
         observe(self.run_times, [1.0, 1.0, 1.0, 9.0] * 10)
         self.assertEqual(self.run_times.predict_s(KIND, 0.5), 1.0)
 
+    def test_the_mean_counts_for_the_work_that_waits(self):
+        """A tenth of the tasks takes most of the time."""
+        observe(self.run_times, [*([1.0] * 9), 20.0] * 12)
+        self.assertEqual(self.run_times.predict_s(KIND, 0.5), 1.0)
+        mean_s = self.run_times.predict_mean_s(KIND, 0.5)
+        self.assertAlmostEqual(mean_s, 2.9, delta=0.7)
+
     def test_estimates_that_mean_nothing_are_ignored(self):
         """Callers that are off by up to ten times, at random."""
         for number in range(30):
@@ -213,6 +221,36 @@
         self.assertEqual(store.commits, [])
 
 
+class LearnedReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Covers VMs that decide on submissions for another owner."""
+
+    async def test_it_predicts_from_the_owners_row_without_waiting(self):
+        owner = fakes.make_shard()
+        observe(owner.learner.run_times, [1.5] * 20)
+        store = fakes.VersionedStore()
+        value = learnedrows.encode_learned(owner)
+        store.rows["learned", fakes.SERVICE, "runtimes"] = (3, value)
+        reader = learnedrows.LearnedReader(
+            fakes.make_context(store), lambda service: None
+        )
+        spec = submissions.StepSpec(count=1, estimated_ms=300, image="img")
+        record = fakes.make_record(spec)
+        self.assertIsNone(reader.predict_run_ms(record))
+        await asyncio.gather(*reader._tasks)
+        (run_ms,) = reader.predict_run_ms(record)
+        self.assertAlmostEqual(run_ms, 1500)
+        self.assertEqual(reader._tasks, set())
+
+    async def test_an_unreadable_row_changes_nothing(self):
+        store = fakes.VersionedStore()
+        store.rows["learned", fakes.SERVICE, "runtimes"] = (3, b"{")
+        reader = learnedrows.LearnedReader(
+            fakes.make_context(store), lambda service: None
+        )
+        await reader.read(fakes.SERVICE)
+        self.assertIsNone(reader.predict_run_ms(fakes.make_record()))
+
+
 class RankingTest(unittest.TestCase):
     """Covers an estimate of a fifth of the true run time."""
 
