Leave room within a tenant's limit for its urgent work

Change: work that can still be in time later leaves free what the largest urgent step of the last seconds used, a quarter of the tenant's share at most.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -1,5 +1,6 @@
 """Ranks the waiting steps of a shard."""
 
+from persimmonpath_entry.decisions import headroom
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import speeds
 from persimmonpath_entry.decisions import stepplanner
@@ -43,6 +44,14 @@
             run_ms,
         )
 
+    def has_slack(self, step: execution.Step, now: float) -> bool:
+        """Returns whether a step can wait and still be done when it is due."""
+        rank = self.rank(step, now)[0]
+        run_s = self._shard.learner.predict_run_s(step)
+        if run_s is None:
+            run_s = step.spec.estimated_ms / 1000
+        return headroom.has_slack(rank.due_s, run_s, now)
+
     def describe_need(
         self, step: execution.Step, waiting: int, now: float
     ) -> speeds.TimeNeed | None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -342,7 +342,9 @@
             return
         if backfill_limit is not None:
             waiting = waiting[:backfill_limit]
-        waiting = self._usage.limit_waiting(step, waiting, now)
+        waiting = self._usage.limit_waiting(
+            step, waiting, now, lambda: self.ranking.has_slack(step, now)
+        )
         if waiting:
             self._place_step(step, waiting, now, backfill_limit is None)
             if self._usage.limits:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -7,9 +7,12 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
+import sys
 
 from persimmonpath import resources
+from persimmonpath_entry.decisions import headroom
 from persimmonpath_entry.decisions import quotashares
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import execution
@@ -77,6 +80,7 @@
         # The large task or gang of each tenant that has found no room, and
         # since when.
         self._large: dict[str, tuple[execution.Step, float]] = {}
+        self._urgent = headroom.UrgentDemand()
 
     def refresh(self):
         """Applies a new configuration and counts anew what isn't known."""
@@ -161,8 +165,12 @@
         if self.comes_first(tenant, now):
             return used + measure_unit(self._large[tenant][0])
         row = self._last_lacking.get(tenant)
-        lacking = resources.ZERO if row is None else row[0]
-        return used + lacking
+        if row is None:
+            return used
+        # Without it, work that leaves headroom would not start with a share
+        # that is just large enough for it.
+        demand = self._urgent.find(tenant, sys.maxsize, now)
+        return used + row[0] + demand
 
     def is_lacking(self, tenant: str) -> bool:
         """Returns whether work of a tenant found no room in the last plan."""
@@ -236,7 +244,12 @@
         spec = step.spec
         count = step.remaining if spec.gang else 1
         unit = (spec.cpu * count, spec.memory_mb * count, spec.gpu * count)
-        if all(quotashares.exceeds(size, unit) for size in sizes):
+        # Room that less urgent work leaves free is there for urgent work.
+        priority = self._shard.find_queue(step.submission).priority
+        if all(
+            priority < blocked or quotashares.exceeds(size, unit)
+            for blocked, size in sizes
+        ):
             return False
         tenant = step.submission.record.tenant
         row = self._large.get(tenant)
@@ -245,7 +258,11 @@
         return row[0] is not step
 
     def limit_waiting(
-        self, step: execution.Step, waiting: list[execution.Task], now: float
+        self,
+        step: execution.Step,
+        waiting: list[execution.Task],
+        now: float,
+        has_slack: Callable[[], bool] = lambda: False,
     ) -> list[execution.Task]:
         """Returns the waiting tasks that the limit of the tenant lets start.
 
@@ -253,13 +270,15 @@
           step: the step.
           waiting: its tasks that wait; all members of a gang.
           now: the monotonic clock, in seconds.
+          has_slack: returns whether the step can wait and still be in time, so
+            that it leaves room for the more urgent work of its tenant.
         """
         tenant = step.submission.record.tenant
         if tenant not in self.limits:
             return waiting
         self.release(step)
         count = len(waiting)
-        startable = self._count_for_step(step, count, now)
+        startable = self._count_for_step(step, count, now, has_slack)
         if step.spec.gang and startable < count:
             startable = 0
         row = self._large.get(tenant)
@@ -283,14 +302,34 @@
             return count
         return self._count_fitting(tenant, spec, count, resources.ZERO)
 
-    def _count_for_step(self, step, count: int, now: float) -> int:
+    def _count_for_step(
+        self, step, count: int, now: float, has_slack: Callable[[], bool]
+    ) -> int:
         tenant = step.submission.record.tenant
         large = self.find_large(tenant, now)
         kept = resources.ZERO
         if large is not None and large is not step:
             kept = measure_unit(large)
+        elif large is None:
+            kept = self._find_headroom(step, count, now, has_slack)
         return self._count_fitting(tenant, step.spec, count, kept)
 
+    def _find_headroom(
+        self, step, count: int, now: float, has_slack: Callable[[], bool]
+    ) -> resources.Resources:
+        """Returns what a step leaves to the urgent work of its tenant."""
+        if step.spec.long_running:
+            return resources.ZERO
+        tenant = step.submission.record.tenant
+        priority = self._shard.find_queue(step.submission).priority
+        size = measure_size(step.spec, count)
+        self._urgent.record(tenant, priority, size, now)
+        demand = self._urgent.find(tenant, priority, now)
+        if demand == resources.ZERO or not has_slack():
+            return resources.ZERO
+        allowed = self.allowances.get(tenant, resources.ZERO)
+        return headroom.cap_headroom(demand, allowed)
+
     def _count_fitting(
         self, tenant: str, spec, count: int, kept: resources.Resources
     ) -> int:
@@ -315,7 +354,8 @@
         if not (self.find_counted(tenant) + lacking).fits_in(limit):
             sizes = self._blocked.setdefault(tenant, [])
             if len(sizes) < MAX_BLOCKED_SIZES:
-                sizes.append(quotashares.split(unit))
+                priority = self._shard.find_queue(step.submission).priority
+                sizes.append((priority, quotashares.split(unit)))
         is_large = quotashares.exceeds(
             quotashares.split(unit), self._large_from[tenant]
         )
