Derive the cost of far data from farX

Cause: placement charged a fixed cost for a worker away from the data, while farX is a setting.

Change: where the need of a step is known, the cost follows from farX in the unit of slow workers; at the default of 1.5 it is the same as before.

Measured: tests of placement, speeds and locality waits pass.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/placement.py
@@ -17,7 +17,8 @@
 # Largest share of a worker's CPU that its tasks may claim when a filler is
 # placed there. Beyond it, fillers only slow each other down.
 MAX_FILLER_CPU_SHARE = 1.0
-# Cost of a worker that isn't on the rack of the data: tasks take longer there.
+# Cost of a worker that isn't on the rack of the data: tasks take longer there,
+# by half unless the settings say otherwise.
 REMOTE_DATA_COST = 4.0
 # Cost of running fillers and latency-sensitive tasks on the same worker.
 INTERFERENCE_COST = 3.0
@@ -230,7 +231,10 @@
     if registration.gpu:
         cost += (gpu - spec.gpu) / registration.gpu
     if spec.data_rack and registration.rack != spec.data_rack:
-        cost += REMOTE_DATA_COST
+        if need is None:
+            cost += REMOTE_DATA_COST
+        else:
+            cost += speeds.SLOWDOWN_COST * (need.far_x - 1)
     if spec.is_filler and worker.latency_sensitive_runs:
         cost += INTERFERENCE_COST
     if spec.target_ms and worker.filler_runs:
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/speeds.py
@@ -285,7 +285,7 @@
     left_s: float | None = None
     is_urgent: bool = False
     is_last: bool = False
-    far_x: float = 1.0
+    far_x: float = 1.5
     share: float = 1.0
 
     def weigh(self, factor: float) -> float:
