--- a/tests/entry/tenantsoak.py
+++ b/tests/entry/tenantsoak.py
@@ -30,6 +30,8 @@
 # every owner has to know it, also one that was cut off from the store.
 LOWERED_CPU = 6000
 KNOWN_AFTER_S = 6.0
+# Seconds beyond those of the plain soak until all submissions have to end.
+EXTRA_S = 60.0
 # Seconds after which the demand moves to the other service.
 DEMAND_PERIOD_S = 4.0
 
@@ -132,6 +134,10 @@
             return [*super().list_activities(), self.lower_limit()]
         return [self.submit_all(), self.lower_limit()]
 
+    async def check_all(self, deadline):
+        """Waits longer, as limits hold the backlog back and not capacity."""
+        await super().check_all(deadline + EXTRA_S)
+
     async def lower_limit(self):
         """Lowers the limit of a tenant in the middle of the run."""
         await asyncio.sleep(self.seconds / 2)
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -4,8 +4,12 @@
 
 from persimmonpath import resources
 from persimmonpath_entry.decisions import quotashares
+from persimmonpath_entry.engine import clientapi
 from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import overview
+from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import taskscheduler
+from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
@@ -257,12 +261,59 @@
         self.add_step()
         self.assertEqual(self.run_pass(), 1)
 
+    async def test_the_overview_shows_usage_share_and_limit(self):
+        self.allow(3000, 1000)
+        self.add_step()
+        self.run_pass()
+        self.assertEqual(
+            overview._render_tenants(self.usage),
+            [
+                "tenant=t-1 used=3000/300/0 share=3000/1000/99 "
+                "limit=4000/1000/- limited=True"
+            ],
+        )
+
     async def test_work_without_a_limit_is_not_held_back(self):
         self.add_step(tenant="")
         self.add_step(OTHER_ID, tenant="t-9")
         self.assertEqual(self.run_pass(), 8)
 
 
+class OversizedTest(unittest.IsolatedAsyncioTestCase):
+    """What can never run within its tenant's limit is told so at once."""
+
+    async def submit(self, spec, store):
+        node = make_node()
+        node.store = store
+        api = clientapi.ClientApi(node, None, None, None, None, None)
+        record = fakes.make_record(spec, tenant="t-1")
+        response = await api._refuse_oversized(ID, record)
+        return response and response.status
+
+    async def test_a_task_or_gang_above_the_limit_is_refused(self):
+        store = fakes.VersionedStore()
+        self.assertIsNone(await self.submit(SPEC, store))
+        self.assertEqual(
+            await self.submit(change_spec(SPEC, cpu=4001), store), 413
+        )
+        gang = change_spec(SPEC, cpu=1001, gang=True)
+        self.assertEqual(await self.submit(gang, store), 413)
+
+    async def test_a_repeat_of_an_accepted_submission_is_not_refused(self):
+        """It waits until the limit is raised again."""
+        store = fakes.VersionedStore()
+        part = persistence.find_partition(ID)
+        store.rows[persistence.SUBMISSION_TABLE, part, ID] = (7, b"{}")
+        spec = change_spec(SPEC, cpu=4001)
+        self.assertIsNone(await self.submit(spec, store))
+
+    async def test_nothing_is_said_while_the_store_is_silent(self):
+        store = fakes.FakeStore()
+        store.row = platform_store.Refused(0)
+        spec = change_spec(SPEC, cpu=4001)
+        self.assertEqual(await self.submit(spec, store), 503)
+
+
 def change_spec(spec, **changes):
     """Returns a step with some fields changed."""
     fields = {name: getattr(spec, name) for name in spec.__struct_fields__}
