--- a/tests/entry/mutants.py
+++ b/tests/entry/mutants.py
@@ -22,6 +22,7 @@
 from persimmonpath_entry.engine import progressrows  # noqa: E402
 from persimmonpath_entry.engine import refusedrows  # noqa: E402
 from persimmonpath_entry.engine import shard  # noqa: E402
+from persimmonpath_entry.engine import tenantusage  # noqa: E402
 from persimmonpath_entry.engine import workercommands  # noqa: E402
 from persimmonpath_entry.platform import store as platform_store  # noqa: E402
 from persimmonpath_entry.platform import workers  # noqa: E402
@@ -158,6 +159,20 @@
     fleet.Worker.is_described = True
 
 
+def ignore_limits():
+    """Starts what a tenant has waiting, whatever its limit."""
+    tenantusage.TenantUsage.limit_waiting = lambda self, step, waiting, now: (
+        waiting
+    )
+
+
+def forget_former_runs():
+    """Takes workers that haven't answered a new owner for idle ones."""
+    tenantusage.TenantUsage._count_unknown = lambda self: None
+
+
+# Mutants that only the soak with tenants can notice.
+LIMITED = (ignore_limits, forget_former_runs)
 # Mutants that only the varied soak can notice.
 VARIED = (
     keep_progress_in_one_row,
@@ -171,6 +186,7 @@
     mutate.__name__: mutate
     for mutate in (
         *VARIED,
+        *LIMITED,
         forget_room,
         start_out_of_order,
         ignore_cancels,
@@ -187,11 +203,16 @@
 def check_all() -> int:
     """Runs the soak on every mutant; returns the number of survivors."""
     from tests.entry import soak
+    from tests.entry import tenantsoak
     from tests.entry import variedsoak
 
+    kinds = {
+        **dict.fromkeys(VARIED, variedsoak.VariedSoak),
+        **dict.fromkeys(LIMITED, tenantsoak.TenantSoak),
+    }
     survivors = 0
     for name, mutate in MUTANTS.items():
-        kind = variedsoak.VariedSoak if mutate in VARIED else soak.Soak
+        kind = kinds.get(mutate, soak.Soak)
         for seed in SEEDS:
             folder = tempfile.mkdtemp(prefix="persimmon-mutant-")
             found = soak.run_soak(
--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.entry import soak
+from tests.entry import tenantsoak
 from tests.entry import variedsoak
 
 SECONDS = 6.0
@@ -17,6 +18,8 @@
 TARGETED_SECONDS = 14.0
 VARIED_SEED = 801
 VARIED_SECONDS = 10.0
+TENANT_SEED = 3
+TENANT_SECONDS = 10.0
 
 
 class SoakTest(unittest.TestCase):
@@ -59,3 +62,10 @@
         rejected starts, prompt cancellations, workers of another kind.
         """
         self.run_soak(VARIED_SEED, VARIED_SECONDS, kind=variedsoak.VariedSoak)
+
+    def test_limits_of_tenants_hold_under_faults(self):
+        """Guards against starts above the limit of a tenant.
+
+        A tenant had 3,989,712 MB running with a limit of 3,610,942 MB.
+        """
+        self.run_soak(TENANT_SEED, TENANT_SECONDS, kind=tenantsoak.TenantSoak)
