Send one Host field when a caller of the HTTP client names the host

Cause: the client added its own Host to that of the caller; servers took the last. Change: a Host line among the headers of a call replaces the client's own.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpclient.py
@@ -24,6 +24,7 @@
 LATE_TIMER_S = 0.05
 # Most seconds by which a delay of the process extends the deadline of a call.
 MAX_LATE_EXTENSION_S = 0.5
+HOST_FIELD = "Host: "
 # Reason for a call without a response: none arrived within the deadline.
 TIMEOUT = "timeout"
 # Reason for a call without a response: the server was unreachable since the
@@ -135,8 +136,11 @@
         self._chunks = []
         self._retry_after = None
         self.last_data_at = 0.0
+        # Servers reject a request with two of them.
+        if HOST_FIELD not in headers:
+            headers = f"{HOST_FIELD}{self._host}\r\n{headers}"
         head = (
-            f"{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n"
+            f"{method} {target} HTTP/1.1\r\n"
             f"{headers}Content-Length: {len(body)}\r\n\r\n"
         )
         self._transport.write(head.encode("latin-1") + body)
@@ -191,7 +195,8 @@
           method: the HTTP method.
           target: path and query.
           body: the body, empty for none.
-          headers: complete header lines, each ending in CRLF.
+          headers: complete header lines, each ending in CRLF. A line with
+            the field Host replaces that with the address.
           timeout_s: seconds until the call is given up, including the wait for
             a free connection.
           extra_s: further seconds for a response that has begun to arrive.
