Accept connections in small batches

Cause: asyncio accepts up to its backlog of 512 connections at once, before the server can close those beyond its limit, so that a burst used up descriptors that are reserved for the store, peers and workers. Change: batches of 32 with the same listen backlog; a test of a burst.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -34,6 +34,10 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Retry-After in seconds of clients that are rejected since the port is full.
 RETRY_AFTER_S = 1
+# A full backlog drops SYN packets, which clients resend only after 1 s.
+LISTEN_BACKLOG = 512
+# Most connections accepted at once, before those beyond the limit are closed.
+ACCEPT_BATCH = 32
 # Largest read from a connection.
 RECEIVE_BYTES = 65536
 # What is parsed at once, so that few requests are queued beyond the limit.
@@ -746,9 +750,13 @@
           OSError: if the address can't be bound.
         """
         self._loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family)
+        # asyncio accepts as many connections at once as its backlog says.
         self._listener = await self._loop.create_server(
-            lambda: _ServerConnection(self), host, port, backlog=512
+            lambda: _ServerConnection(self), sock=listener, backlog=ACCEPT_BATCH
         )
+        listener.listen(LISTEN_BACKLOG)
         self._loop.call_later(SWEEP_S, self._sweep)
 
     async def handle(self, request: Request) -> Response:
--- a/tests/entry/test_untrustedclients.py
+++ b/tests/entry/test_untrustedclients.py
@@ -339,6 +339,19 @@
                 await self.connect()
         await self.check_served()
 
+    async def test_a_burst_of_connections(self):
+        """All were accepted at once, before those too many were closed."""
+        host, _, port = self.vm.front.rpartition(":")
+        for _ in range(480):
+            client = socket.socket()
+            self.addCleanup(client.close)
+            client.setblocking(False)
+            client.connect_ex((host, int(port)))
+        for _ in range(200):
+            self.assertLess(self.count_descriptors(), self.descriptors)
+            await asyncio.sleep(0.002)
+        await self.check_served()
+
     async def test_incomplete_heads_are_closed(self):
         await self.check_all_closed(b"GET / HTTP/1.1\r\nHost: h")
 
