Test what the owner places, plans, reads and writes for tenants

Cause: switched off one by one, seven mechanisms were noticed by no test: the order by share in a pass, the count of planned tasks, the count of other services' rows, the new field of the owner row, the promise to a refused caller while its tenant still sends too much, the sparing of runs that end soon, the dropping of old marks. Change: a test of each; the one of the promise covers a tenant that goes on sending.

--- a/tests/entry/test_fairness.py
+++ b/tests/entry/test_fairness.py
@@ -19,7 +19,9 @@
 from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import peerapi
+from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import preemptor
+from persimmonpath_entry.engine import shardmaintenance
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import configuration
@@ -100,18 +102,21 @@
 
     def test_refused_callers_are_inside_the_rate_when_they_return(self):
         """Otherwise they are refused again and again."""
-        delays = [
-            self.rates.admit(f"{n:016x}", "t", 100 + n / 12) for n in range(72)
-        ]
-        refused = [n for n, delay_s in enumerate(delays) if delay_s]
-        self.assertGreater(len(refused), 50)
-        kept = [n for n in refused if delays[n] < fairness.MAX_PROMISE_S]
-        returns = sorted(100 + n / 12 + delays[n] for n in kept)
-        gaps = [b - a for a, b in zip(returns, returns[1:], strict=False)]
+        calls = [(100 + n / 12, f"{n:016x}") for n in range(480)]
+        returns = []
+        while calls:
+            at, submission_id = heapq.heappop(calls)
+            delay_s = self.rates.admit(submission_id, "t", at)
+            if submission_id in {i for _, i in returns}:
+                self.assertEqual(delay_s, 0.0)
+            elif 0 < delay_s < fairness.MAX_PROMISE_S:
+                returns.append((at + delay_s, submission_id))
+                # Retry-After is in whole seconds.
+                heapq.heappush(calls, (at + delay_s + 0.3, submission_id))
+        self.assertGreater(len(returns), 20)
+        moments = sorted(at for at, _ in returns)
+        gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
         self.assertGreaterEqual(min(gaps), 1 / 2.0)
-        for n in sorted(kept, key=lambda n: n / 12 + delays[n]):
-            at = 100 + n / 12 + delays[n]
-            self.assertEqual(self.rates.admit(f"{n:016x}", "t", at), 0.0)
 
     def test_an_admitted_submission_is_counted_once(self):
         """Its row is read after its admission and takes no second token."""
@@ -561,11 +566,16 @@
             msgspec.json.decode(value, type=ownerrows.OwnerRecord), row
         )
 
-    def test_without_tenants_the_row_is_as_before(self):
-        shard = fakes.make_shard()
-        shard.fair_shares.measure_waits([], [], START_S)
-        row = ownerrows.OwnerRecord("vm", tenant_waits=shard.fair_shares.waits)
-        self.assertEqual(msgspec.json.encode(row), b'{"owner":"vm"}')
+    def test_the_owner_writes_the_field_only_with_tenants(self):
+        for weights in ({}, {"a": 1.0}):
+            shard = fakes.make_shard()
+            configure(shard.node, weights)
+            for number in range(10):
+                shard.fair_shares.admit(f"{number:x}", "a")
+            shard.fair_shares.measure_waits([], [], START_S)
+            writer = persistence.ShardWriter(shard, 1, lambda: None)
+            row = msgspec.json.encode(writer._build_owner("vm", START_S))
+            self.assertEqual(b"tenant_waits" in row, bool(weights))
 
 
 class SharedShardTest(unittest.IsolatedAsyncioTestCase):
@@ -587,16 +597,16 @@
         self.worker = fakes.add_worker(self.shard)
         self.count = 0
 
-    def submit(self, tenant, spec=None, **changes):
+    def submit(self, tenant, version=0, **changes):
         self.count += 1
         record = fakes.make_record(
-            spec or self.SPEC,
+            self.SPEC,
             tenant=tenant,
             accepted_ms=int(time.time() * 1000),
             **changes,
         )
         submission_id = f"{self.count:016x}"
-        self.shard.apply_submission(submission_id, record)
+        self.shard.apply_submission(submission_id, record, version=version)
         return self.shard.submissions[submission_id]
 
     def run_all(self, submission):
@@ -624,13 +634,21 @@
 
     async def test_what_is_sent_to_other_services_counts(self):
         """Each service has its own owner, and a tenant one agreed rate."""
+        maintenance = shardmaintenance.ShardMaintenance(self.shard, None)
         for number in range(10):
             record = fakes.make_record(
                 tenant="a",
                 service="other",
                 accepted_ms=int(time.time() * 1000) - 100,
             )
-            self.shard.fair_shares.record_submission(f"{number:x}", record)
+            row = platform_store.Row(
+                "submission",
+                "s0",
+                f"{number:x}",
+                msgspec.json.encode(record),
+                4,
+            )
+            maintenance._apply_submission_row(row)
         self.assertTrue(
             self.shard.fair_shares.is_excess(self.submit("a").steps["0.0"])
         )
@@ -647,6 +665,24 @@
         victims = self.preempt(self.submit("b"))
         self.assertEqual(len(victims), 1)
 
+    async def test_a_run_that_ends_soon_isn_t_preempted_for_a_share(self):
+        """Its restart costs more than the wait for its end."""
+        self.preemptor = preemptor.Preemptor(self.shard)
+        self.SPEC = msgspec.structs.replace(self.SPEC, estimated_ms=2000.0)
+        self.run_all(self.submit("a"))
+        self.assertEqual(self.preempt(self.submit("b")), [])
+
+    async def test_marks_of_ended_submissions_are_dropped(self):
+        """They would fill the memory of an owner that stays for days."""
+        sent = [self.submit("a") for _ in range(9)]
+        shares = self.shard.fair_shares
+        steps = [s.steps["0.0"] for s in sent]
+        self.assertEqual(sum(map(shares.is_excess, steps)), 4)
+        for submission in sent:
+            self.shard.cancel(submission)
+        shares.measure_waits([], [], clock.read_clock())
+        self.assertEqual(sum(map(shares.is_excess, steps)), 0)
+
     async def test_a_task_isn_t_preempted_again_and_again(self):
         self.preemptor = preemptor.Preemptor(self.shard)
         submission = self.submit("a", queue="b")
@@ -669,6 +705,31 @@
                 count += 1
         self.assertLessEqual(count, 3 * preemption.SHARE_PREEMPTIONS_PER_S)
 
+    async def test_freed_capacity_goes_to_the_tenant_that_has_less(self):
+        """It went to the one that had sent its work first."""
+        running = self.submit("a")
+        self.run_all(running)
+        self.submit("a")
+        self.submit("b")
+        self.shard.extend_horizon(1)
+        commands = mock.Mock()
+        scheduler = taskscheduler.TaskScheduler(
+            self.shard, commands, mock.Mock(), None
+        )
+        for run in running.list_runs()[:2]:
+            self.shard.remove_run(run, "done", "")
+        scheduler._run_pass(clock.read_clock())
+        started = [c.args[0].task for c in commands.start.call_args_list]
+        names = [task.step.submission.record.tenant for task in started]
+        self.assertEqual(names, ["b", "b"])
+
+    async def test_planned_tasks_count(self):
+        """A tenant whose tasks wait for tickets would plan all capacity."""
+        self.submit("a", version=9)
+        scheduler = taskscheduler.TaskScheduler(self.shard, None, None, None)
+        scheduler._run_pass(clock.read_clock())
+        self.assertEqual(self.shard.fair_shares.measure("a"), 1.0)
+
     async def test_excess_isn_t_placed_between_passes(self):
         """It would take what has become free for the steps that wait."""
         scheduler = taskscheduler.TaskScheduler(self.shard, None, None, None)
