Count no runs for tenants in a deployment without them

Change: runs are counted from the first plan with tenants on, at which those that are under way are counted once.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
@@ -49,7 +49,7 @@
 class FairShares:
     """Knows what the tenants of a shard have, sent and wait for.
 
-    Without tenants in the configuration nothing but the runs is counted.
+    Without tenants in the configuration it does nothing.
 
     Attributes:
       waits: the expected waits by tenant; None without tenants and while
@@ -61,6 +61,8 @@
         self._node = shard.node
         self._rates = fairness.AgreedRates(self._find_rate)
         self._shares = fairness.DominantShares()
+        # Runs are counted from the first plan with tenants on.
+        self._counts_runs = False
         self._counted_runs: set[execution.Run] = set()
         # Shares relative to the weights, until they change.
         self._measured: dict[str, float] = {}
@@ -146,8 +148,8 @@
     # Shares.
 
     def add_run(self, run: execution.Run):
-        """Counts a run for its tenant."""
-        if run not in self._counted_runs:
+        """Counts a run for its tenant, once runs are counted at all."""
+        if self._counts_runs and run not in self._counted_runs:
             self._counted_runs.add(run)
             self._count_run(run, 1)
 
@@ -174,6 +176,12 @@
         if now - self._capacity_at < CAPACITY_INTERVAL_S:
             return
         self._capacity_at = now
+        workers = list(workers)
+        if not self._counts_runs:
+            self._counts_runs = True
+            for worker in workers:
+                for run in worker.runs.values():
+                    self.add_run(run)
         rows = [w.registration for w in workers if w.is_listed]
         self._shares.set_capacity(
             sum(row.cpu for row in rows),
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -27,10 +27,12 @@
             now,
         )
         shares = self._shard.fair_shares
-        rank = ordering.rank_step(*arguments, shares.is_excess(step))
         changes_at = ordering.find_rank_change(*arguments)
+        if not shares.is_enabled:
+            return ordering.rank_step(*arguments), changes_at
+        rank = ordering.rank_step(*arguments, shares.is_excess(step))
         distant_until = rank.due_s - fairness.NEAR_S
-        if not shares.is_enabled or distant_until <= now:
+        if distant_until <= now:
             return rank, changes_at
         return rank._replace(is_distant=True), min(changes_at, distant_until)
 
--- a/tests/entry/test_fairness.py
+++ b/tests/entry/test_fairness.py
@@ -623,10 +623,15 @@
         return [run for run, _ in self.shard.stopped]
 
     async def test_usage_follows_the_runs(self):
+        """Also that of runs from before the first version with tenants."""
+        former = self.submit("b")
+        self.run_all(former)
+        shares = self.shard.fair_shares
+        shares.begin_plan([self.worker], clock.read_clock())
+        self.assertEqual(shares.measure("b"), 1.0)
         submission = self.submit("a")
         self.run_all(submission)
-        self.shard.fair_shares.begin_plan([self.worker], clock.read_clock())
-        self.assertEqual(self.shard.fair_shares.measure("a"), 1.0)
+        self.assertEqual(shares.measure("a"), 1.0)
         for run in submission.list_runs():
             self.shard.remove_run(run, "done", "")
             self.shard.remove_run(run, "done", "")
