--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from persimmonpath_entry.decisions import fairness
 from persimmonpath_entry.decisions import headroom
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import speeds
@@ -33,11 +34,15 @@
     ) -> tuple[ordering.Rank, float]:
         """Returns the rank of a step and the time at which it changes."""
         arguments = self._describe(step, now)
-        is_excess = self._shard.fair_shares.is_excess(step)
-        return (
-            ordering.rank_step(*arguments, is_excess),
-            ordering.find_rank_change(*arguments),
-        )
+        shares = self._shard.fair_shares
+        changes_at = ordering.find_rank_change(*arguments)
+        if not shares.is_enabled:
+            return ordering.rank_step(*arguments), changes_at
+        rank = ordering.rank_step(*arguments, shares.is_excess(step))
+        distant_until = rank.due_s - fairness.NEAR_S
+        if distant_until <= now:
+            return rank, changes_at
+        return rank._replace(is_distant=True), min(changes_at, distant_until)
 
     def _describe(self, step: execution.Step, now: float) -> tuple:
         """Returns the arguments of `ordering.rank_step`."""
