--- a/tests/entry/test_quotaledger.py
+++ b/tests/entry/test_quotaledger.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from persimmonpath import resources
+from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import quotaledger
 from persimmonpath_entry.engine import shard as shards
 from persimmonpath_entry.platform import store as platform_store
@@ -316,6 +317,26 @@
         await new.examine()
         self.assertEqual(self.read_record().limits, {})
 
+    async def test_a_removed_service_gives_its_share_back(self):
+        """Its share would be lost for good, as it has no owner any more."""
+        old, owner = self.make_owner("old"), self.make_owner()
+        await self.claim(old, owner)
+        row = ("owner", "old", "owner")
+        self.store.clock = platform_store.StoreClock(50_000, 0.0, 0.0)
+        for renewed_ms, is_gone in ((49_000, False), (20_000, True)):
+            record = ownerrows.OwnerRecord("vm-2", renewed_ms=renewed_ms)
+            self.store.rows[row] = (3, msgspec.json.encode(record))
+            owner.now += quotaledger.GONE_CHECK_S
+            owner.read()
+            await owner.examine()
+            services = self.read_record().services
+            self.assertEqual("old" not in services, is_gone)
+        owner.wanted = 500
+        for _ in range(3):
+            owner.start()
+            await owner.examine()
+        self.assertEqual(owner.start() + len(owner.running), 120)
+
     async def test_an_outage_of_the_store_leaves_the_shares(self):
         owner = self.make_owner()
         await self.claim(owner)
