Bound the deadline that a caller may name

Cause: X-Deadline-Ms was taken as it came: a digit that int() doesn't read, such as a superscript, gave a 500, and a deadline of years kept a held request for as long. Change: one to nine decimal digits, a minute at most.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -33,7 +33,11 @@
 KEY_SCHEME = "token"
 # The header fields that the APIs for callers and peers read.
 HEADER_FIELDS = ("host", KEY_HEADER, DEADLINE_HEADER)
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 DEFAULT_WAIT_S = 3.0
+# A caller that names a later deadline is answered after this time, so that its
+# request doesn't use memory for as long as it likes.
+MAX_WAIT_S = 60.0
 # Time reserved for the response to reach the caller before its deadline.
 ANSWER_MARGIN_S = 0.35
 # Retry-After of rejected requests: an outage of the store or a takeover of a
@@ -192,7 +196,9 @@
     def _read_timeout(self, request: httpserver.Request) -> float:
         """Returns the seconds left for a request, at least 0.2."""
         text = request.headers.get(DEADLINE_HEADER, "")
-        wait_s = int(text) / 1000 if text.isdigit() else DEFAULT_WAIT_S
+        wait_s = DEFAULT_WAIT_S
+        if DEADLINE_PATTERN.fullmatch(text):
+            wait_s = min(MAX_WAIT_S, int(text) / 1000)
         return max(0.2, wait_s - ANSWER_MARGIN_S)
 
     async def _dispatch(
--- a/tests/entry/test_clientapi.py
+++ b/tests/entry/test_clientapi.py
@@ -13,6 +13,7 @@
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
+from persimmonpath_entry.transport import httpserver
 from tests.entry import fakes
 
 ID = "00000000000000aa"
@@ -189,3 +190,22 @@
         self.store.rows[key] = (5, b"[" * 5000)
         self.assertEqual(await self.cancel(), 500)
         self.assertIsNone(await self.views.find_view(fakes.SERVICE, ID))
+
+
+class DeadlineTest(unittest.TestCase):
+    def test_odd_deadlines_are_bounded(self):
+        """Guards against a 500 and against requests that are held for good."""
+        api = clientapi.ClientApi(None, None, None, None, None, None)
+        for text, expected_s in (
+            ("2000", 1.65),
+            ("1", 0.2),
+            ("", 2.65),
+            ("-5", 2.65),
+            ("\u00b2", 2.65),
+            ("9" * 400, 2.65),
+            ("999999999", 59.65),
+        ):
+            with self.subTest(text=text):
+                headers = {clientapi.DEADLINE_HEADER: text}
+                request = httpserver.Request("GET", "/", headers, b"")
+                self.assertAlmostEqual(api._read_timeout(request), expected_s)
