--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
@@ -289,7 +289,7 @@
             longest[label] = max(longest.get(label, 0.0), wait_s)
         for label, share in shares.items():
             labels = f'{{service="{service}",tenant="{label}"}}'
-            metrics.set(f"tenant_share{labels}", round(share, 4))
+            metrics.set(f"tenant_dominant_share{labels}", round(share, 4))
             metrics.set(f"tenant_wait{labels}", longest[label])
         is_short = bool(waits.levels or waits.excess)
         if not is_short or now - self._logged_at < LOG_INTERVAL_S:
