Mend what two readers of the whole change found

Cause: read by two who hadn't written it. A former owner could overwrite the shares of its successor, as the row may change while it reads the owners of removed services; a configuration that can't be decoded was confirmed as the newest, so that strict revocation trusted old keys, and a key on an open queue wasn't held to it; a 429 or 413 could be untrue while an earlier write had no answer; the bound in bytes of held submissions could be exceeded; a client that the server itself didn't read got 408; a limit of half an accelerator became none and a weight of 400 digits stopped a version; demand for a resource without a limit counted as lack of room; slots on a worker with a limit per worker were counted twice; waits by tenant ignored slow workers; a caller's own estimate decided whether its run is spared; gauges of idle tenants stayed. Change: each of these, and names and comments that made them stumble. One check of the settings' test now expects the name that stands in the file.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/admission.py
@@ -63,6 +63,20 @@
 ACCEPTED = Admission(True)
 
 
+def sum_capacity(workers: Iterable[fleet.Worker]) -> list[float]:
+    """Returns the attainable capacity of workers, as of normal speed.
+
+    Returns:
+      CPU in thousandths of a core, memory in MB and accelerators. A worker that
+      takes twice as long counts half.
+    """
+    capacity = [0.0, 0.0, 0.0]
+    for worker in workers:
+        for index, amount in enumerate(worker.list_attainable_capacity()):
+            capacity[index] += max(0, amount) / worker.run_time_factor
+    return capacity
+
+
 def estimate_waits(
     workers: Iterable[fleet.Worker], waiting: Iterable[WaitingWork]
 ) -> dict[int, float]:
@@ -83,13 +97,10 @@
       Seconds by priority, for the priorities of the waiting work; without those
       below MIN_PUBLISHED_WAIT_S.
     """
-    capacity = [0.0, 0.0, 0.0]
     workers = list(workers)
     if not workers:
         return {}
-    for worker in workers:
-        for index, amount in enumerate(worker.list_attainable_capacity()):
-            capacity[index] += max(0, amount) / worker.run_time_factor
+    capacity = sum_capacity(workers)
     needs_by_priority: dict[int, list[float]] = {}
     for work in waiting:
         spec = work.spec
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
@@ -261,9 +261,9 @@
         _drop_oldest(self._counted, at - MEMORY_S)
 
     def _make_promise(self, submission_id: str, due: float):
+        _drop_oldest(self._promises, due - MAX_PROMISE_S - MEMORY_S)
         if len(self._promises) < MAX_PROMISES:
             self._promises[submission_id] = due
-        _drop_oldest(self._promises, due - MAX_PROMISE_S - MEMORY_S)
 
 
 def _drop_oldest(times: dict[str, float], limit: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/localitywait.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/localitywait.py
@@ -182,7 +182,7 @@
         fitting = _count_in(spec, cpu, memory_mb, gpu)
         if spec.max_per_worker:
             present -= run.spec is spec
-            fitting = min(fitting, taken + spec.max_per_worker - present)
+            fitting = min(fitting, max(0, spec.max_per_worker - present))
         slot = Slot(HANDOVER_S + remaining_s, worker.run_time_factor)
         slots += [slot] * (fitting - taken)
         taken = max(taken, fitting)
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/preemption.py
@@ -105,15 +105,13 @@
     return run.phase is execution.Phase.RUNNING and not spec.is_filler
 
 
-def ends_soon(run: execution.Run, now: float) -> bool:
+def ends_soon(remaining_s: float) -> bool:
     """Returns whether a run soon frees its capacity by itself.
 
     Args:
-      run: the run.
-      now: the monotonic clock, in seconds.
+      remaining_s: for how long it is expected to go on, in seconds.
     """
-    elapsed_s = now - run.sent_at
-    return run.spec.estimated_ms / 1000 - elapsed_s < MIN_REMAINING_S
+    return remaining_s < MIN_REMAINING_S
 
 
 def choose_victims(
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
@@ -213,8 +213,13 @@
         )
         for index, whole in enumerate(split(limit))
     )
-    wanted = tuple(map(min, split(want), split(limit)))
-    lacks = any(map(int.__gt__, wanted, share))
+    wanted = tuple(
+        0 if whole >= UNBOUNDED else min(amount, whole)
+        for amount, whole in zip(split(want), split(limit), strict=True)
+    )
+    lacks = any(
+        amount > held for amount, held in zip(wanted, share, strict=True)
+    )
     return dataclasses.replace(
         own,
         share=resources.Resources(*share),
--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/tenantwaits.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/tenantwaits.py
@@ -87,10 +87,7 @@
         published.
     """
     workers = list(workers)
-    capacity = [0, 0, 0]
-    for worker in workers:
-        for index, amount in enumerate(worker.list_attainable_capacity()):
-            capacity[index] += max(0, amount)
+    capacity = admission.sum_capacity(workers)
     needs = _sum_needs(workers, waiting)
     total = [0.0, 0.0, 0.0]
     waits = TenantWaits()
@@ -142,7 +139,7 @@
     return needs
 
 
-def _measure_duration(needs: list[float], capacity: list[int]) -> float:
+def _measure_duration(needs: list[float], capacity: list[float]) -> float:
     """Returns the seconds for which all capacity is busy with work."""
     return max(
         need / max(1, room) for need, room in zip(needs, capacity, strict=True)
@@ -151,7 +148,7 @@
 
 def _divide(
     by_tenant: dict[str, list[float]],
-    capacity: list[int],
+    capacity: list[float],
     find_weight: Callable[[str], float],
 ) -> dict[str, float]:
     """Returns at which part of a level's duration each tenant is done."""
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -38,8 +38,8 @@
 MAX_HELD_BYTES = 8_000_000
 # Seconds after which it is checked again whether the store answers.
 HOLD_CHECK_S = 0.03
-# Pause of a queue that has to let others go first after an outage, in seconds.
-TURN_S = 0.01
+# Seconds after which a queue without a token asks again during recovery.
+TOKEN_RETRY_S = 0.01
 # For this time after an outage all VMs together begin at most so many
 # transactions a second for submissions. The store takes 1,200 write calls a
 # second; the others are left to the owners.
@@ -224,6 +224,7 @@
             (queue, other)
             for queue, other in held
             if other.tenant == tenant
+            and len(other.value) >= size - MAX_HELD_BYTES
             and not other.may_be_stored
             and not other.is_being_written
         ]
@@ -406,7 +407,7 @@
         rank = min(pending.rank for pending in self.pending)
         if outage is None:
             may_begin = self._gate.try_take(self._partition, rank)
-            return 0.0 if may_begin else TURN_S
+            return 0.0 if may_begin else TOKEN_RETRY_S
         self._gate.wait(self._partition, rank)
         if outage.scope is outages.Scope.ISOLATED:
             for pending in list(self.pending):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/clientapi.py
@@ -33,7 +33,7 @@
 KEY_SCHEME = "token"
 # The header fields that the APIs for callers and peers read.
 HEADER_FIELDS = ("host", KEY_HEADER, DEADLINE_HEADER)
-DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,20}")
 DEFAULT_WAIT_S = 3.0
 # A caller that names a later deadline is answered after this time, so that its
 # request doesn't use memory for as long as it likes.
@@ -171,18 +171,18 @@
         caller takes its call for one of its tenant.
         """
         key = read_key(request)
-        if self._is_revocation_unknown() and not queue.allows_anonymous:
-            return make_error(503, "revoked keys unknown", 1)
         if key is None:
             if queue.allows_anonymous:
                 return ANONYMOUS
             return make_error(401, "key missing")
         current = self._node.configuration
+        if queue.allows_anonymous and not current.tenants:
+            return ANONYMOUS
+        if self._is_revocation_unknown():
+            return make_error(503, "revoked keys unknown", 1)
         tenant = current.find_tenant(key)
         if tenant is not None:
             return tenant
-        if queue.allows_anonymous and not current.tenants:
-            return ANONYMOUS
         return make_error(401, "key unknown")
 
     def _is_revocation_unknown(self) -> bool:
@@ -282,6 +282,16 @@
             self._notify_owner(submission_id, record, result.version)
         return httpserver.Response(200)
 
+    def _has_unknown_outcome(self, submission_id: str) -> bool:
+        """Returns whether a former attempt may still store a submission."""
+        return self._acceptance is not None and self._acceptance.may_be_stored(
+            submission_id
+        )
+
+    def _is_holding(self) -> bool:
+        """Returns whether the store is unavailable and submissions are held."""
+        return self._acceptance is not None and self._acceptance.is_holding()
+
     async def _refuse_oversized(
         self, submission_id: str, record: submissions.SubmissionRecord
     ) -> httpserver.Response | None:
@@ -299,6 +309,10 @@
         problem = submissions.check_limit(record, tenant.limit)
         if problem is None:
             return None
+        if self._has_unknown_outcome(submission_id):
+            return make_error(504, "the store has not answered")
+        if self._is_holding():
+            return make_error(503, "store unreachable", RETRY_AFTER_S)
         stored = await self._node.store.read_row(
             persistence.SUBMISSION_TABLE,
             persistence.find_partition(submission_id),
@@ -349,7 +363,7 @@
         )
         if decision.is_accepted:
             return None
-        if self._acceptance is not None and self._acceptance.is_holding():
+        if self._is_holding():
             # The owner couldn't start it in time once the store is back, and
             # the store can't tell whether it is a repeat.
             return self._make_overload(
@@ -370,9 +384,7 @@
         decision: admission.Admission,
     ) -> httpserver.Response:
         """Logs an overload and returns the response that tells of it."""
-        if self._acceptance is not None and self._acceptance.may_be_stored(
-            submission_id
-        ):
+        if self._has_unknown_outcome(submission_id):
             return make_error(504, "the store has not answered")
         self._node.log.write(
             "submission_refused",
@@ -385,7 +397,9 @@
         return make_error(503, "overloaded", decision.retry_after_s)
 
     async def _may_be_stored(self, submission_id: str) -> bool:
-        """Returns whether the store has a submission, or can't be read."""
+        """Returns whether the store may hold a submission, or get it late."""
+        if self._has_unknown_outcome(submission_id):
+            return True
         stored = await self._node.store.read_row(
             persistence.SUBMISSION_TABLE,
             persistence.find_partition(submission_id),
@@ -425,6 +439,9 @@
         """
         if record.tenant not in waits.exceeding:
             return None
+        if self._is_holding():
+            # The store can't tell whether it is a repeat.
+            return None
         wait_s = max(
             0.0,
             waits.find_excess_wait(record.tenant, queue.priority) - age_s,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/learning.py
@@ -10,9 +10,10 @@
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.transport import clock
 
+# Lower bound of a measured duration in seconds; its logarithm is taken.
 MIN_DURATION_S = 0.01
-# Runs shorter than this tell nothing of a worker's speed: the delays of the
-# start and of the listing are too large a part of them, in seconds.
+# Shortest run in seconds that counts for a worker's speed. In shorter ones the
+# delays of the start and of the listing are too large a part.
 MIN_SPEED_RUN_S = 0.1
 # A run isn't learned from if the time of its end is less certain than the
 # larger of these, in seconds and as a share of its duration.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
@@ -85,6 +85,9 @@
         self._peers = peers
         self._peers_asked_at = -PEER_INTERVAL_S
         self._peers_task: asyncio.Task | None = None
+        # Whether the newest configuration couldn't be decoded, so that nothing
+        # confirms the one that is in force here.
+        self._is_unreadable = False
         self._version: int | None = None
         self.waves: dict[str, messages.MaintenanceWave] = {}
 
@@ -176,7 +179,7 @@
     def _confirm(self, moment: float):
         """Records that the configuration was the newest one at a moment."""
         node = self._node
-        if node.configuration is not None:
+        if node.configuration is not None and not self._is_unreadable:
             node.configuration_confirmed_at = max(
                 node.configuration_confirmed_at, moment
             )
@@ -205,10 +208,12 @@
         """
         configuration = messages.decode_configuration(value)
         if isinstance(configuration, str):
+            self._is_unreadable = True
             self._node.log.warn(
                 "configuration_unreadable", reason=configuration
             )
             return
+        self._is_unreadable = False
         current = self._node.configuration
         if current is not None and configuration.version <= current.version:
             return
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/preemptor.py
@@ -115,7 +115,8 @@
                 return True
             if not has_budget or victim.record.tenant == taker_name:
                 return False
-            if preemption.ends_soon(run, now):
+            learner = self._shard.learner
+            if preemption.ends_soon(learner.predict_remaining_s(run, now)):
                 return False
             if is_victim_excess and not is_excess:
                 return True
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/quotaledger.py
@@ -18,6 +18,7 @@
 
 from persimmonpath import resources
 from persimmonpath_entry.decisions import quotashares
+from persimmonpath_entry.engine import fairshares
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import rowcodec
 from persimmonpath_entry.engine import shard as shards
@@ -47,16 +48,13 @@
 MAX_ROW_BYTES = 48_000
 # Seconds without a renewal after which nothing of a removed service runs any
 # more: longer than the leases of its owner and of the tasks together.
-GONE_AFTER_S = 20.0
+REMOVED_AFTER_S = 20.0
 # Interval at which the owners of removed services are read, in seconds.
-GONE_CHECK_S = 5.0
+REMOVED_CHECK_S = 5.0
 # Interval at which removed tenants are looked for, in seconds.
 IDLE_CHECK_S = 5.0
-# Interval of the metrics in seconds, most tenants with a label of their own,
-# and the label of all others together.
+# Interval of the metrics in seconds.
 METRICS_INTERVAL_S = 2.0
-MAX_LABELS = 100
-OTHER_LABEL = "other"
 # Seconds without a lack of room after which a tenant is no longer limited.
 UNLIMITED_AFTER_S = 2.0
 
@@ -158,11 +156,11 @@
         # Whether the last write failed.
         self._is_failing = False
         # Entries of this service in writes that may still be applied.
-        self._unsure: list[ServiceEntry] = []
+        self._unconfirmed: list[ServiceEntry] = []
         self._sequence = 0
         # What the row allows each tenant, the tenants for which that depends on
         # their present use, and the row and configuration that this is of.
-        self._basis: dict[str, resources.Resources] = {}
+        self._base_allowances: dict[str, resources.Resources] = {}
         self._contended: set[str] = set()
         self._basis_of: tuple = (None, None)
         # Limits as last seen, and the versions of the configuration that have
@@ -172,9 +170,12 @@
         self._changed = asyncio.Event()
         self._next_write_at = 0.0
         self._next_metrics_at = 0.0
+        self._labels = fairshares.TenantLabels()
+        # Name, label and resource of the gauges that were set last.
+        self._shown: set[tuple[str, str, str]] = set()
         self._next_gone_check_at = 0.0
         self._next_idle_check_at = 0.0
-        self._gone: set[str] = set()
+        self._removed_services: set[str] = set()
         self._usage.on_limits_changed = self.update_allowances
         # Tenants that are limited now: since when, and when last seen so.
         self._limited: dict[str, list[float]] = {}
@@ -263,7 +264,7 @@
         self._version = version
         # Every write of this owner expected an older version, so that none of
         # them can be applied any more.
-        self._unsure.clear()
+        self._unconfirmed.clear()
         self.update_allowances()
         self._changed.set()
 
@@ -287,9 +288,9 @@
         if self._find_own_entry() is None:
             usage.allowances = {}
             return
-        allowances = dict(self._basis)
+        allowances = dict(self._base_allowances)
         now = clock.read_clock()
-        for tenant in (self._contended | self._list_unsure()) - (
+        for tenant in (self._contended | self._list_unconfirmed()) - (
             self._lowered.keys()
         ):
             allowances[tenant] = self._compute_allowance(tenant, now)
@@ -309,22 +310,22 @@
         self._basis_of = (self._record, self._node.configuration)
         self._record_lowered()
         self._contended = set()
-        self._basis = {}
+        self._base_allowances = {}
         if self._record is None:
             return
         self._adopt_limits()
         moving = set(self._list_moving())
         for tenant, limit in self._usage.limits.items():
             if tenant in self._lowered:
-                self._basis[tenant] = resources.ZERO
+                self._base_allowances[tenant] = resources.ZERO
                 continue
             if tenant not in moving:
-                self._basis[tenant] = self._claim(tenant, {}).share
+                self._base_allowances[tenant] = self._claim(tenant, {}).share
                 continue
             holdings = list_holdings(self._record, tenant)
             if quotashares.is_contended(limit, holdings):
                 self._contended.add(tenant)
-            self._basis[tenant] = quotashares.compute_allowance(
+            self._base_allowances[tenant] = quotashares.compute_allowance(
                 limit,
                 holdings,
                 self._shard.service,
@@ -349,12 +350,12 @@
                 if version <= self._record.version:
                     del self._lowered[tenant]
 
-    def _list_unsure(self) -> set[str]:
+    def _list_unconfirmed(self) -> set[str]:
         """Returns the tenants whose share may be about to change."""
         stored = self._find_own_entry()
         return {
             tenant
-            for entry in self._unsure
+            for entry in self._unconfirmed
             for tenant, share in entry.shares.items()
             if share != stored.shares.get(tenant)
             and tenant in self._usage.limits
@@ -381,7 +382,7 @@
             self._record,
             *(
                 replace_entry(self._record, self._shard.service, entry)
-                for entry in self._unsure
+                for entry in self._unconfirmed
             ),
         ]
         amounts = [
@@ -415,10 +416,13 @@
         self.update_allowances()
         if now < self._next_write_at:
             return
-        is_claimed = self._find_own_entry() is not None
         if not self._may_write():
             return
-        await self._find_gone(now)
+        await self._find_removed_services(now)
+        # The row may have changed while the owners were read.
+        if not self._may_write():
+            return
+        is_claimed = self._find_own_entry() is not None
         entry = self._build_entry(now)
         if entry is not None or self._is_unreadable:
             if is_claimed:
@@ -483,7 +487,7 @@
             for tenant, share in stored.shares.items():
                 if tenant not in self._usage.limits and tenant not in idle:
                     entry.shares[tenant] = share
-        is_changed = is_changed or bool(self._gone)
+        is_changed = is_changed or bool(self._removed_services)
         return entry if is_changed else None
 
     def _needs_share(self, tenant: str) -> bool:
@@ -562,18 +566,18 @@
         return self._node.configuration.version >= self._record.version
 
     async def _write(self, entry: ServiceEntry):
-        """Writes an entry of this service; see the module."""
+        """Writes an entry of this service if the row is the one last read."""
         self._sequence += 1
         record = replace_entry(self._record, self._shard.service, entry)
-        for service in self._gone:
+        for service in self._removed_services:
             record.services.pop(service, None)
         record.version = max(record.version, self._node.configuration.version)
         record.limits = self._build_limits(record)
         expected = self._version
-        if self._unsure:
+        if self._unconfirmed:
             # Writes that go on without answers would make a long list.
-            self._unsure = [merge_entries(self._unsure)]
-        self._unsure.append(entry)
+            self._unconfirmed = [merge_entries(self._unconfirmed)]
+        self._unconfirmed.append(entry)
         self.update_allowances()
         result = await self._node.store.commit(
             PART, [(TABLE, KEY, expected)], [(TABLE, KEY, self._encode(record))]
@@ -592,8 +596,8 @@
             self._next_write_at = 0.0
             return
         is_refused = isinstance(result, platform_store.Refused)
-        if is_refused and entry in self._unsure:
-            self._unsure.remove(entry)
+        if is_refused and entry in self._unconfirmed:
+            self._unconfirmed.remove(entry)
         if not self._is_failing:
             self._is_failing = True
             self._node.log.write(
@@ -614,14 +618,17 @@
         if len(value) <= limit:
             return value
         self._node.log.warn("shares_too_long", bytes=len(value))
-        for entry in record.services.values():
-            entry.wants = {}
-            entry.large = {}
-        return msgspec.json.encode(record)
+        services = {
+            service: msgspec.structs.replace(entry, wants={}, large={})
+            for service, entry in record.services.items()
+        }
+        return msgspec.json.encode(
+            msgspec.structs.replace(record, services=services)
+        )
 
     # Services that were removed from the configuration.
 
-    async def _find_gone(self, now: float):
+    async def _find_removed_services(self, now: float):
         """Finds the removed services of which nothing can run any more."""
         configured = self._node.configuration.services
         unknown = [
@@ -629,20 +636,20 @@
             for service in self._record.services
             if service not in configured and service != self._shard.service
         ]
-        self._gone.intersection_update(unknown)
+        self._removed_services.intersection_update(unknown)
         if (
             not unknown
             or now < self._next_gone_check_at
             or not (self._may_raise())
         ):
             return
-        self._next_gone_check_at = now + GONE_CHECK_S
+        self._next_gone_check_at = now + REMOVED_CHECK_S
         for service in unknown:
-            if await self._is_gone(service):
-                self._gone.add(service)
+            if await self._is_inactive(service):
+                self._removed_services.add(service)
 
-    async def _is_gone(self, service: str) -> bool:
-        """Returns whether the owner of a service is surely gone for long."""
+    async def _is_inactive(self, service: str) -> bool:
+        """Returns whether the owner's lease on a service has surely expired."""
         result = await self._node.store.read_row(
             ownerrows.OWNER_TABLE, service, ownerrows.OWNER_KEY
         )
@@ -656,7 +663,7 @@
         )
         if record is None or not record.renewed_ms:
             return False
-        return store_clock.now_ms - record.renewed_ms > GONE_AFTER_S * 1000
+        return store_clock.now_ms - record.renewed_ms > REMOVED_AFTER_S * 1000
 
     # Reports.
 
@@ -692,8 +699,8 @@
 
     def _set_metrics(self):
         sums: dict[tuple[str, str, str], int] = {}
-        for position, tenant in enumerate(self._usage.list_tenants()):
-            label = tenant if position < MAX_LABELS else OTHER_LABEL
+        for tenant in self._usage.list_tenants():
+            label = self._labels.find(tenant)
             limit = self._usage.limits.get(tenant, resources.ZERO)
             allowed = self._usage.allowances.get(tenant, resources.ZERO)
             for name, amount in (
@@ -709,6 +716,10 @@
                     if value < quotashares.UNBOUNDED:
                         key = (name, label, resource)
                         sums[key] = sums.get(key, 0) + value
+        # A tenant that uses nothing any more is shown with 0, not as it was.
+        for key in self._shown - sums.keys():
+            sums[key] = 0
+        self._shown = set(sums)
         for (name, label, resource), value in sums.items():
             self._node.metrics.set(
                 f'{name}{{service="{self._shard.service}",tenant="{label}",'
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/settingsreload.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/settingsreload.py
@@ -28,7 +28,9 @@
         node: context.Context,
         on_changed: Callable[[platform_settings.Settings], None],
     ):
-        """Takes the file as it is now for the settings of the process.
+        """Creates the reloader.
+
+        The present content of the file is taken for the settings in use.
 
         Args:
           node: the context of the process, whose settings are changed.
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -72,9 +72,9 @@
         # time of the plan.
         self._lacking: dict[str, resources.Resources] = {}
         self._last_lacking: dict[str, tuple[resources.Resources, float]] = {}
-        # Tenants whose demand needs no further counting in the current plan,
-        # with the sizes of tasks and gangs that found no room.
-        self._blocked: dict[str, list[_Amounts]] = {}
+        # Priorities and sizes of tasks and gangs that found no room in the
+        # current plan, by tenant.
+        self._blocked: dict[str, list[tuple[int, _Amounts]]] = {}
         # Sizes above which tasks and gangs are large, by tenant.
         self._large_from: dict[str, _Amounts] = {}
         # The large task or gang of each tenant that has found no room, and
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/messages.py
@@ -195,7 +195,9 @@
     except UNREADABLE as error:
         return str(error)
     has_tenants = message.tenants is not None
-    decoded = tenantmessages.decode_tenants(message.tenants or [])
+    decoded = tenantmessages.decode_tenants(
+        [] if message.tenants is None else message.tenants
+    )
     return configuration.Configuration(
         message.version,
         [_translate_route(route, has_tenants) for route in message.routes],
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -32,8 +32,8 @@
     grace_s: float = 6
     addr_reuse_s: float = 2
     maintenance_s: float = 2
-    # Whether keys are refused while it can't be known for revoke_ms whether
-    # they were revoked.
+    # Whether calls with a key are refused with 503 once the configuration has
+    # not been confirmed for revoke_ms.
     strict_revoke: bool = False
     revoke_ms: float = 5000
     far_x: float = 1.5
@@ -164,10 +164,13 @@
         errors.append("bounds.farX: below 1")
     if settings.bounds.hold_max_ms < 1000:
         errors.append("bounds.holdMaxMs: below 1000")
-    for name in settings.http.__struct_fields__:
-        lowest = 0 if name in _MAY_BE_ZERO else 1
-        if getattr(settings.http, name) < lowest:
-            errors.append(f"http.{name}: below {lowest}")
+    if not settings.bounds.revoke_ms >= 0:
+        errors.append("bounds.revokeMs: below 0")
+    for field in msgspec.structs.fields(settings.http):
+        lowest = 0 if field.name in _MAY_BE_ZERO else 1
+        # Also true for a number that isn't one, which TOML can express.
+        if not getattr(settings.http, field.name) >= lowest:
+            errors.append(f"http.{field.encode_name}: below {lowest}")
     if min(settings.limits.memory_mb, settings.limits.max_fds) < 0:
         errors.append("limits.memoryMb, limits.maxFds: below 0")
     return errors
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/tenantmessages.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/tenantmessages.py
@@ -35,7 +35,8 @@
     """Decodes the field `tenants` of a configuration.
 
     A tenant without a name is left out. Of several tenants with one name the
-    first one holds, as for a key that several tenants have.
+    first one holds, with the keys of all. A key that several tenants have
+    belongs to the first of them.
 
     Args:
       rows: the decoded JSON value of the field.
@@ -106,7 +107,8 @@
     for field in ("cpu", "memMb", "gpu"):
         value = row.get(field, 0)
         if _is_number(value) and 0 <= value <= numbers.MAX_NUMBER:
-            limits.append(int(value) or None)
+            # A fraction must not become 0, which is no limit.
+            limits.append(math.ceil(value) or None)
         else:
             decoded.problems.append(f"{path}.{field}: allowed: 0 or more")
             limits.append(None)
@@ -117,4 +119,4 @@
     """Returns whether a decoded JSON value is a finite number."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
-    return math.isfinite(value)
+    return isinstance(value, int) or math.isfinite(value)
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -51,6 +51,8 @@
 LINGER_S = 1.0
 # Most connections, those being closed included, as a multiple of the limit.
 CLOSING_FACTOR = 1.5
+# Interval of the checks for expired connections, and shortest time between two
+# reports of rejections, in seconds.
 SWEEP_S = 0.25
 REPORT_S = 1.0
 # Fields that the server needs itself.
@@ -168,7 +170,7 @@
         # Status and reason with which the parser was stopped.
         self._rejection: tuple[int, str] | None = None
         # Response to a rejection that follows those of earlier requests.
-        self._last_words: Response | None = None
+        self._final_response: Response | None = None
         # Received data that isn't parsed while requests are queued.
         self._rest = memoryview(b"")
         # Bytes that the budget counts for the incomplete request.
@@ -255,7 +257,7 @@
         self._server.unread[self] = self._server.read_clock()
         self._stop_reading()
         if self._budget.is_exceeded:
-            self._server.relieve()
+            self._server.enforce_budget()
 
     def resume_writing(self):
         self._is_blocked = False
@@ -345,7 +347,7 @@
             self._stage_since = self._server.read_clock()
             self._server.receiving[self] = self._stage_since
         if self._budget.is_exceeded:
-            self._server.relieve()
+            self._server.enforce_budget()
 
     def _drop_incomplete(self):
         """Forgets the incomplete request and what wasn't parsed."""
@@ -360,7 +362,7 @@
         while self._queue:
             self._budget.used -= self._queue.popleft()[1]
 
-    def _uncharge(self):
+    def _release_connection_bytes(self):
         """Gives back what the budget counts for the connection itself."""
         self._budget.used -= self._unsent
         self._unsent = 0
@@ -370,7 +372,7 @@
 
     def _release(self):
         """Gives back all that the budget counts for the connection."""
-        self._uncharge()
+        self._release_connection_bytes()
         self._drop_incomplete()
         self._drop_queue()
 
@@ -492,7 +494,7 @@
         if self._task is None:
             self._server.waiting.pop(self, None)
         budget.used += size
-        if budget.used > budget.total and not self._server.relieve():
+        if budget.used > budget.total and not self._server.enforce_budget():
             budget.used -= size
             self._is_discarding = False
             self._stop_parser(503, "budget")
@@ -567,8 +569,8 @@
         """Continues the connection once all requests are answered."""
         if self._has_ended:
             return
-        if self._last_words is not None:
-            self._write(self._last_words, close=True)
+        if self._final_response is not None:
+            self._write(self._final_response, close=True)
         elif self._is_at_eof:
             self.close()
         else:
@@ -590,9 +592,9 @@
             b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
         )
         if close:
-            self._close_gently()
+            self._close_gracefully()
 
-    def _close_gently(self):
+    def _close_gracefully(self):
         """Closes the connection once the client has read the last response.
 
         Closing it with unread data would discard the response on its way.
@@ -603,7 +605,7 @@
         self._has_ended = True
         self._is_discarding = True
         self._drop_incomplete()
-        self._uncharge()
+        self._release_connection_bytes()
         self._server.start_closing(
             self, self._limits.unread_s if self._is_blocked else LINGER_S
         )
@@ -629,7 +631,7 @@
         if self._task is None:
             self._write(response, close=True)
         else:
-            self._last_words = response
+            self._final_response = response
 
     # Calls of the server.
 
@@ -639,12 +641,16 @@
         return self._task is None and self._stage == NONE
 
     @property
-    def is_exposed(self) -> bool:
-        """Whether no complete request would be lost with the connection."""
+    def is_evictable(self) -> bool:
+        """Whether it can be closed without losing a complete request."""
         return self._task is None
 
     def check_time(self, now: float):
         """Rejects the incomplete request if it took too long."""
+        if self._is_blocked or not self._is_reading or len(self._rest):
+            # The client waits for this server, and not the other way round.
+            self._stage_since = now
+            return
         elapsed_s = now - self._stage_since
         limits = self._limits
         if self._stage == HEAD and elapsed_s > limits.head_s:
@@ -670,7 +676,7 @@
         self._has_ended = True
         self._is_discarding = True
         self._drop_incomplete()
-        self._uncharge()
+        self._release_connection_bytes()
         self._server.start_closing(self, self._limits.unread_s)
         self._transport.close()
 
@@ -805,7 +811,7 @@
             connection.abort()
         elif len(self.connections) - len(self._closing) > limits.connections:
             connection.refuse(503, "connections")
-        elif self.budget.is_exceeded and not self.relieve():
+        elif self.budget.is_exceeded and not self.enforce_budget():
             connection.refuse(503, "budget")
         else:
             self.waiting[connection] = self.read_clock()
@@ -826,7 +832,7 @@
         self.waiting.pop(connection, None)
         self._closing.setdefault(connection, self.read_clock() + limit_s)
 
-    def relieve(self) -> bool:
+    def enforce_budget(self) -> bool:
         """Frees bytes until the budget suffices.
 
         Incomplete requests go first, the oldest before the others, then
@@ -856,7 +862,7 @@
         """Closes the connection that has had no complete request longest."""
         for index in (self.receiving, self.waiting):
             for connection in index:
-                if connection.is_exposed:
+                if connection.is_evictable:
                     connection.evict(reason)
                     return
 
--- a/tests/entry/test_clientapi.py
+++ b/tests/entry/test_clientapi.py
@@ -204,6 +204,7 @@
             ("\u00b2", 2.65),
             ("9" * 400, 2.65),
             ("999999999", 59.65),
+            ("1" + "0" * 15, 59.65),
         ):
             with self.subTest(text=text):
                 headers = {clientapi.DEADLINE_HEADER: text}
--- a/tests/entry/test_httplimits.py
+++ b/tests/entry/test_httplimits.py
@@ -57,7 +57,7 @@
         settings = platform_settings.Settings("vm", "", "z", [1], http=http)
         errors = platform_settings._validate(settings)
         self.assertEqual(
-            [e for e in errors if "http" in e], ["http.max_head_bytes: below 1"]
+            [e for e in errors if "http" in e], ["http.maxHeadBytes: below 1"]
         )
 
 
--- a/tests/entry/test_quotashares.py
+++ b/tests/entry/test_quotashares.py
@@ -221,3 +221,14 @@
                 LIMIT, stored, hold(0.5, 0.6), resources.ZERO
             )
         )
+
+    def test_demand_for_an_unlimited_resource_is_no_lack_of_room(self):
+        """Guards against services that lower their shares for nothing."""
+        limit = quotashares.convert_limit(tenants.TenantLimit(cpu=1000))
+        share = resources.Resources(1000, 0, 0)
+        used = resources.Resources(100, 50, 0)
+        changed = quotashares.rebalance(
+            limit, {"a": quotashares.Holding(share)}, "a", used, used, 7
+        )
+        self.assertEqual(changed.want, resources.ZERO)
+        self.assertEqual(changed.large_since, 0)
--- a/tests/entry/test_tenants.py
+++ b/tests/entry/test_tenants.py
@@ -90,6 +90,7 @@
                 "tenants[1].apiKeys[0]",
             ),
             ({"name": "south"}, "tenants[1].name"),
+            ({"name": "a", "weight": 10**400}, "tenants[0].weight"),
         ):
             with self.subTest(field=field, row=row):
                 found = decode(tenants=[row, good])
@@ -104,6 +105,15 @@
         self.assertEqual(found.tenants, {})
         self.assertFalse(found.queues[fakes.QUEUE].allows_anonymous)
 
+    def test_an_empty_table_is_reported(self):
+        """Guards against queues that ask for keys of nobody, unseen."""
+        self.assertEqual(len(decode(tenants={}).problems), 1)
+
+    def test_a_fraction_is_no_missing_limit(self):
+        """Guards against half an accelerator that is read as no limit."""
+        row = {"name": "a", "maxCount": {"gpu": 0.5}}
+        self.assertEqual(decode(tenants=[row]).tenants["a"].limit.gpu, 1)
+
     def test_without_tenants_no_key_is_asked_for(self):
         """Guards against a change for deployments without tenants."""
         found = decode(tenants=None)
@@ -218,6 +228,16 @@
             [record.tenant for record in self.accepted.records], ["", "south"]
         )
 
+    async def test_strict_revocation_holds_on_open_queues(self):
+        """Guards against a revoked key that opens its tenant's submissions."""
+        api = self.make_api(allowAnonymous=True)
+        self.node.settings.bounds = msgspec.structs.replace(
+            self.node.settings.bounds, strict_revoke=True
+        )
+        self.node.configuration_confirmed_at = clock.read_clock() - 60
+        self.assertEqual(await self.call(api, "key-n1"), 503)
+        self.assertEqual(await self.call(api, None, "POST"), 200)
+
     async def test_a_key_reaches_only_its_own_submissions(self):
         """Guards against a tenant that reads another one's submission."""
         api = self.make_api()
@@ -303,6 +323,18 @@
                 self.assertEqual(node.configuration.version, 7)
                 self.assertEqual(node.configuration_confirmed_at, 0.0)
 
+    async def test_an_unreadable_version_confirms_nothing(self):
+        """Guards against keys revoked by a version that can't be read."""
+        node = fakes.make_context()
+        feed = operatorfeed.OperatorFeed(node)
+        feed.apply_configuration(encode_configuration(9))
+        feed.apply_configuration(b"{")
+        feed._confirm(clock.read_clock())
+        self.assertEqual(node.configuration_confirmed_at, 0.0)
+        feed.apply_configuration(encode_configuration(10))
+        feed._confirm(clock.read_clock())
+        self.assertGreater(node.configuration_confirmed_at, 0.0)
+
     async def test_what_a_vm_tells_its_peers(self):
         """Guards against an old VM that confirms a newer configuration."""
         node = fakes.make_context()
