--- a/tests/entry/test_httplimits.py
+++ b/tests/entry/test_httplimits.py
@@ -176,3 +176,15 @@
         await self.connect(b"\0")
         self.server._report(0.0)
         self.assertEqual(self.rejected, ["malformed"])
+
+    async def test_a_client_that_isn_t_read_is_not_late(self):
+        """A request behind queued ones was answered 408 while they waited."""
+        await self.start(queued=2, head_s=0.01)
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, _ = await self.connect(request * 4 + b"GET / HTTP/1.1\r\n")
+        await asyncio.sleep(0.1)
+        (connection,) = self.server.connections
+        connection.check_time(self.server.read_clock())
+        self.assertEqual(self.rejected, [])
+        self.released.set()
+        self.assertEqual(await self.read_status(reader), 200)
--- a/tests/entry/test_quotaledger.py
+++ b/tests/entry/test_quotaledger.py
@@ -326,7 +326,7 @@
         for renewed_ms, is_gone in ((49_000, False), (20_000, True)):
             record = ownerrows.OwnerRecord("vm-2", renewed_ms=renewed_ms)
             self.store.rows[row] = (3, msgspec.json.encode(record))
-            owner.now += quotaledger.GONE_CHECK_S
+            owner.now += quotaledger.REMOVED_CHECK_S
             owner.read()
             await owner.examine()
             services = self.read_record().services
@@ -337,6 +337,25 @@
             await owner.examine()
         self.assertEqual(owner.start() + len(owner.running), 120)
 
+    async def test_a_new_owner_is_seen_while_removed_services_are_read(self):
+        """The former owner overwrote the entry of the new one."""
+        old, former = self.make_owner("old"), self.make_owner()
+        await self.claim(old, former)
+        former.wanted = 100
+        former.note_lack()
+        new = self.make_owner(fence=9)
+
+        async def read_row(*key):
+            await self.claim(new)
+            former.read()
+            return platform_store.Refused(503)
+
+        self.store.read_row = read_row
+        former.now += quotaledger.REMOVED_CHECK_S
+        await former.examine()
+        fences = [e.fence for e in self.read_record().services.values()]
+        self.assertIn(9, fences)
+
     async def test_an_outage_of_the_store_leaves_the_shares(self):
         owner = self.make_owner()
         await self.claim(owner)
--- a/tests/entry/test_tenants.py
+++ b/tests/entry/test_tenants.py
@@ -126,6 +126,11 @@
     def __init__(self):
         self.records = []
 
+    unknown_ids = ()
+
+    def may_be_stored(self, submission_id):
+        return submission_id in self.unknown_ids
+
     async def store(self, submission_id, record, deadline):
         self.records.append(record)
         return acceptance.AcceptanceResult(acceptance.Outcome.REPEATED)
@@ -244,6 +249,12 @@
         self.assertEqual(await self.call(api, "key-n2"), 200)
         self.assertEqual(await self.call(api, "key-s1"), 410)
 
+    async def test_no_refusal_while_a_write_has_no_answer(self):
+        """Guards against a 429 for a submission that is stored later."""
+        api = self.make_api()
+        self.accepted.unknown_ids = (ID,)
+        self.assertTrue(await api._may_be_stored(ID))
+
     async def test_no_key_is_logged(self):
         """Guards against keys that leak by logs or metrics."""
         api = self.make_api()
