Take the rate of writes after an outage from the settings

Cause: submissions held in an outage were stored at no more than 800 transactions a second of all VMs, a figure of one deployment; a store that takes 600 would have refused some of them, and the owners' writes with them. Change: two thirds of the rate in the settings (platform.writesPerS, 600 if left out). The former test keeps its check with the rate of a store of 1,200; reasons that named the machines of one deployment are reworded.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/quotashares.py
@@ -1,9 +1,9 @@
 """How the limit of a tenant is divided among the services.
 
-Covers a tenant at its limit whose load moves between two services of 126 and 50
-workers, each with an owner of its own. An owner can't ask the other one before
-each start. So the limit is divided into shares, one for each service, and an
-owner starts what its share allows.
+Covers a tenant at its limit whose load moves between two services, each with an
+owner of its own. An owner can't ask the other one before each start. So the
+limit is divided into shares, one for each service, and an owner starts what its
+share allows.
 
 An owner changes only the share of its own service. It raises it within what the
 sum of all shares leaves of the limit, and lowers it when another service lacks
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/acceptance.py
@@ -33,18 +33,17 @@
 # Submissions that may wait for each partition; further ones are refused.
 MAX_PENDING = 500
 # Most submissions, and bytes of their rows, that are held while the store is
-# away. Each keeps a connection, and VMs have 1,638 descriptors and 160 MB.
+# away. Each keeps a connection, and small VMs have few descriptors.
 MAX_HELD = 400
 MAX_HELD_BYTES = 8_000_000
 # Seconds after which it is checked again whether the store answers.
 HOLD_CHECK_S = 0.03
 # Seconds after which a queue without a token asks again during recovery.
 TOKEN_RETRY_S = 0.01
-# For this time after an outage all VMs together begin at most so many
-# transactions a second for submissions. The store takes 1,200 write calls a
-# second; the others are left to the owners.
+# For this time after an outage all VMs together use at most this share of the
+# store's rate of writes for submissions. The rest is left to the owners.
 RECOVERY_S = 3.0
-RECOVERY_WRITES_PER_S = 800
+RECOVERY_SHARE = 2 / 3
 # Most transactions that this VM begins at once then.
 RECOVERY_BURST = 4
 # Ids that may be stored although no answer said so, and how long they are kept.
@@ -150,7 +149,7 @@
         """
         self._node = node
         self._reach = reach
-        self._gate = _StoreGate(reach, count_vms)
+        self._gate = _StoreGate(node, reach, count_vms)
         self._queues = {
             partition: _PartitionQueue(node, partition, self._gate)
             for partition in persistence.list_partitions()
@@ -247,9 +246,11 @@
 
     def __init__(
         self,
+        node: context.Context,
         reach: connectivity.Connectivity | None,
         count_vms: Callable[[], int],
     ):
+        self._node = node
         self._reach = reach
         self._count_vms = count_vms
         self._was_closed = False
@@ -288,7 +289,8 @@
             self._waiting.clear()
             return True
         self._waiting[partition] = rank
-        rate = RECOVERY_WRITES_PER_S / max(1, self._count_vms())
+        writes_per_s = RECOVERY_SHARE * self._node.settings.store.writes_per_s
+        rate = writes_per_s / max(1, self._count_vms())
         self._tokens += rate * (now - self._tokens_at)
         self._tokens = min(RECOVERY_BURST, self._tokens)
         self._tokens_at = now
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from persimmonpath import httplimits
+from persimmonpath_entry.state import numbers
 
 DEFAULT_METRICS_PORT = 9464
 # The rows of owners and VMs need this much.
@@ -70,6 +71,7 @@
 class _Store(msgspec.Struct, rename="camel", frozen=True):
     address: str = ""
     row_bytes: int = 65536
+    writes_per_s: numbers.Amount = 600
 
 
 class _Machines(msgspec.Struct, rename="camel", frozen=True):
@@ -89,8 +91,9 @@
       bounds: time limits of the platform.
       limits: CPU, network bandwidth, memory and open files of the VM.
       http: limits for the clients of its HTTP ports.
-      store: address of the platform's store and the largest row that it
-        takes, in bytes; `platform` in the file.
+      store: address of the platform's store, the largest row that it takes,
+        in bytes, and the write calls that it takes in a second from all VMs
+        together; `platform` in the file.
       machines: address of the API for machines; `cloudApi` in the file.
       advice: address of the placement advisor, or empty.
       metrics_port: port on which metrics are served; deploy/system.toml names
--- a/tests/entry/test_outages.py
+++ b/tests/entry/test_outages.py
@@ -22,6 +22,8 @@
 LATENCY_S = 0.02
 ATTEMPTS = 5
 DEADLINE_MS = 3000
+# Write calls that the store takes in a second, from all of 40 VMs.
+STORE_WRITES_PER_S = 1200
 # The outage begins after some normal seconds under a peak load on one VM.
 OUTAGE_AT_S = 3.0
 OUTAGE_S = 6.0
@@ -427,6 +429,13 @@
             acceptor.store(f"{number:016x}", record, deadline)
         )
 
+    def set_rate(self, acceptor, writes_per_s):
+        """Sets the write calls that the store takes in a second."""
+        settings = acceptor._node.settings
+        settings.store = msgspec.structs.replace(
+            settings.store, writes_per_s=writes_per_s
+        )
+
     def test_one_tenant_doesn_t_take_the_room_of_the_others(self):
         async def main(acceptor, reach, store):
             flood = [
@@ -481,10 +490,26 @@
 
         self.play(main)
 
+    def test_the_rate_is_that_of_the_store_in_the_settings(self):
+        """A fixed rate was above all that a smaller store takes."""
+
+        async def main(acceptor, reach, store):
+            self.set_rate(acceptor, 60)
+            tasks = [self.hold(acceptor, n) for n in range(20)]
+            await asyncio.sleep(0.5)
+            reach.outage = None
+            await asyncio.sleep(0.5)
+            limit = acceptance.RECOVERY_BURST + 0.5 * 60 / 40 + 1
+            self.assertLessEqual(len(store.rows), limit)
+            await asyncio.gather(*tasks)
+
+        self.play(main)
+
     def test_the_most_urgent_are_stored_first_within_the_rate(self):
         """All VMs together would exceed the calls that the store takes."""
 
         async def main(acceptor, reach, store):
+            self.set_rate(acceptor, STORE_WRITES_PER_S)
             late = fakes.make_queue(priority=2)
             tasks = [self.hold(acceptor, n, queue=late) for n in range(20)]
             tasks += [self.hold(acceptor, 20 + n) for n in range(12)]
@@ -492,7 +517,8 @@
             reach.outage = None
             await asyncio.sleep(0.1)
             stored = {key[2] for key in store.rows}
-            limit = acceptance.RECOVERY_BURST + 0.1 * 800 / 40 + 1
+            rate = acceptance.RECOVERY_SHARE * STORE_WRITES_PER_S / 40
+            limit = acceptance.RECOVERY_BURST + 0.1 * rate + 1
             self.assertGreater(len(stored), 1)
             self.assertLessEqual(len(stored), limit)
             self.assertTrue(all(int(key, 16) >= 20 for key in stored))
