Connect the tenant's share to the wait, and reserve no retry slot in vain

The share of a tenant didn't enter the decision on a wait, as a hook for it was never set; a refused caller for whom no slot could be kept moved the slots of all later ones; "promise" is no term of the field; both soaks printed their result by the same lines. Change: FairShares.measure_use, a slot is reserved only if it is kept, retry slots, one report.

--- a/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/decisions/fairness.py
@@ -33,17 +33,17 @@
 MAX_LAG_S = 10.0
 # Seconds for which the ids of counted submissions are remembered: longer than
 # it takes to store an admitted one and to read its row.
-MEMORY_S = 60.0
-# Part of the agreed rate at which refused callers may come back. They take no
-# tokens: new submissions, which are owed, would be beyond the rate instead.
-PROMISED_SHARE = 0.25
+COUNTED_ID_TTL_S = 60.0
+# Part of the agreed rate that is reserved for retries of refused submissions.
+# Retries take no tokens, so that they don't put new submissions over the rate.
+RETRY_SLOT_SHARE = 0.25
 # Shortest time after which one may come back, in seconds: most of a peak is
 # over then. Sooner, it takes the place of new work of its own tenant.
-MIN_PROMISE_S = 5.0
-# Longest time for which a promise is given, in seconds.
-MAX_PROMISE_S = 30.0
-# Most promises that are kept; a caller without one is judged anew.
-MAX_PROMISES = 4096
+MIN_RETRY_S = 5.0
+# Latest time ahead for which a retry slot is reserved, in seconds.
+MAX_RETRY_S = 30.0
+# Most retry slots that are kept; a caller without one is judged anew.
+MAX_RETRY_SLOTS = 4096
 # Seconds for which a tenant counts as above its rate after a submission beyond
 # it. Other VMs learn of it within two seconds.
 EXCEEDING_S = 3.0
@@ -86,12 +86,12 @@
 
     Attributes:
       full_at: when the bucket is full again, in seconds.
-      promised_until: when the next promised submission is due at the earliest.
+      slots_until: when the next retry slot is due at the earliest.
       exceeded_at: when a submission was last beyond the rate.
     """
 
     full_at: float = 0.0
-    promised_until: float = 0.0
+    slots_until: float = 0.0
     exceeded_at: float = float("-inf")
 
     def is_empty(self, rate: float, at: float) -> bool:
@@ -107,15 +107,18 @@
         """Takes a token at a time."""
         self.full_at = max(self.full_at, at) + 1 / rate
 
-    def promise(self, rate: float, at: float) -> float:
-        """Returns when a submission that is refused at a time may come back.
+    def reserve_retry_slot(self, rate: float, at: float) -> float:
+        """Reserves a slot for the retry of a refused submission.
 
-        After MAX_PROMISE_S nothing is promised.
+        A slot that would be due after more than MAX_RETRY_S isn't reserved.
+
+        Returns:
+          When the slot is due.
         """
         refilled_at = self.full_at - _choose_tolerance(rate)
-        due = max(self.promised_until, refilled_at, at + MIN_PROMISE_S)
-        if due - at <= MAX_PROMISE_S:
-            self.promised_until = due + 1 / (rate * PROMISED_SHARE)
+        due = max(self.slots_until, refilled_at, at + MIN_RETRY_S)
+        if due - at <= MAX_RETRY_S:
+            self.slots_until = due + 1 / (rate * RETRY_SLOT_SHARE)
         return due
 
 
@@ -155,7 +158,7 @@
         # Ids of counted submissions, and when they were accepted.
         self._counted: dict[str, float] = {}
         self._excess: set[str] = set()
-        self._promises: dict[str, float] = {}
+        self._retry_slots: dict[str, float] = {}
 
     def record(
         self, submission_id: str, tenant: str, at: float, is_own: bool = True
@@ -187,8 +190,8 @@
     def admit(self, submission_id: str, tenant: str, at: float) -> float:
         """Returns after how many seconds a new submission is inside the rate.
 
-        At 0 it is counted. A refused submission gets a place of its own, at
-        which it is inside the rate if it comes back.
+        At 0 it is counted. A refused submission gets a retry slot, from which
+        on it is inside the rate.
 
         Args:
           submission_id: its id.
@@ -200,7 +203,7 @@
         if rate is None or submission_id in self._counted:
             return 0.0
         bucket = self._buckets.setdefault(tenant, _Bucket())
-        if self._keeps_promise(submission_id, at):
+        if self._use_retry_slot(submission_id, at):
             self._remember(submission_id, at)
             return 0.0
         if not bucket.is_empty(rate, at):
@@ -208,19 +211,26 @@
             self._remember(submission_id, at)
             return 0.0
         bucket.exceeded_at = max(bucket.exceeded_at, at)
-        promised_at = self._promises.get(submission_id)
-        if promised_at is None:
-            promised_at = bucket.promise(rate, at)
-            if promised_at - at <= MAX_PROMISE_S:
-                self._make_promise(submission_id, promised_at)
-        return promised_at - at
-
-    def _keeps_promise(self, submission_id: str, at: float) -> bool:
-        """Returns whether a submission may come back at a time, or later."""
-        promised_at = self._promises.get(submission_id)
-        if promised_at is None or promised_at > at:
+        retry_at = self._retry_slots.get(submission_id)
+        if retry_at is None:
+            _drop_oldest(self._retry_slots, at - COUNTED_ID_TTL_S)
+            if len(self._retry_slots) >= MAX_RETRY_SLOTS:
+                return MAX_RETRY_S
+            retry_at = bucket.reserve_retry_slot(rate, at)
+            if retry_at - at <= MAX_RETRY_S:
+                self._retry_slots[submission_id] = retry_at
+        return retry_at - at
+
+    def _use_retry_slot(self, submission_id: str, at: float) -> bool:
+        """Uses the retry slot of a submission, if it is due.
+
+        Returns:
+          Whether there was one.
+        """
+        retry_at = self._retry_slots.get(submission_id)
+        if retry_at is None or retry_at > at:
             return False
-        del self._promises[submission_id]
+        del self._retry_slots[submission_id]
         return True
 
     def list_exceeding(self, now: float) -> list[str]:
@@ -246,7 +256,7 @@
         if rate is None or arrival.submission_id in self._counted:
             return
         self._remember(arrival.submission_id, arrival.at)
-        if self._keeps_promise(arrival.submission_id, arrival.at):
+        if self._use_retry_slot(arrival.submission_id, arrival.at):
             return
         bucket = self._buckets.setdefault(arrival.tenant, _Bucket())
         if not bucket.is_empty(rate, arrival.at):
@@ -258,12 +268,7 @@
 
     def _remember(self, submission_id: str, at: float):
         self._counted[submission_id] = at
-        _drop_oldest(self._counted, at - MEMORY_S)
-
-    def _make_promise(self, submission_id: str, due: float):
-        _drop_oldest(self._promises, due - MAX_PROMISE_S - MEMORY_S)
-        if len(self._promises) < MAX_PROMISES:
-            self._promises[submission_id] = due
+        _drop_oldest(self._counted, at - COUNTED_ID_TTL_S)
 
 
 def _drop_oldest(times: dict[str, float], limit: float):
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/fairshares.py
@@ -7,6 +7,7 @@
 from persimmonpath_entry.decisions import fairness
 from persimmonpath_entry.decisions import ordering
 from persimmonpath_entry.decisions import tenantwaits
+from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import execution
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
@@ -24,6 +25,10 @@
 MAX_TURN_TASKS = 60
 # Seconds between two sums of the capacity of all workers.
 CAPACITY_INTERVAL_S = 0.5
+# Bounds of a tenant's use relative to its fair share. A tenant that has nothing
+# yet still values a faster place, and one that has much doesn't wait for long.
+MIN_USE = 0.5
+MAX_USE = 2.0
 
 
 class TenantLabels:
@@ -69,6 +74,9 @@
         self._capacity_at = float("-inf")
         self._logged_at = float("-inf")
         self._labels = TenantLabels()
+        # The sum of the weights of all tenants, of this configuration.
+        self._total_weight = 0.0
+        self._weighed_configuration: configuration.Configuration | None = None
         self.waits: tenantwaits.TenantWaits | None = None
 
     @property
@@ -203,6 +211,26 @@
             self._measured[tenant] = measured
         return measured
 
+    def measure_use(self, tenant: str) -> float:
+        """Returns what a tenant has, divided by its fair share.
+
+        The fair share is its part of the weights of all tenants.
+
+        Returns:
+          A number from MIN_USE to MAX_USE; 1 without tenants.
+        """
+        if not self.is_enabled:
+            return 1.0
+        use = self.measure(tenant) * self._sum_weights()
+        return min(MAX_USE, max(MIN_USE, use))
+
+    def _sum_weights(self) -> float:
+        current = self._node.configuration
+        if current is not self._weighed_configuration:
+            self._weighed_configuration = current
+            self._total_weight = sum(map(self.find_weight, current.tenants))
+        return self._total_weight
+
     def measure_task(self, spec: submissions.StepSpec) -> float:
         """Returns the dominant share of a task."""
         return self._shares.measure_task(spec)
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/stepranking.py
@@ -1,7 +1,5 @@
 """Ranks the waiting steps of a shard."""
 
-from collections.abc import Callable
-
 from persimmonpath_entry.decisions import fairness
 from persimmonpath_entry.decisions import headroom
 from persimmonpath_entry.decisions import ordering
@@ -17,17 +15,11 @@
 
 
 class StepRanking(stepplanner.Outlook):
-    """Ranks steps by the configuration of their queues and by the plan.
-
-    Attributes:
-      measure_share: returns what the tenant of a step uses divided by its
-        share; None without tenants.
-    """
+    """Ranks steps by the configuration of their queues and by the plan."""
 
     def __init__(self, shard: shards.Shard, planner: stepplanner.StepPlanner):
         self._shard = shard
         self._planner = planner
-        self.measure_share: Callable[[execution.Step], float] | None = None
 
     def rank(
         self, step: execution.Step, now: float
@@ -98,7 +90,7 @@
             spec.count >= LARGE_STEP_TASKS
             and waiting <= speeds.LAST_TASKS_SHARE * spec.count,
             self._shard.node.settings.bounds.far_x,
-            1.0 if self.measure_share is None else self.measure_share(step),
+            self._shard.fair_shares.measure_use(step.submission.record.tenant),
         )
 
     def predict_remaining_s(self, run: execution.Run, now: float) -> float:
--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -544,17 +544,22 @@
 
         kind = variedsoak.VariedSoak
     soak = run_soak(options.seed, options.seconds, folder, kind=kind)
-    for violation in soak.checker.violations[:20]:
+    return report("process-soak", options.seed, soak, folder)
+
+
+def report(name, seed, soak, folder):
+    """Prints what a soak has found; returns the exit status."""
+    violations = soak.checker.violations
+    for violation in violations[:20]:
         print(f"violation {violation}")
-    if soak.checker.violations:
+    if violations:
         print("\n".join(soak.events))
         print(f"logs {folder}")
     print(
-        f"process-soak: seed={options.seed} "
-        f"requests={len(soak.checker.submissions)} faults={len(soak.events)} "
-        f"violations={len(soak.checker.violations)}"
+        f"{name}: seed={seed} requests={len(soak.checker.submissions)} "
+        f"faults={len(soak.events)} violations={len(violations)}"
     )
-    return 1 if soak.checker.violations else 0
+    return 1 if violations else 0
 
 
 if __name__ == "__main__":
--- a/tests/entry/tenantsoak.py
+++ b/tests/entry/tenantsoak.py
@@ -201,16 +201,9 @@
     folder = tempfile.mkdtemp(prefix="persimmon-soak-")
     kind = QuietTenantSoak if options.quiet else TenantSoak
     run = soak.run_soak(options.seed, options.seconds, folder, kind=kind)
-    for violation in run.checker.violations[:20]:
-        print(f"violation {violation}")
     print(f"peaks {json.dumps(run.checker.peaks)}")
     print(f"starts {run.checker.tenant_starts}")
-    print(
-        f"tenant-soak: seed={options.seed} accepted={len(run.accepted)} "
-        f"faults={len(run.events)} "
-        f"violations={len(run.checker.violations)} logs={folder}"
-    )
-    return 1 if run.checker.violations else 0
+    return soak.report("tenant-soak", options.seed, run, folder)
 
 
 if __name__ == "__main__":
--- a/tests/entry/test_fairness.py
+++ b/tests/entry/test_fairness.py
@@ -110,7 +110,7 @@
             delay_s = self.rates.admit(submission_id, "t", at)
             if submission_id in {i for _, i in returns}:
                 self.assertEqual(delay_s, 0.0)
-            elif 0 < delay_s < fairness.MAX_PROMISE_S:
+            elif 0 < delay_s < fairness.MAX_RETRY_S:
                 returns.append((at + delay_s, submission_id))
                 # Retry-After is in whole seconds.
                 heapq.heappush(calls, (at + delay_s + 0.3, submission_id))
@@ -119,6 +119,18 @@
         gaps = [b - a for a, b in zip(moments, moments[1:], strict=False)]
         self.assertGreaterEqual(min(gaps), 1 / 2.0)
 
+    def test_a_refused_caller_without_a_slot_delays_no_other(self):
+        """Each one moved the slots of later callers, and got none itself."""
+        with mock.patch.object(fairness, "MAX_RETRY_SLOTS", 1):
+            for n in range(12):
+                self.rates.admit(f"{n:016x}", "t", 100.0)
+        late = self.rates.admit("f" * 16, "t", 100.0)
+        with mock.patch.object(fairness, "MAX_RETRY_SLOTS", 1):
+            for n in range(20, 30):
+                self.rates.admit(f"{n:016x}", "t", 100.0)
+        after = self.rates.admit("e" * 16, "t", 100.0)
+        self.assertAlmostEqual(after - late, 1 / (2.0 * 0.25))
+
     def test_an_admitted_submission_is_counted_once(self):
         """Its row is read after its admission and takes no second token."""
         ids = []
@@ -678,6 +690,16 @@
         victims = self.preempt(self.submit("b"))
         self.assertEqual(len(victims), 1)
 
+    async def test_the_use_relative_to_the_fair_share(self):
+        """Guards against waits for faster places that ignore the shares."""
+        shares = self.shard.fair_shares
+        self.run_all(self.submit("a"))
+        shares.begin_plan([self.worker], clock.read_clock())
+        self.assertEqual(shares.measure_use("a"), fairshares.MAX_USE)
+        self.assertEqual(shares.measure_use("b"), fairshares.MIN_USE)
+        self.node.configuration.tenants = {}
+        self.assertEqual(shares.measure_use("a"), 1.0)
+
     async def test_a_run_that_ends_soon_isn_t_preempted_for_a_share(self):
         """Its restart costs more than the wait for its end."""
         self.preemptor = preemptor.Preemptor(self.shard)
