Limit what the kernel holds for a client's connection

What callers saw: a process within its budget of bytes was over its VM's memory, as what is received and not read yet counts as memory of the process.

Cause: the budget counts what the process has read. The kernel's buffers of a connection grow up to 4 MB each way, where the process doesn't read on (queued requests, no turn yet) or the client doesn't read.

Change: the listening sockets have buffers of a fixed size, which accepted connections inherit (`http.socketBufferBytes`, 16384, doubled by Linux).

--- a/packages/persimmonpath/persimmonpath/httplimits.py
+++ b/packages/persimmonpath/persimmonpath/httplimits.py
@@ -44,6 +44,9 @@
       address_connections: most connections of a client address, 0 for no limit
         of its own.
       budget_bytes: what all that is received may occupy.
+      socket_bytes: receive buffer and send buffer that the kernel keeps for a
+        connection, of which Linux doubles each. They count as memory of the
+        process and aren't part of `budget_bytes`.
     """
 
     head_bytes: int = 32768
@@ -58,6 +61,7 @@
     connections: int = 10_000
     address_connections: int = 0
     budget_bytes: int = 64 << 20
+    socket_bytes: int = 16384
 
 
 def derive_limits(
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/settings.py
@@ -66,6 +66,7 @@
     max_connections: int = 0
     max_connections_per_address: int = 0
     budget_bytes: int = 0
+    socket_buffer_bytes: int = _HTTP.socket_bytes
 
 
 class _Store(msgspec.Struct, rename="camel", frozen=True):
@@ -200,6 +201,7 @@
         connections=http.max_connections,
         address_connections=http.max_connections_per_address,
         budget_bytes=http.budget_bytes,
+        socket_bytes=http.socket_buffer_bytes,
     )
     return httplimits.derive_limits(
         base, port, settings.limits.memory_mb, settings.limits.max_fds
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -758,6 +758,12 @@
         self._loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.create_server((host, port), family=family)
+        # Accepted connections inherit these sizes; without them the kernel
+        # holds up to some MB for each of those that aren't read.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(
+                socket.SOL_SOCKET, option, self.limits.socket_bytes
+            )
         # asyncio accepts as many connections at once as its backlog says.
         self._listener = await self._loop.create_server(
             lambda: _ServerConnection(self), sock=listener, backlog=ACCEPT_BATCH
--- a/tests/entry/test_untrustedclients.py
+++ b/tests/entry/test_untrustedclients.py
@@ -72,9 +72,11 @@
 
     Attributes:
       descriptors: most open descriptors of the process, set with `maxFds`.
+      settings: what is added to the settings file.
     """
 
     descriptors = 300
+    settings = SETTINGS
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -100,7 +102,7 @@
         )
         self.addCleanup(self.vm.log.close)
         with open(self.vm.settings, "a") as settings:
-            settings.write(SETTINGS.format(descriptors=self.descriptors))
+            settings.write(self.settings.format(descriptors=self.descriptors))
         self.vm.start()
         self.addCleanup(self.vm.process.wait)
         self.addCleanup(self.vm.process.kill)
