Count the target of a request in the budget of bytes

What callers saw: requests with long targets used more memory than the budget allows: up to 16 kB each, 16 of them queued on a connection.

Cause: the size of a request was that of its header lines and its body; while its body was incomplete, so was what the budget counted for it.

Change: both sizes include the target.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -340,7 +340,8 @@
         if self._rejection is not None:
             self._reject(*self._rejection)
             return
-        held = max(self._head_bytes, self._raw_bytes, 1) + len(self._body)
+        head = max(self._head_bytes + len(self._target), self._raw_bytes, 1)
+        held = head + len(self._body)
         self._budget.used += held - self._held
         self._held = held
         if self not in self._server.receiving:
@@ -482,7 +483,8 @@
         if not self._parser.should_keep_alive():
             request.headers["connection"] = "close"
             self._is_discarding = True
-        size = self._head_bytes + len(self._body) + httplimits.REQUEST_BYTES
+        size = self._head_bytes + len(self._target) + len(self._body)
+        size += httplimits.REQUEST_BYTES
         self._stage = NONE
         budget = self._budget
         if self._held:
--- a/tests/entry/test_httplimits.py
+++ b/tests/entry/test_httplimits.py
@@ -130,6 +130,16 @@
             self.assertEqual(await self.read_status(reader), 200)
         self.assertEqual(self.server.budget.is_exceeded, False)
 
+    async def test_the_target_of_a_request_counts(self):
+        """Long targets, complete or not, used more than the budget."""
+        await self.start()
+        target = b"/" + b"a" * 16_000
+        await self.connect(POST.replace(b"/", target, 1) + b"a")
+        used = self.server.budget.used
+        self.assertGreater(used, 16_000)
+        await self.connect(GET.replace(b"/", target, 1))
+        self.assertGreater(self.server.budget.used - used, 16_000)
+
     async def test_a_new_connection_replaces_the_one_idle_longest(self):
         await self.start(connections=2)
         self.released.set()
