Keep the body that is received in pieces

What callers saw: a crowd of incomplete bodies used three times the budget of its port.

Cause: the body was one buffer that grew. Each step copied it to a larger place and left a hole in the heap, and the memory of closed connections was not returned.

Change: received parts of up to 4 kB are kept and joined once the body is complete; tiny chunks are appended to the last piece.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -42,6 +42,8 @@
 RECEIVE_BYTES = 65536
 # What is parsed at once, so that few requests are queued beyond the limit.
 SLICE_BYTES = 4096
+# Largest piece of a body to which further bytes are appended.
+PIECE_BYTES = 4096
 # What a header line has beside its name and its value, at least.
 LINE_BYTES = 3
 # Most bytes between two requests: empty lines, which clients needn't send.
@@ -205,7 +207,10 @@
         self._headers: dict[str, str] = {}
         # The fields of the head, while those of a trailer may follow.
         self._kept: dict[str, str] | None = None
-        self._body: bytes | bytearray = b""
+        # Pieces of the body and their bytes. One buffer that grows would leave
+        # holes in the heap, which occupied some times the budget.
+        self._body: list[bytes | bytearray] = []
+        self._body_bytes = 0
         # Bytes of the head by complete lines, and all received in this stage.
         self._head_bytes = 0
         self._raw_bytes = 0
@@ -345,7 +350,7 @@
             self._reject(*self._rejection)
             return
         head = max(self._head_bytes + len(self._target), self._raw_bytes, 1)
-        held = head + len(self._body)
+        held = head + self._body_bytes
         self._budget.used += held - self._held
         self._held = held
         if self not in self._server.receiving:
@@ -459,13 +464,15 @@
 
     def on_body(self, body: bytes):
         self._has_advanced = True
-        if not self._body:
-            self._body = body
+        pieces = self._body
+        if pieces and len(pieces[-1]) + len(body) <= PIECE_BYTES:
+            if type(pieces[-1]) is bytes:
+                pieces[-1] = bytearray(pieces[-1])
+            pieces[-1] += body
         else:
-            if type(self._body) is bytes:
-                self._body = bytearray(self._body)
-            self._body += body
-        if len(self._body) > self._limits.body_bytes:
+            pieces.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
             self._stop_parser(413, "body")
 
     def on_message_complete(self):
@@ -488,12 +495,12 @@
             self._method.decode("latin-1"),
             self._target.decode("latin-1"),
             self._headers,
-            bytes(self._body),
+            b"".join(self._body),
         )
         if not self._parser.should_keep_alive():
             request.headers["connection"] = "close"
             self._is_discarding = True
-        size = self._head_bytes + len(self._target) + len(self._body)
+        size = self._head_bytes + len(self._target) + self._body_bytes
         size += httplimits.REQUEST_BYTES
         self._stage = NONE
         budget = self._budget
