Cut off long values in log lines

What callers saw: nothing, but 26 MB more were resident: requests whose paths are as long as the limit allows, answered 404, fill the buffer of the log while the reader of standard output stalls or is slow.

Cause: 2,000 lines are buffered, whatever their length, and a line contains the path.

Evidence: one entry VM of whose output isn't read, 3,600 requests with a path of 16,000 bytes: resident memory 28 to 54 MB.

Change: the value of a field is cut off after 400 characters.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/logs.py
@@ -22,6 +22,10 @@
 # Leading hexadecimal digits of an id that decide whether it is sampled.
 ID_DIGITS = 4
 FLUSH_S = 0.2
+# Longest value of a field; the rest is cut off. Paths are as long as their
+# callers like.
+VALUE_CHARS = 400
+CUT_MARK = "..."
 STDOUT = 1
 
 
@@ -29,6 +33,8 @@
     if isinstance(value, float):
         return f"{value:.3f}"
     text = str(value)
+    if len(text) > VALUE_CHARS:
+        text = text[:VALUE_CHARS] + CUT_MARK
     if text and not any(c in text for c in ' "=\n'):
         return text
     return '"' + text.replace('"', "'").replace("\n", " ") + '"'
--- a/tests/entry/test_logs.py
+++ b/tests/entry/test_logs.py
@@ -43,6 +43,17 @@
         truncated = [line for line in lines if not line.startswith("t=")]
         self.assertEqual(truncated, [])
 
+    def test_long_values_hold_little_memory(self):
+        """Paths of 16 kB in buffered lines held 33 MB of a VM's memory."""
+        for _ in range(40):
+            self.log._second_started = 0.0
+            for _ in range(400):
+                self.log.write("request_unrouted", path="/a" * 8000)
+            self.log.flush()
+        held = sum(len(line) for line in self.log._lines)
+        self.assertLess(held, 4 << 20)
+        self.assertGreater(held, 0)
+
     def test_dropped_lines_are_counted_by_event(self):
         for _ in range(logs.BUDGET_PER_S + 7):
             self.log.write("peak")
