Limit what the kernel holds for a client of the daemon

What callers saw: beside a crowd the daemon and the kernel's buffers for it exceeded the memory of a small VM.

Cause: 64 connections are read at a time. For each of the others the kernel holds what its client sends, up to some MB.

Change: the listening socket has buffers of a fixed size (16 kB, doubled by Linux), which accepted connections inherit, as those of the entry VM.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -207,6 +207,17 @@
             self._logged_at[status] = now
             events.log_warning("client_rejected", status=status)
 
+    def prepare(self):
+        """Binds the address and limits what the kernel holds for clients.
+
+        Accepted connections inherit the sizes of the buffers.
+        """
+        super().prepare()
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, option, self.limits.socket_bytes
+            )
+
     def process_conn(self, conn):
         """Passes a connection to a thread once there is something to read.
 
--- a/tests/test_untrusteddaemon.py
+++ b/tests/test_untrusteddaemon.py
@@ -15,15 +15,20 @@
 
 from scripts import processes
 from tests.entry import crowd
+from tests.entry import memory
 from tests.entry import soak
 
+# The memory of the smallest VM in MB.
+MEMORY_MB = 160
 # Descriptors of the daemon, most of them for clients' connections in a crowd.
 DESCRIPTORS = 400
 # Half of them may be connections of clients; 100 are left for the store, peers
 # and workers.
 MOST_OPEN = 300
 IDLE_CLIENTS = 700
+CROWD_CLIENTS = 60
 CROWD_S = 10.0
+SAMPLE_S = 0.1
 ANSWER_S = 30.0
 SHAPE = processes.Shape(("zone-a",), 1, 1, 1, spans=False)
 ENTRY = "zone-a-entry-0"
@@ -94,6 +99,25 @@
         self.assertEqual(status, 200)
 
 
+class CrowdMemoryTest(DaemonTestCase):
+    """Bodies and kernel buffers exceeded the memory of a small VM."""
+
+    def test_clients_of_all_kinds(self):
+        port = int(self.address.rpartition(":")[2])
+        process = self.start_crowd(
+            *("--clients", str(CROWD_CLIENTS), "--seconds", str(CROWD_S))
+        )
+        peak_mb = 0.0
+        while process.poll() is None:
+            resident_mb = memory.read_resident_mb(self.process.pid)
+            unread_mb = memory.measure_unread_mb({port})
+            peak_mb = max(peak_mb, resident_mb + unread_mb)
+            time.sleep(SAMPLE_S)
+        self.assertEqual(process.returncode, 0)
+        self.assertLess(peak_mb, MEMORY_MB)
+        self.check_served()
+
+
 class IdleConnectionTest(DaemonTestCase):
     """Connections without a call used up the descriptors.
 
