Lower the daemon's default budget for bodies

What callers saw: nothing; two thirds of what a small VM has beside the daemon were for bodies that stop just short of their end.

Cause: the default of `clients.body_budget_bytes` was 64 MB, the daemon itself uses 67 MB, and the smallest VMs have 160 MB.

Evidence: 840 clients of all kinds, 150 MB with the kernel's buffers limited.

Change: 16 MB, which suffices for a body of 256 kB, the largest agreed one, on each of the 64 threads.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -95,9 +95,10 @@
     waiting: Annotated[int, pydantic.Field(ge=16, le=65536)] = 512
     """Connections with a call that wait for a thread; more get 503."""
 
-    body_budget_bytes: Annotated[int, pydantic.Field(ge=4 << 20)] = 64 << 20
+    body_budget_bytes: Annotated[int, pydantic.Field(ge=4 << 20)] = 16 << 20
     """Bytes that the bodies of all calls may occupy; a call beyond it is
-    rejected with 503."""
+    rejected with 503. The default suffices for a body of 256 kB on each of 64
+    threads."""
 
 
 class LogSettings(_Model):
