Limit the values in a body that the daemon parses

What callers saw: one call with a body of 1 MB, a quarter of the limit, raised the daemon's resident memory to 675 MB.

Cause: a list of half a million faulty values is parsed into as many objects, and each fault was described in full before the first 50 were taken. Unknown fields, lists in lists: the same.

Change: bodies of more than 200,000 JSON values are answered 413 unparsed, and more than 1,000 faults aren't described one by one. An inventory of 10,000 workers with all fields has 130,000 values; a test sends one.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -19,6 +19,13 @@
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
 
+# Most values in a body, which occupies up to 100 times its bytes once it is
+# parsed. An inventory of the largest size has 130,000.
+MAX_VALUES = 200_000
+# Most faults that are described; each takes about a kilobyte until then.
+MAX_FAULTS = 1000
+_VALUE_STARTS = (b",", b"[", b"{")
+
 OUTCOME_STATUS = {"done": 200, "failed": 200, "not_run": 503, "unknown": 503}
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
@@ -121,8 +128,16 @@
 
     Raises:
         CallError: If it is not valid. It describes the first fault and, if
-            there are several, lists all of them.
+            there are several, lists them.
     """
+    if sum(map(body.count, _VALUE_STARTS)) > MAX_VALUES:
+        raise CallError(
+            413,
+            "too_large",
+            "body",
+            "too many values",
+            f"at most {MAX_VALUES} values",
+        )
     try:
         return model.model_validate_json(body)
     except pydantic.ValidationError as error:
@@ -133,6 +148,9 @@
     error: pydantic.ValidationError, model: type[pydantic.BaseModel]
 ) -> CallError:
     """Returns the error reply for a body that is not valid."""
+    count = error.error_count()
+    if count > MAX_FAULTS:
+        return CallError(400, "bad_form", "body", f"{count} faults")
     faults = validation.list_field_errors(error, model)
     first = faults[0]
     extra = {}
--- a/tests/entry/memory.py
+++ b/tests/entry/memory.py
@@ -14,6 +14,15 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / MB
 
 
+def read_peak_mb(pid):
+    """Returns the highest resident memory of a process so far."""
+    with open(f"/proc/{pid}/status") as status:
+        for line in status:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1024
+    raise ValueError(f"process {pid}: no VmHWM")
+
+
 def measure_unread_mb(ports):
     """Returns what the kernel holds for the connections of local ports."""
     size = 0
--- a/tests/entry/test_untrustedclients.py
+++ b/tests/entry/test_untrustedclients.py
@@ -15,6 +15,7 @@
 import time
 import unittest
 
+from tests.entry import memory
 from tests.entry import soak
 from tests.entry import standins
 
@@ -163,12 +164,7 @@
 
     def read_peak_mb(self):
         """Returns the highest resident memory of the process so far."""
-        path = f"/proc/{self.vm.process.pid}/status"
-        with open(path) as status:
-            for line in status:
-                if line.startswith("VmHWM:"):
-                    return int(line.split()[1]) / 1024
-        raise ValueError(f"{path}: no VmHWM")
+        return memory.read_peak_mb(self.vm.process.pid)
 
     def count_descriptors(self):
         """Returns the number of open descriptors of the process."""
--- a/tests/test_untrusteddaemon.py
+++ b/tests/test_untrusteddaemon.py
@@ -4,6 +4,7 @@
 been received and isn't read yet counts as memory of the process.
 """
 
+import json
 import os
 import subprocess
 import sys
@@ -13,6 +14,7 @@
 
 import urllib3
 
+from persimmonpath import inventory
 from scripts import processes
 from tests.entry import crowd
 from tests.entry import memory
@@ -26,6 +28,7 @@
 # and workers.
 MOST_OPEN = 300
 IDLE_CLIENTS = 700
+BODY_BYTES = 1_000_000
 CROWD_CLIENTS = 60
 CROWD_S = 10.0
 SAMPLE_S = 0.1
@@ -118,6 +121,61 @@
         self.check_served()
 
 
+class JsonBodyTest(DaemonTestCase):
+    """One body of legal size took half a gigabyte once it was parsed."""
+
+    def check_rejected(self, body):
+        """Checks that a body is rejected within the memory of the VM."""
+        reply = urllib3.request(
+            "POST",
+            f"http://{self.address}/v1/config",
+            body=body,
+            retries=False,
+            timeout=ANSWER_S,
+        )
+        self.assertIn(reply.status, (400, 413), reply.data[:200])
+        self.assertLess(memory.read_peak_mb(self.process.pid), MEMORY_MB)
+
+    def test_bodies_of_many_values(self):
+        half = BODY_BYTES // 2
+        zones = b"0," * half + b"0"
+        self.check_rejected(b'{"inventory":{"zones":[' + zones + b"]}}")
+        fields = (b'"%x":0,' % number for number in range(BODY_BYTES // 9))
+        self.check_rejected(b"{" + b"".join(fields) + b'"a":0}')
+        self.check_rejected(b'{"inventory":[' + b"[]," * half + b"0]}")
+        self.check_served()
+
+    def test_a_large_inventory(self):
+        """An inventory of the largest size is parsed and judged as before."""
+        workers = [
+            {
+                "name": f"worker-{number}",
+                "zone": "zone-a",
+                "rack": f"rack-{number % 500}",
+                "shard": 0,
+                "host": "127.0.0.1",
+                "port": 9000,
+                "cpu_millis": 16000,
+                "memory_mib": 32768,
+                "accelerators": 0,
+                "slots": 8,
+                "connections": 64,
+                "draining": False,
+            }
+            for number in range(inventory.MAX_WORKERS)
+        ]
+        content = {"zones": [{"name": "zone-a"}], "workers": workers}
+        body = json.dumps({"based_on": 10**9, "inventory": content})
+        reply = urllib3.request(
+            "POST",
+            f"http://{self.address}/v1/config",
+            body=body.encode(),
+            retries=False,
+            timeout=ANSWER_S,
+        )
+        self.assertEqual(reply.status, 409, reply.data[:200])
+
+
 class IdleConnectionTest(DaemonTestCase):
     """Connections without a call used up the descriptors.
 
