Split the HTTP server by its jobs

Parsing has a class of its own now, which knows neither the connection nor the budget and raises a typed error for a request that it rejects; before, the connection was its own set of parser callbacks.

What handlers use, `httpserver.Request` and `Response`, stays where it is. Tests that name a connection's class or the bytes of a part name the new modules.

--- a/tests/entry/test_httpfairness.py
+++ b/tests/entry/test_httpfairness.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from persimmonpath import httplimits
+from persimmonpath_entry.transport import httpconnection
 from persimmonpath_entry.transport import httpserver
 from tests.entry import crowd
 from tests.entry import soak
@@ -52,7 +53,7 @@
 
     def count_reads(self):
         """Counts what the connections of the server read from now on."""
-        connection = httpserver._ServerConnection
+        connection = httpconnection.ServerConnection
         update = connection.buffer_updated
 
         def count_and_update(self_, nbytes):
--- a/tests/entry/test_httplimits.py
+++ b/tests/entry/test_httplimits.py
@@ -8,6 +8,7 @@
 
 from persimmonpath import httplimits
 from persimmonpath_entry.platform import settings as platform_settings
+from persimmonpath_entry.transport import httpconnection
 from persimmonpath_entry.transport import httpserver
 
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -171,7 +172,7 @@
         (connection,) = self.server.connections
         held = len(connection._queue)
         # What one slice of the received data holds, at most.
-        most = httpserver.SLICE_BYTES // len(GET) + 4
+        most = httpconnection.PART_BYTES // len(GET) + 4
         self.assertLessEqual(held, most)
         self.released.set()
         writer.write_eof()
