--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpserver.py
@@ -20,7 +20,7 @@
 LISTEN_BACKLOG = 512
 # Most connections accepted at once. Three times as many are open before those
 # beyond the limit are closed.
-ACCEPT_BATCH = 8
+ACCEPT_BATCH = 4
 # Largest read from a connection.
 RECEIVE_BYTES = 65536
 # Most connections with an incomplete request that are read in one pass of the
