Limit the connections of the daemon's peer address

What callers saw: no answer while a crowd of idle clients kept connections to the address for other entry VMs open.

Cause: gRPC accepts connections without limit and waits two minutes for the first bytes of each. They used up the descriptors, and the callers' address couldn't accept any more.

Change: `peer_connections`, 256 and at most an eighth of the descriptors, and 5 s for the first bytes.

Result: the test passes; at most 300 of the 400 descriptors are open.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/grpcpeers.py
@@ -29,6 +29,10 @@
 ANSWER_MARGIN_S = 0.2
 ANSWER_MARGIN_SHARE = 0.1
 MAX_MESSAGE_BYTES = 8 << 20
+# Time in which a new connection has to turn out to be one of gRPC.
+HANDSHAKE_TIMEOUT_MS = 5000
+# Connections accepted where the caller sets no other number.
+MAX_CONNECTIONS = 256
 
 _OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -395,7 +399,10 @@
 
 
 def create_server(
-    servicer: peers_pb2_grpc.PeerServicer, address: str, threads: int
+    servicer: peers_pb2_grpc.PeerServicer,
+    address: str,
+    threads: int,
+    connections: int = MAX_CONNECTIONS,
 ) -> grpc.Server:
     """Returns a gRPC server that is bound to its address but not started.
 
@@ -404,13 +411,18 @@
         address: `IP:port` to listen on.
         threads: Number of calls served concurrently; four times as many are
             accepted.
+        connections: Most connections; further ones are closed at once.
 
     Raises:
         errors.InputError: If the address cannot be listened on.
     """
     server = grpc.server(
         futures.ThreadPoolExecutor(threads, thread_name_prefix="peer"),
-        options=_OPTIONS,
+        options=[
+            *_OPTIONS,
+            ("grpc.max_allowed_incoming_connections", connections),
+            ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+        ],
         maximum_concurrent_rpcs=threads * 4,
     )
     peers_pb2_grpc.add_PeerServicer_to_server(servicer, server)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/main.py
@@ -30,6 +30,9 @@
 EXIT_CANNOT_LISTEN = 69
 EXIT_INVARIANT_BROKEN = 70
 PEER_STOP_S = 2.0
+# Shares of the descriptors for connections of callers and of other entry VMs.
+CALLER_SHARE = 1 / 2
+PEER_SHARE = 1 / 8
 
 app = cyclopts.App(
     name="persimmond", help="Run an entry VM of a persimmonpath cell."
@@ -112,7 +115,9 @@
             target_bytes=settings.clients.target_bytes,
             head_s=settings.clients.head_s,
             body_s=settings.clients.body_s,
-            connections=_derive_connections(settings.clients.connections),
+            connections=_limit_connections(
+                settings.clients.connections, CALLER_SHARE
+            ),
         ),
         settings.clients.waiting,
     )
@@ -141,15 +146,16 @@
     os._exit(0)
 
 
-def _derive_connections(most: int) -> int:
-    """Returns the limit for connections of clients.
+def _limit_connections(most: int, share: float) -> int:
+    """Returns the limit for the connections of an address.
 
     Args:
-        most: The limit of the settings. Half of the descriptors of the process
-            are reserved for the platform, other entry VMs and workers.
+        most: The limit of the settings.
+        share: Its share of the descriptors of the process. The rest is for the
+            platform, other entry VMs and workers.
     """
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return min(most, descriptors // 2)
+    return min(most, int(descriptors * share))
 
 
 def _catch_signals() -> threading.Event:
@@ -166,7 +172,10 @@
         http_server.prepare()
         address = settings.peer
         peer_server = grpcpeers.create_server(
-            peer_servicer, str(settings.peer), settings.threads.peer
+            peer_servicer,
+            str(settings.peer),
+            settings.threads.peer,
+            _limit_connections(settings.peer_connections, PEER_SHARE),
         )
     except (OSError, RuntimeError, errors.InputError) as error:
         events.log_error("cannot_listen", address=address, error=error)
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/settings.py
@@ -135,6 +135,10 @@
     client_timeout_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 5.0
     """Timeout in seconds for reading from a caller in the middle of a call."""
 
+    peer_connections: Annotated[int, pydantic.Field(ge=16, le=65536)] = 256
+    """Connections of other entry VMs, at most an eighth of the descriptors of
+    the process; further ones are closed."""
+
     http: Address
     """Address that serves callers and operators."""
 
--- a/tests/test_untrusteddaemon.py
+++ b/tests/test_untrusteddaemon.py
@@ -77,14 +77,11 @@
             return 0
         return reply.status
 
-    def start_crowd(self, *arguments):
-        """Starts a crowd that calls the daemon."""
+    def start_crowd(self, address, *arguments):
+        """Starts a crowd that calls an address of the daemon."""
+        module = crowd.__name__
         process = subprocess.Popen(
-            [
-                *(sys.executable, "-m", crowd.__name__),
-                f"{self.address}=/v1/ids",
-                *arguments,
-            ],
+            [sys.executable, "-m", module, f"{address}=/v1/ids", *arguments],
             cwd=soak.ROOT,
         )
         self.addCleanup(process.wait)
@@ -108,7 +105,8 @@
     def test_clients_of_all_kinds(self):
         port = int(self.address.rpartition(":")[2])
         process = self.start_crowd(
-            *("--clients", str(CROWD_CLIENTS), "--seconds", str(CROWD_S))
+            self.address,
+            *("--clients", str(CROWD_CLIENTS), "--seconds", str(CROWD_S)),
         )
         peak_mb = 0.0
         while process.poll() is None:
@@ -185,8 +183,10 @@
 
     cell_type = LimitedCell
 
-    def test_more_idle_connections_than_descriptors(self):
+    def check_idle_clients(self, address):
+        """Checks an ordinary call beside more clients than descriptors."""
         self.start_crowd(
+            address,
             *("--kinds", crowd.IDLE, "--clients", str(IDLE_CLIENTS)),
             *("--seconds", str(CROWD_S + 2 * ANSWER_S)),
         )
@@ -194,6 +194,13 @@
         self.check_served()
         self.assertLess(self.count_descriptors(), MOST_OPEN)
 
+    def test_callers_port(self):
+        self.check_idle_clients(self.address)
+
+    def test_peers_port(self):
+        _, _, port = self.cell.entries[ENTRY]
+        self.check_idle_clients(f"127.0.0.1:{port}")
+
     def count_descriptors(self):
         """Returns the number of open descriptors of the daemon."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
