Handle pipelined requests of a connection one in a pass

What callers saw: beside a crowd that pipelines requests and reads the responses, most ordinary requests got no answer in time.

Cause: a handler that needn't wait doesn't yield, so that all requests of a read, and of the reads that followed, were handled before anything else.

Change: while further requests are queued, a connection yields after each.

--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpconnection.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpconnection.py
@@ -268,6 +268,9 @@
                     await self._wait_until_read()
                 if len(self._rest) and len(self._queue) < limits.queued:
                     self._parse_rest()
+                if self._queue:
+                    # Others are answered between pipelined requests.
+                    await asyncio.sleep(0)
         finally:
             self._task = None
             self._server.busy_connections -= 1
--- a/tests/entry/crowd.py
+++ b/tests/entry/crowd.py
@@ -21,8 +21,10 @@
 # Blocks that a client sends before it is another one's turn.
 BLOCKS_PER_TURN = 4
 POLL_S = 0.2
-# Clients that send nothing; they are no part of the crowd of all kinds.
+# Clients that send nothing, and clients that pipeline ordinary requests and
+# read the responses. They are no part of the crowd of all kinds.
 IDLE = "idle"
+PIPELINED = "pipelined"
 
 
 def repeat(block, size=SENT_BYTES):
@@ -44,6 +46,7 @@
     large_chunk = b"c350\r\n" + b"a" * 50_000 + b"\r\n"
     return {
         IDLE: list,
+        PIPELINED: lambda: repeat(get + b"\r\n", 5 * SENT_BYTES),
         "head_too_large": lambda: [get + b"X: " + b"a" * 200_000 + b"\r\n\r\n"],
         "head_without_end": lambda: [get, b"X: ", *repeat(b"a")],
         "lines_without_end": lambda: [get, *repeat(b"X-A:\r\n")],
@@ -171,8 +174,8 @@
     """Runs the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument("targets", nargs="+")
-    all_kinds = ",".join(kind for kind in list_kinds("/") if kind != IDLE)
-    parser.add_argument("--kinds", default=all_kinds)
+    kinds = [k for k in list_kinds("/") if k not in (IDLE, PIPELINED)]
+    parser.add_argument("--kinds", default=",".join(kinds))
     parser.add_argument("--clients", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
     arguments = parser.parse_args()
