Reject heads whose lines end without CR at once

Reading the head as a whole waited for an empty line with CR until the time of the head was up; before that, such heads were answered 400 at once. Two cases of test_untrustedhttp check it.

--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -37,7 +37,8 @@
 
 
 _CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_HEAD_END = b"\r\n\r\n"
+# An empty line; cheroot rejects lines that end without CR.
+_HEAD_END = re.compile(rb"\n\r?\n")
 # Lines of a head beside its fields: the first one, an empty one before it and
 # the empty one at the end.
 _OTHER_LINES = 3
@@ -71,10 +72,10 @@
     most_lines = limits.head_lines + _OTHER_LINES
     while len(head) <= limits.head_bytes:
         received = stream.peek(1)
-        searched = max(0, len(head) + 1 - len(_HEAD_END))
-        end = (head[searched:] + received).find(_HEAD_END)
-        if end >= 0:
-            size = searched + end + len(_HEAD_END) - len(head)
+        searched = max(0, len(head) - len(b"\n\r"))
+        end = _HEAD_END.search(head[searched:] + received)
+        if end is not None:
+            size = searched + end.end() - len(head)
             return bytes(head) + stream.read(size)
         head += stream.read(len(received))
         if not received or head.count(b"\n") >= most_lines:
--- a/tests/test_untrustedhttp.py
+++ b/tests/test_untrustedhttp.py
@@ -73,6 +73,8 @@
             (400, HEAD + b"X: a\0b\r\n\r\n"),
             (400, HEAD + b"X: a\x7fb\r\n\r\n"),
             (400, b"GET /\x01 HTTP/1.1\r\n\r\n"),
+            (400, b"GET / HTTP/1.1\nHost: x\n\n"),
+            (400, b"\r\n" * 1000),
         ]
         for status, data in cases:
             with self.subTest(data[:100]):
