--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -141,7 +141,7 @@
             f"http://{self.platform}/machines",
             json={"name": name, "state": state},
             retries=False,
-            timeout=2,
+            timeout=START_TIMEOUT_S,
         )
 
     def spawn_worker(self, name):
