--- a/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/httpserver.py
@@ -66,7 +66,7 @@
 def _read_head(stream, limits: httplimits.HttpLimits) -> bytes:
     """Reads the head of a call, or its beginning if it exceeds the limits.
 
-    cheroot reads line by line, which takes about 10 us each.
+    Reading line by line, as cheroot does, is slow for heads of many lines.
     """
     head = bytearray()
     most_lines = limits.head_lines + _OTHER_LINES
--- a/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
+++ b/packages/persimmonpath_daemon/persimmonpath_daemon/replies.py
@@ -19,10 +19,10 @@
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
 
-# Most values in a body, which occupies up to 100 times its bytes once it is
-# parsed. An inventory of the largest size has 130,000.
+# Most values in a body: many small ones occupy far more than its bytes once
+# they are parsed. An inventory of the largest size has fewer.
 MAX_VALUES = 200_000
-# Most faults that are described; each takes about a kilobyte until then.
+# Most faults of a body that are described one by one.
 MAX_FAULTS = 1000
 _VALUE_STARTS = (b",", b"[", b"{")
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/transport/httpparser.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/transport/httpparser.py
@@ -93,7 +93,7 @@
         # The fields of the head, while those of a trailer may follow.
         self._kept: dict[str, str] | None = None
         # Pieces of the body and their bytes. One buffer that grows would leave
-        # holes in the heap, which occupied some times the budget.
+        # holes in the heap, which the budget doesn't count.
         self._body: list[bytes | bytearray] = []
         self._body_bytes = 0
         # Bytes of the head by complete lines, and all received in this stage.
