Log listings with many new run ends

Ends of a former owner's runs have no log line, so that the log couldn't tell an end that wasn't listed from one that was listed and not applied, or from a lapsed lease.

Change: a listing with a hundred or more new ends is logged as ends_listed, with the numbers of the first and the last one.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -31,6 +31,9 @@
 # An unknown run is stopped only after this time, since another VM may have just
 # accepted its submission.
 UNKNOWN_RUN_GRACE_S = 1.5
+# New run ends in one listing from which on it is logged. A run end usually has
+# a line of its own, but ends of a former owner's runs have none.
+MIN_LOGGED_BACKLOG = 100
 
 
 class ListingPoller:
@@ -271,6 +274,7 @@
         if not worker.is_fenced:
             worker.is_fenced = True
             self._shard.request_schedule()
+        self._log_backlog(worker, listing)
         unidentified = self._apply_ends(worker, listing, now)
         self._apply_running(worker, listing, now)
         # An end that isn't processed yet tells later how its run has ended.
@@ -288,6 +292,21 @@
         if self._shard.unsettled.pop(worker.id, None) is not None:
             self._shard.store_requested.set()
 
+    def _log_backlog(self, worker: fleet.Worker, listing: worker_calls.Listing):
+        """Logs a listing with many new ends, as after a takeover."""
+        numbers = [
+            end.number for end in listing.ended if end.number > worker.processed
+        ]
+        if len(numbers) >= MIN_LOGGED_BACKLOG:
+            self._node.log.warn(
+                "ends_listed",
+                worker=worker.id,
+                running=len(listing.running),
+                ended=len(listing.ended),
+                first=min(numbers),
+                last=max(numbers),
+            )
+
     def _apply_ends(
         self, worker: fleet.Worker, listing: worker_calls.Listing, now: float
     ) -> set[str]:
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -244,6 +244,15 @@
         self.listings._handle_failure(self.worker, lost, 2.0)
         self.assertEqual(self.worker.unresponsive_since, 2.0)
 
+    async def test_a_listing_with_many_new_ends_is_logged(self):
+        """Ends of a former owner's runs have no lines of their own."""
+        count = listings.MIN_LOGGED_BACKLOG
+        ends = [(n, NAME, n, "failed", "") for n in range(1, count + 1)]
+        self.apply_listing(make_listing(ended=ends))
+        self.apply_listing(make_listing(ended=ends))
+        (event,) = self.shard.node.log.list_events("ends_listed")
+        self.assertEqual((event["first"], event["last"]), (1, count))
+
     async def test_another_owner_s_fencing_token_closes_the_shard(self):
         fenced = worker_calls.Rejected(worker_calls.STALE_FENCE)
         self.listings._handle_failure(self.worker, fenced, 1.0)
