Start no task of a former owner before its worker has listed all run ends

Cause: a worker returns at most 500 run ends in a listing, and the rest once these are acknowledged. The first listing of any size took the worker off Shard.unsettled. The tasks whose ends were still to come were neither running nor known to have ended, so that the scheduler started them. Starts begin with the owner's first stored write, which is when the second listing is applied; so only ends beyond the thousandth show it.

Change: a worker whose newest listing is full counts as one with unlisted ends. While there is one, no task starts that a former owner may have started and that isn't accounted for, as with a worker that hasn't answered. It ends with the first listing that isn't full, the loss of the worker or its restart. Unlike Shard.unsettled it doesn't end with the leases of the former owner, as this one extends them. It also covers the ends behind one whose submission isn't read yet, of which only those in the same listing were known. Quotas count such a worker by its listed runs, which are complete.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listings.py
@@ -289,9 +289,25 @@
             self._shard.unidentified_tasks[worker.id] = unidentified
         else:
             self._shard.unidentified_tasks.pop(worker.id, None)
+        self._record_unlisted_ends(worker, listing)
         if self._shard.unsettled.pop(worker.id, None) is not None:
             self._shard.store_requested.set()
 
+    def _record_unlisted_ends(
+        self, worker: fleet.Worker, listing: worker_calls.Listing
+    ):
+        """Records whether the worker has more run ends than it has listed.
+
+        A run of a former owner may be neither among the listed runs nor among
+        the listed ends then.
+        """
+        unlisted = self._shard.workers_with_unlisted_ends
+        if listing.may_omit_ends:
+            unlisted.add(worker.id)
+        elif worker.id in unlisted:
+            unlisted.remove(worker.id)
+            self._shard.request_schedule()
+
     def _log_backlog(self, worker: fleet.Worker, listing: worker_calls.Listing):
         """Logs a listing with many new ends, as after a takeover."""
         numbers = [
@@ -426,7 +442,7 @@
             self.commands.stop_unknown_run(worker, row.task, row.run)
 
     def _remove_unlisted_runs(self, worker, listing, listed, sent_at: float):
-        if len(listing.ended) >= worker_calls.MAX_ENDS_PER_LISTING:
+        if listing.may_omit_ends:
             return
         for key, run in list(worker.runs.items()):
             if key in listed or run.confirmed_at is None:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -43,6 +43,9 @@
       unidentified_tasks: names of tasks of which a worker lists a run or an end
         and whose submission hasn't been read yet, by worker id. A former owner
         may have started them after this one had read the submissions.
+      workers_with_unlisted_ends: ids of workers that have more run ends than
+        their newest listing holds. Which of a former owner's tasks have ended
+        there isn't known yet.
       submissions_read_at: when the last complete read of the submissions began,
         on the monotonic clock.
       former_horizon: newest submission version of which former owners may
@@ -105,6 +108,7 @@
         self.unsettled = unsettled
         self.unsettled_tasks: dict[str, set[str]] = {}
         self.unidentified_tasks: dict[str, set[str]] = {}
+        self.workers_with_unlisted_ends: set[str] = set()
         self.submissions_read_at = 0.0
         self.former_horizon: int | None = 0
         self.newest_version = 0
@@ -237,11 +241,21 @@
 
     # Submissions.
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether all runs of former owners, and their ends, are known."""
+        return not (
+            self.unsettled
+            or self.unidentified_tasks
+            or self.workers_with_unlisted_ends
+        )
+
     def may_run_elsewhere(self, task: execution.Task) -> bool:
         """Returns whether a former owner's run of a task isn't accounted for.
 
-        It may go on at a worker that hasn't answered yet, or be listed by one
-        whose listing couldn't be applied to the submission.
+        It may go on at a worker that hasn't answered yet, be listed by one
+        whose listing couldn't be applied to the submission, or have ended on
+        one that hasn't listed all ends yet.
         """
         step = task.step
         if (
@@ -252,6 +266,8 @@
             return False
         if not step.submission.may_have_former_runs:
             return False
+        if self.workers_with_unlisted_ends:
+            return True
         name = task.name
         if any(name in names for names in self.unidentified_tasks.values()):
             return True
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -203,7 +203,11 @@
 
     def _check_worker(self, worker: fleet.Worker, now: float):
         is_unresponsive = worker.unresponsive_since is not None
-        may_run = worker.runs or worker.id in self._shard.unidentified_tasks
+        may_run = (
+            worker.runs
+            or worker.id in self._shard.unidentified_tasks
+            or worker.id in self._shard.workers_with_unlisted_ends
+        )
         if is_unresponsive and may_run and now > worker.bound_lease_end():
             self._shard.worker_registry.mark_worker_lost(worker, "lease ended")
         if is_unresponsive and not worker.is_listed and not worker.runs:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -328,7 +328,7 @@
         if not waiting:
             self._forget_step(step)
             return
-        if self._shard.unsettled or self._shard.unidentified_tasks:
+        if not self._shard.is_settled:
             waiting = [
                 task
                 for task in waiting
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
@@ -111,6 +111,7 @@
         )
         self._shard.unsettled.pop(worker.id, None)
         self._shard.unidentified_tasks.pop(worker.id, None)
+        self._shard.workers_with_unlisted_ends.discard(worker.id)
         for run in list(worker.runs.values()):
             self._shard.remove_run(run, "lost", "")
 
@@ -144,6 +145,7 @@
         """Removes a worker that has left, and closes its client."""
         self._shard.workers.pop(worker.id, None)
         self._shard.unidentified_tasks.pop(worker.id, None)
+        self._shard.workers_with_unlisted_ends.discard(worker.id)
         client = self._shard.clients.pop(worker.id, None)
         if client is not None:
             client.close()
--- a/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/platform/workers.py
@@ -20,6 +20,8 @@
 STALE_RUN = "old"
 # Status 421: the address belongs to another incarnation of the worker.
 OTHER_INCARNATION = "lifetime"
+# Most run ends that a worker returns in one listing.
+MAX_ENDS_PER_LISTING = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,7 +106,8 @@
       clock_ms: the worker's monotonic clock.
       born: Unix milliseconds at which the worker started, 0 if not reported.
       running: the runs in progress.
-      ended: the run ends that have not been acknowledged.
+      ended: the first run ends that have not been acknowledged, at most
+        MAX_ENDS_PER_LISTING.
     """
 
     clock_ms: float
@@ -112,6 +115,11 @@
     running: list[RunningTask]
     ended: list[EndedTask]
 
+    @property
+    def may_omit_ends(self) -> bool:
+        """Whether the worker may have more run ends than it has listed."""
+        return len(self.ended) >= MAX_ENDS_PER_LISTING
+
 
 class _WorkerResponse(msgspec.Struct, rename="camel"):
     clock_ms: float | None = None
@@ -123,8 +131,6 @@
 
 
 _decode_response = msgspec.json.Decoder(_WorkerResponse).decode
-# Most run ends that a worker returns in one listing.
-MAX_ENDS_PER_LISTING = 500
 # Each new connection costs time, so a burst of commands shares a few.
 COMMAND_CONNECTIONS = 3
 
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -10,6 +10,7 @@
 from persimmonpath_entry.engine import persistence
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import store as platform_store
+from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import configuration
 from persimmonpath_entry.state import fleet
 from persimmonpath_entry.state import submissions
@@ -56,7 +57,9 @@
 
     def setUp(self):
         self.node = make_node()
-        self.shard = fakes.make_shard(self.node, unsettled=self.unsettled)
+        self.shard = fakes.make_shard(
+            self.node, unsettled=dict(self.unsettled or {})
+        )
         self.usage = self.shard.tenant_usage
         self.worker = fakes.add_worker(self.shard)
         self.poller = listings.ListingPoller(self.shard)
@@ -162,6 +165,24 @@
         self.usage.refresh()
         self.assertEqual(self.usage.find_counted("t-1"), measure(1000, 100))
 
+    async def test_a_worker_with_unlisted_ends_counts_with_what_it_runs(self):
+        """A listing is cut at a number of ends; the runs in it are complete.
+
+        Counted with its whole capacity, such a worker would hold up tenants.
+        """
+        self.add_step()
+        self.shard.unsettled.pop("w2")
+        self.list_tasks(
+            [(f"{ID}.0.0.0", 7001, "", 100, 500)],
+            [
+                (number, f"{ID}.0.0.1", number, "stopped", "")
+                for number in range(1, worker_calls.MAX_ENDS_PER_LISTING + 1)
+            ],
+        )
+        self.usage.refresh()
+        self.assertFalse(self.shard.is_settled)
+        self.assertEqual(self.usage.find_counted("t-1"), measure(1000, 100))
+
     async def test_a_worker_with_listed_tasks_counts_with_these(self):
         """Workers cut off before the takeover stay unsettled for 6 s."""
         self.add_step()
