Name workers with unprocessed run ends to the next owner

Callers would see: tasks that had ended as done run again if a service changes its owner twice within a second or so, for example in a rolling restart.

Cause: the workers row, from which the next owner learns where tasks may run, counted listed runs only. An owner that released the service left out a worker without runs, and named the listed runs as all that may be on the others; the same for an unresponsive worker. Run ends that weren't listed yet (over 500), or not processed since their submission wasn't read yet, were missing. The next owner started their tasks at once.

Evidence: by reading, and by the tests; not seen in a run.

Change: such workers stay in the row. The tasks of unprocessed ends are named; a worker with unlisted ends has no list of tasks, so that any task waits for its answer.

Tests: test_unlistedends.NextTakeoverTest, all three failed before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -68,7 +68,7 @@
       unresponsive: names of the tasks that may run on an unresponsive worker,
         by worker id; after a release, on any worker. Nothing else can run on a
         worker named here, as the owner starts nothing on it until it has stored
-        that the worker answers again.
+        that the worker answers again. A worker with unlisted ends isn't named.
       lease_ends: time on the store's clock, in milliseconds, by which the last
         task lease on each unresponsive worker has ended, by worker id. The
         owner extends no lease there until it has stored that the worker answers
@@ -151,9 +151,10 @@
     )
     if covers_all:
         record.unresponsive = {
-            worker.id: _list_possible_tasks(worker)
+            worker.id: _list_possible_tasks(shard, worker)
             for worker in recorded
-            if is_leaving or not is_responsive(worker)
+            if (is_leaving or not is_responsive(worker))
+            and worker.id not in shard.workers_with_unlisted_ends
         }
     for worker_id in shard.unsettled:
         unsettled_tasks = shard.unsettled_tasks.get(worker_id)
@@ -200,7 +201,10 @@
     now = clock.read_clock()
     recorded = []
     for worker in shard.workers.values():
-        has_no_runs = not worker.runs and not worker.unknown_runs
+        has_no_runs = (
+            worker.id not in shard.workers_with_unlisted_ends
+            and not _list_possible_tasks(shard, worker)
+        )
         has_expired = (
             worker.unresponsive_since is not None
             and now > worker.bound_lease_end()
@@ -236,10 +240,17 @@
     return ends
 
 
-def _list_possible_tasks(worker: fleet.Worker) -> list[str]:
-    """Returns the names of the tasks that may run on a worker, sorted."""
-    names = [name for name, _ in (*worker.runs, *worker.unknown_runs)]
-    return sorted(set(names))
+def _list_possible_tasks(
+    shard: shards.Shard, worker: fleet.Worker
+) -> list[str]:
+    """Returns the names of the tasks that may run on a worker, sorted.
+
+    They include those whose ends the worker lists and this owner hasn't
+    processed: the next owner has to read them before it starts the tasks.
+    """
+    names = {name for name, _ in (*worker.runs, *worker.unknown_runs)}
+    names |= shard.unidentified_tasks.get(worker.id, set())
+    return sorted(names)
 
 
 def bound_store_ms(
--- a/tests/entry/test_unlistedends.py
+++ b/tests/entry/test_unlistedends.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonpath_entry.engine import listings
+from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import shardmaintenance
 from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import workers as worker_calls
@@ -138,6 +139,55 @@
         self.assertTrue(self.shard.is_settled)
 
 
+class NextTakeoverTest(UnlistedEndsTestCase):
+    """The service is taken over again before all ends are listed."""
+
+    def make_next_shard(self, record):
+        """Returns the shard of an owner that has read a workers row."""
+        shard = fakes.make_shard(unsettled=dict.fromkeys(record.workers, 1e12))
+        shard.former_horizon = 20
+        shard.unsettled_tasks = {
+            worker_id: set(names)
+            for worker_id, names in record.unresponsive.items()
+        }
+        return shard
+
+    def assert_next_owner_waits(self, submission_id, is_leaving):
+        """Checks that the next owner waits with an unread task."""
+        record = ownerrows.build_workers(self.shard, is_leaving)
+        shard = self.make_next_shard(record)
+        shard.apply_submission(submission_id, fakes.make_record(), version=15)
+        task = shard.submissions[submission_id].find_task("0.0.1")
+        self.assertTrue(shard.may_run_elsewhere(task))
+
+    async def test_a_worker_with_unlisted_ends_is_named_after_a_release(self):
+        """A worker without runs was left out of the row.
+
+        Tasks that had ended there ran again at the next owner.
+        """
+        worker = EndedWorker(task.name for task in self.tasks)
+        self.apply(worker.list_tasks())
+        self.assert_next_owner_waits(ID, is_leaving=True)
+
+    async def test_any_task_may_have_ended_behind_a_full_listing(self):
+        """The row named the listed runs as all that the worker may have."""
+        worker = EndedWorker(task.name for task in self.tasks)
+        row = (f"{ID}.0.0.{self.task_count - 1}", FORMER_RUN, "", 100, 500)
+        self.apply(worker.list_tasks(running=[row]))
+        self.assert_next_owner_waits(ID, is_leaving=True)
+        self.worker.unresponsive_since = clock.read_clock()
+        self.assert_next_owner_waits(ID, is_leaving=False)
+
+    async def test_a_task_with_an_unprocessed_end_is_named_after_a_release(
+        self,
+    ):
+        """The end of a submission that this owner hasn't read yet."""
+        unread_id = "00000000000000bb"
+        worker = EndedWorker([f"{unread_id}.0.0.1"])
+        self.apply(worker.list_tasks())
+        self.assert_next_owner_waits(unread_id, is_leaving=True)
+
+
 class UnreadSubmissionTest(UnlistedEndsTestCase):
     """The ends come after one whose submission isn't read yet."""
 
