Keep an unregistered worker until what it may run has ended

Callers would see: a task of a former owner run twice at the same time, if its worker is cut off right after a takeover for longer than its registration lasts.

Cause: a worker that is unresponsive and no longer registered was removed as soon as it had no known runs. Its leases may go on for some seconds then.

Tests: test_shardmaintenance.UnregisteredWorkerTest, both failed before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -203,14 +203,11 @@
 
     def _check_worker(self, worker: fleet.Worker, now: float):
         is_unresponsive = worker.unresponsive_since is not None
-        may_run = (
-            worker.runs
-            or worker.id in self._shard.unidentified_tasks
-            or worker.id in self._shard.workers_with_unlisted_ends
-        )
+        may_run = self._may_have_runs(worker)
         if is_unresponsive and may_run and now > worker.bound_lease_end():
             self._shard.worker_registry.mark_worker_lost(worker, "lease ended")
-        if is_unresponsive and not worker.is_listed and not worker.runs:
+            may_run = False
+        if is_unresponsive and not worker.is_listed and not may_run:
             self._shard.worker_registry.remove_worker(worker)
             return
         if worker.registration.is_draining:
@@ -240,6 +237,15 @@
                 run.task.avoided.add(worker.id)
                 self._commands.stop(run, "stands_still")
 
+    def _may_have_runs(self, worker: fleet.Worker) -> bool:
+        """Returns whether a worker may have runs, or ends not yet processed."""
+        shard = self._shard
+        return (
+            bool(worker.runs)
+            or worker.id in shard.unidentified_tasks
+            or worker.id in shard.workers_with_unlisted_ends
+        )
+
     def _may_start_copy(self, run: execution.Run, now: float) -> bool:
         """Returns whether a run's task should get a speculative copy."""
         spec = run.spec
--- a/tests/entry/test_shardmaintenance.py
+++ b/tests/entry/test_shardmaintenance.py
@@ -46,8 +46,8 @@
     return shardmaintenance.ShardMaintenance(shard, commands), commands
 
 
-def apply_listing(shard, worker, running):
-    """Applies a listing of a worker, given the rows of its running tasks."""
+def apply_listing(shard, worker, running, ended=()):
+    """Applies a listing, given the rows of running tasks and of run ends."""
     poller = listings.ListingPoller(shard)
     poller.commands = RecordingCommands()
     now = clock.read_clock()
@@ -55,7 +55,7 @@
         clock_ms=2000.0,
         born=1,
         running=[worker_calls.RunningTask(*row) for row in running],
-        ended=[],
+        ended=[worker_calls.EndedTask(*row) for row in ended],
     )
     poller._apply_listing(worker, listing, now, now)
 
@@ -219,3 +219,46 @@
             self.check(after_s=9.5),
             [("0.0.1", "worker_draining"), ("0.0.2", "worker_draining")],
         )
+
+
+class UnregisteredWorkerTest(unittest.IsolatedAsyncioTestCase):
+    """A worker that is cut off, and no longer registered."""
+
+    def setUp(self):
+        self.shard = fakes.make_shard()
+        self.shard.former_horizon = 20
+        self.maintenance, _ = make_maintenance(self.shard)
+        self.worker = fakes.add_worker(self.shard)
+
+    def check_removal(self):
+        """Checks that the worker is removed once its leases have ended."""
+        self.worker.unresponsive_since = clock.read_clock()
+        self.shard.worker_registry.mark_unregistered("w1")
+        lease_end = self.worker.bound_lease_end()
+        self.maintenance._check_worker(self.worker, lease_end - 0.1)
+        self.assertIn("w1", self.shard.workers)
+        self.assertFalse(self.shard.is_settled)
+        self.maintenance._check_worker(self.worker, lease_end + 0.1)
+        self.assertNotIn("w1", self.shard.workers)
+        self.assertTrue(self.shard.is_settled)
+
+    async def test_it_is_kept_while_a_run_of_an_unread_submission_may_go_on(
+        self,
+    ):
+        """The task was started elsewhere while it still ran there."""
+        row = (f"{SERVING_ID}.0.0.0", 4001, "", 100, 500)
+        apply_listing(self.shard, self.worker, [row])
+        self.check_removal()
+
+    async def test_it_is_kept_while_unlisted_ends_may_still_be_listed(self):
+        """Once it is back it lists them, and their tasks had run again."""
+        apply_listing(
+            self.shard,
+            self.worker,
+            [],
+            [
+                (number, f"{SERVING_ID}.0.0.{number}", 4001, "done", "")
+                for number in range(1, worker_calls.MAX_ENDS_PER_LISTING + 1)
+            ],
+        )
+        self.check_removal()
