Don't confirm the configuration by a full response of the feed

Callers would see: a revoked key accepted for longer than strictRevoke allows, after more than 500 changes of the operator's table between two reads.

Cause: each response of the feed confirmed the configuration as the newest one, also one that was cut at its maximum and may have left out a newer configuration.

Evidence: by reading, and by the test; not seen in a run.

Change: only a response that isn't full confirms it.

Test: test_operatorfeed.FullResponseTest, which failed before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/operatorfeed.py
@@ -122,7 +122,8 @@
                 continue
             rowcodec.apply_rows(self._node, result.rows, self._apply_row)
             self._version = result.version
-            self._confirm(asked_at)
+            if not result.has_more:
+                self._confirm(asked_at)
 
     def _request_from_peers(self):
         """Starts to ask some peers for a newer configuration, at intervals.
--- a/tests/entry/test_operatorfeed.py
+++ b/tests/entry/test_operatorfeed.py
@@ -42,6 +42,35 @@
         self.assertEqual(store.reads[:3], ["table", "feed", "table"])
 
 
+class FullFeedStore(fakes.FakeStore):
+    """Returns a full response of the feed, and then fails."""
+
+    async def read_all(self, table, part):
+        return platform_store.Refused(0)
+
+    async def follow(self, table, after, wait_s):
+        if after > 7:
+            return platform_store.Refused(0)
+        return platform_store.Rows([], 8, has_more=True)
+
+
+class FullResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_full_response_does_not_confirm_the_configuration(self):
+        """A newer configuration may be among the changes that it leaves out.
+
+        A revoked key would be accepted for longer than it may be.
+        """
+        node = fakes.make_context(FullFeedStore())
+        operator_feed = operatorfeed.OperatorFeed(node)
+        operator_feed._version = 7
+        before = node.configuration_confirmed_at
+        task = asyncio.create_task(operator_feed.run())
+        while operator_feed._version is not None:
+            await asyncio.sleep(0)
+        task.cancel()
+        self.assertEqual(node.configuration_confirmed_at, before)
+
+
 class PartialAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def call(self, pause_s, **options):
         """Calls a server that sends its body in five parts, pause_s apart."""
