Gather what is unknown of former runs, and split polling from applying listings

FormerRuns holds the four sets of them, which Shard had beside its own state. listings.py (450 lines) polled workers and applied what they list; listingeffects.py has the second job now.

No behaviour is changed.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/overview.py
@@ -46,7 +46,7 @@
     lines = [
         f"shard={shard.service} fence={shard.fence} open={shard.is_open} "
         f"lease_left_s={shard.lease_until - now:.2f} "
-        f"unsettled={len(shard.unsettled)} "
+        f"unsettled={len(shard.former_runs.unsettled)} "
         f"waiting_steps={len(shard.ready_steps)}"
     ]
     for worker in shard.workers.values():
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -146,7 +146,10 @@
     """
     recorded = list_recorded_workers(shard, is_leaving)
     record = WorkersRecord(
-        sorted({worker.id for worker in recorded} | shard.unsettled.keys()),
+        sorted(
+            {worker.id for worker in recorded}
+            | shard.former_runs.unsettled.keys()
+        ),
         lease_ends=_list_lease_ends(shard, recorded),
     )
     if covers_all:
@@ -154,10 +157,10 @@
             worker.id: _list_possible_tasks(shard, worker)
             for worker in recorded
             if (is_leaving or not is_responsive(worker))
-            and worker.id not in shard.workers_with_unlisted_ends
+            and worker.id not in shard.former_runs.workers_with_unlisted_ends
         }
-    for worker_id in shard.unsettled:
-        unsettled_tasks = shard.unsettled_tasks.get(worker_id)
+    for worker_id in shard.former_runs.unsettled:
+        unsettled_tasks = shard.former_runs.unsettled_tasks.get(worker_id)
         if unsettled_tasks is not None:
             record.unresponsive.setdefault(worker_id, sorted(unsettled_tasks))
     return record
@@ -202,8 +205,9 @@
     recorded = []
     for worker in shard.workers.values():
         has_no_runs = (
-            worker.id not in shard.workers_with_unlisted_ends
-            and not _list_possible_tasks(shard, worker)
+            not worker.runs
+            and not worker.unknown_runs
+            and not shard.former_runs.is_partly_known(worker.id)
         )
         has_expired = (
             worker.unresponsive_since is not None
@@ -235,7 +239,7 @@
         for worker in recorded
         if not is_responsive(worker) and worker.is_fenced
     }
-    for worker_id, deadline in shard.unsettled.items():
+    for worker_id, deadline in shard.former_runs.unsettled.items():
         ends[worker_id] = store_clock.bound_ms(deadline)
     return ends
 
@@ -249,7 +253,7 @@
     processed: the next owner has to read them before it starts the tasks.
     """
     names = {name for name, _ in (*worker.runs, *worker.unknown_runs)}
-    names |= shard.unidentified_tasks.get(worker.id, set())
+    names |= shard.former_runs.unidentified_tasks.get(worker.id, set())
     return sorted(names)
 
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shard.py
@@ -9,6 +9,7 @@
 from persimmonpath_entry.decisions import workerpool
 from persimmonpath_entry.engine import context
 from persimmonpath_entry.engine import fairshares
+from persimmonpath_entry.engine import formerruns
 from persimmonpath_entry.engine import learning
 from persimmonpath_entry.engine import occurrences
 from persimmonpath_entry.engine import runends
@@ -36,16 +37,7 @@
       submissions: the known submissions by id.
       workers: the known workers by id.
       clients: the clients of the workers by worker id.
-      unsettled: workers of the former owner that haven't answered yet, with
-        the time at which every lease granted there has expired.
-      unsettled_tasks: names of the tasks that may run on an unsettled worker,
-        by worker id; a worker that isn't a key may run any task.
-      unidentified_tasks: names of tasks of which a worker lists a run or an end
-        and whose submission hasn't been read yet, by worker id. A former owner
-        may have started them after this one had read the submissions.
-      workers_with_unlisted_ends: ids of workers that have more run ends than
-        their newest listing holds. Which of a former owner's tasks have ended
-        there isn't known yet.
+      former_runs: which runs of former owners aren't known yet.
       submissions_read_at: when the last complete read of the submissions began,
         on the monotonic clock.
       former_horizon: newest submission version of which former owners may
@@ -105,10 +97,7 @@
         self.submissions: dict[str, execution.Submission] = {}
         self.workers: dict[str, fleet.Worker] = {}
         self.clients: dict[str, worker_calls.WorkerClient] = {}
-        self.unsettled = unsettled
-        self.unsettled_tasks: dict[str, set[str]] = {}
-        self.unidentified_tasks: dict[str, set[str]] = {}
-        self.workers_with_unlisted_ends: set[str] = set()
+        self.former_runs = formerruns.FormerRuns(unsettled)
         self.submissions_read_at = 0.0
         self.former_horizon: int | None = 0
         self.newest_version = 0
@@ -241,15 +230,6 @@
 
     # Submissions.
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether all runs of former owners, and their ends, are known."""
-        return not (
-            self.unsettled
-            or self.unidentified_tasks
-            or self.workers_with_unlisted_ends
-        )
-
     def may_run_elsewhere(self, task: execution.Task) -> bool:
         """Returns whether a former owner's run of a task isn't accounted for.
 
@@ -266,16 +246,7 @@
             return False
         if not step.submission.may_have_former_runs:
             return False
-        if self.workers_with_unlisted_ends:
-            return True
-        name = task.name
-        if any(name in names for names in self.unidentified_tasks.values()):
-            return True
-        return any(
-            worker_id not in self.unsettled_tasks
-            or name in self.unsettled_tasks[worker_id]
-            for worker_id in self.unsettled
-        )
+        return self.former_runs.may_include(task.name)
 
     def apply_submission(
         self,
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardassembly.py
@@ -96,13 +96,13 @@
     shard.former_horizon = former.horizon
     shard.newest_version = shard.stored_horizon = former.horizon or 0
     shard.frozen_leases = set(workers.lease_ends)
-    shard.unsettled_tasks = {
+    shard.former_runs.unsettled_tasks = {
         worker_id: set(names)
         for worker_id, names in workers.unresponsive.items()
     }
     poller = listings.ListingPoller(shard)
     commands = workercommands.WorkerCommands(shard, poller.schedule_listing)
-    poller.commands = commands
+    poller.effects.commands = commands
     writer = persistence.ShardWriter(shard, shard.fence, poller.announce_stored)
     shard.stop_run = commands.stop
     shard.on_worker_added = poller.start_polling
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -195,15 +195,19 @@
                 await self._remove_expired()
 
     def _expire_unsettled(self, now: float):
-        for worker_id, deadline in list(self._shard.unsettled.items()):
+        for worker_id, deadline in list(
+            self._shard.former_runs.unsettled.items()
+        ):
             if now > deadline:
-                self._shard.unsettled.pop(worker_id)
+                self._shard.former_runs.unsettled.pop(worker_id)
                 self._node.log.warn("former_worker_settled", worker=worker_id)
                 self._shard.request_schedule()
 
     def _check_worker(self, worker: fleet.Worker, now: float):
         is_unresponsive = worker.unresponsive_since is not None
-        may_run = self._may_have_runs(worker)
+        may_run = bool(worker.runs) or self._shard.former_runs.is_partly_known(
+            worker.id
+        )
         if is_unresponsive and may_run and now > worker.bound_lease_end():
             self._shard.worker_registry.mark_worker_lost(worker, "lease ended")
             may_run = False
@@ -237,15 +241,6 @@
                 run.task.avoided.add(worker.id)
                 self._commands.stop(run, "stands_still")
 
-    def _may_have_runs(self, worker: fleet.Worker) -> bool:
-        """Returns whether a worker may have runs, or ends not yet processed."""
-        shard = self._shard
-        return (
-            bool(worker.runs)
-            or worker.id in shard.unidentified_tasks
-            or worker.id in shard.workers_with_unlisted_ends
-        )
-
     def _may_start_copy(self, run: execution.Run, now: float) -> bool:
         """Returns whether a run's task should get a speculative copy."""
         spec = run.spec
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/taskscheduler.py
@@ -328,7 +328,7 @@
         if not waiting:
             self._forget_step(step)
             return
-        if not self._shard.is_settled:
+        if not self._shard.former_runs.is_settled:
             waiting = [
                 task
                 for task in waiting
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -389,15 +389,21 @@
     def _count_unknown(self):
         shard = self._shard
         self._unknown = {}
-        if not shard.unsettled and not shard.unidentified_tasks:
+        if (
+            not shard.former_runs.unsettled
+            and not shard.former_runs.unidentified_tasks
+        ):
             return
         sums = collections.defaultdict(lambda: resources.ZERO)
-        for worker_id in shard.unsettled:
+        for worker_id in shard.former_runs.unsettled:
             for tenant, amount in self._list_unsettled(worker_id):
                 sums[tenant] += amount
-        for worker_id in shard.unidentified_tasks:
+        for worker_id in shard.former_runs.unidentified_tasks:
             worker = shard.workers.get(worker_id)
-            if worker is not None and worker_id not in shard.unsettled:
+            if (
+                worker is not None
+                and worker_id not in shard.former_runs.unsettled
+            ):
                 names = {name for name, _ in worker.unknown_runs}
                 for tenant, amount in self._list_tasks(
                     names, _measure_free(worker)
@@ -413,7 +419,7 @@
         if worker_id == fleet.ANY_WORKER:
             for worker in workers.values():
                 if not worker.is_fenced and worker.id not in (
-                    self._shard.unsettled
+                    self._shard.former_runs.unsettled
                 ):
                     yield EVERY_TENANT, _measure_capacity(worker)
         worker = workers.get(worker_id)
@@ -421,7 +427,7 @@
             capacity = _measure_capacity(worker)
         else:
             capacity = self._find_largest_capacity()
-        names = self._shard.unsettled_tasks.get(worker_id)
+        names = self._shard.former_runs.unsettled_tasks.get(worker_id)
         if names is None:
             yield EVERY_TENANT, capacity
         else:
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
@@ -109,9 +109,8 @@
             if worker.unresponsive_since is None
             else clock.read_clock() - worker.unresponsive_since,
         )
-        self._shard.unsettled.pop(worker.id, None)
-        self._shard.unidentified_tasks.pop(worker.id, None)
-        self._shard.workers_with_unlisted_ends.discard(worker.id)
+        self._shard.former_runs.unsettled.pop(worker.id, None)
+        self._shard.former_runs.forget_listing(worker.id)
         for run in list(worker.runs.values()):
             self._shard.remove_run(run, "lost", "")
 
@@ -130,7 +129,7 @@
         if worker is not None:
             worker.evacuating_until = clock.read_clock() + EVACUATION_S
         is_read = self._shard.has_read_workers or not worker_id
-        if not is_read or worker_id in self._shard.unsettled:
+        if not is_read or worker_id in self._shard.former_runs.unsettled:
             return None
         if worker is None:
             return execution.WorkerLoad(0, 0)
@@ -144,8 +143,7 @@
     def remove_worker(self, worker: fleet.Worker):
         """Removes a worker that has left, and closes its client."""
         self._shard.workers.pop(worker.id, None)
-        self._shard.unidentified_tasks.pop(worker.id, None)
-        self._shard.workers_with_unlisted_ends.discard(worker.id)
+        self._shard.former_runs.forget_listing(worker.id)
         client = self._shard.clients.pop(worker.id, None)
         if client is not None:
             client.close()
--- a/tests/entry/test_listings.py
+++ b/tests/entry/test_listings.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from persimmonpath_entry.engine import listingeffects
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import workercommands
 from persimmonpath_entry.platform import workers as worker_calls
@@ -58,14 +59,14 @@
         self.shard = fakes.make_shard()
         self.worker = fakes.add_worker(self.shard)
         self.listings = listings.ListingPoller(self.shard)
-        self.listings.commands = FakeCommands()
+        self.listings.effects.commands = FakeCommands()
         self.shard.apply_submission(ID, fakes.make_record())
         self.task = self.shard.submissions[ID].find_task("0.0.0")
 
     def apply_listing(self, listing, sent_at=None):
         now = clock.read_clock()
         sent_at = now if sent_at is None else sent_at
-        self.listings._apply_listing(self.worker, listing, sent_at, now)
+        self.listings.effects.apply(self.worker, listing, sent_at, now)
 
     async def test_an_older_listing_is_ignored(self):
         """Answers on different connections may arrive out of order.
@@ -140,7 +141,9 @@
         other = fakes.add_worker(self.shard, "w2")
         fakes.start_run(self.shard, self.task, other)
         self.apply_listing(make_listing([(NAME, 4001, "", 100, 500)]))
-        self.assertEqual(self.listings.commands.unknown_runs, [(NAME, 4001)])
+        self.assertEqual(
+            self.listings.effects.commands.unknown_runs, [(NAME, 4001)]
+        )
         self.assertTrue(self.worker.unknown_runs)
 
     async def test_a_run_of_an_unknown_submission_is_stopped_after_a_grace_time(
@@ -149,10 +152,14 @@
         """Another VM may have accepted the submission just now."""
         name = "ffffffffffffffff.0.0.0"
         self.apply_listing(make_listing([(name, 1, "", 100, 500)]))
-        self.assertEqual(self.listings.commands.unknown_runs, [])
-        self.worker.unknown_runs[name, 1] -= listings.UNKNOWN_RUN_GRACE_S + 0.1
+        self.assertEqual(self.listings.effects.commands.unknown_runs, [])
+        self.worker.unknown_runs[name, 1] -= (
+            listingeffects.UNKNOWN_RUN_GRACE_S + 0.1
+        )
         self.apply_listing(make_listing([(name, 1, "", 100, 500)]))
-        self.assertEqual(self.listings.commands.unknown_runs, [(name, 1)])
+        self.assertEqual(
+            self.listings.effects.commands.unknown_runs, [(name, 1)]
+        )
 
     async def test_a_run_started_in_a_new_incarnation_is_kept(self):
         """The owner may learn of the new incarnation after the start."""
@@ -246,7 +253,7 @@
 
     async def test_a_listing_with_many_new_ends_is_logged(self):
         """Ends of a former owner's runs have no lines of their own."""
-        count = listings.MIN_LOGGED_BACKLOG
+        count = listingeffects.MIN_LOGGED_BACKLOG
         ends = [(n, NAME, n, "failed", "") for n in range(1, count + 1)]
         self.apply_listing(make_listing(ended=ends))
         self.apply_listing(make_listing(ended=ends))
@@ -276,11 +283,11 @@
         self.shard.former_horizon = 20
         self.worker = fakes.add_worker(self.shard)
         self.listings = listings.ListingPoller(self.shard)
-        self.listings.commands = FakeCommands()
+        self.listings.effects.commands = FakeCommands()
 
     def apply(self, listing):
         now = clock.read_clock()
-        self.listings._apply_listing(self.worker, listing, now, now)
+        self.listings.effects.apply(self.worker, listing, now, now)
 
     def read_submission(self):
         self.shard.apply_submission(LATE_ID, fakes.make_record(), version=15)
@@ -295,7 +302,7 @@
         self.apply(listing)
         self.assertTrue(task.is_done)
         self.assertEqual(self.worker.processed, 1)
-        self.assertEqual(self.shard.unidentified_tasks, {})
+        self.assertEqual(self.shard.former_runs.unidentified_tasks, {})
 
     async def test_an_end_that_follows_it_is_kept_as_well(self):
         """Its run was taken for lost, and its task started again.
@@ -332,7 +339,7 @@
         self.shard.submissions_read_at = clock.read_clock()
         self.apply(listing)
         self.assertEqual(self.worker.processed, 1)
-        self.assertEqual(self.shard.unidentified_tasks, {})
+        self.assertEqual(self.shard.former_runs.unidentified_tasks, {})
 
 
 class GangCheckpointTest(unittest.IsolatedAsyncioTestCase):
@@ -344,7 +351,7 @@
     def setUp(self):
         self.shard = fakes.make_shard()
         self.poller = listings.ListingPoller(self.shard)
-        self.poller.commands = FakeCommands()
+        self.poller.effects.commands = FakeCommands()
         self.workers = [fakes.add_worker(self.shard, w) for w in ("w1", "w2")]
         self.shard.apply_submission(ID, self.make_record())
         self.step = self.shard.submissions[ID].steps["0.0"]
@@ -368,7 +375,7 @@
     def list_checkpoint(self, run, saved):
         now = clock.read_clock()
         row = (run.task.name, run.number, saved, 100, 500)
-        self.poller._apply_listing(run.worker, make_listing([row]), now, now)
+        self.poller.effects.apply(run.worker, make_listing([row]), now, now)
 
     async def test_all_members_start_from_the_same_value(self):
         runs = self.start(9)
--- a/tests/entry/test_machinemaintenance.py
+++ b/tests/entry/test_machinemaintenance.py
@@ -204,10 +204,10 @@
         await self.tick(maintenance)
         self.assertEqual(self.client.orders, [])
         self.shard.has_read_workers = True
-        self.shard.unsettled["w0"] = clock.read_clock() + 5
+        self.shard.former_runs.unsettled["w0"] = clock.read_clock() + 5
         await self.tick(maintenance)
         self.assertEqual(self.client.orders, [])
-        del self.shard.unsettled["w0"]
+        del self.shard.former_runs.unsettled["w0"]
         await self.tick(maintenance)
         self.assertEqual(len(self.client.orders), 1)
 
@@ -258,7 +258,7 @@
         ]
         now = clock.read_clock()
         listing = worker_calls.Listing(2000.0, 1, running, [])
-        self.poller._apply_listing(self.worker, listing, now, now)
+        self.poller.effects.apply(self.worker, listing, now, now)
 
     async def test_no_more_tasks_are_evacuated_than_may_be_missed(self):
         self.assertTrue(health.should_evacuate(self.runs[0]))
--- a/tests/entry/test_ownership.py
+++ b/tests/entry/test_ownership.py
@@ -266,7 +266,7 @@
         await self.ownership._take_over(fakes.SERVICE, None)
         shard = self.ownership.shards[fakes.SERVICE]
         shard.close("the test needs only its state")
-        (until,) = shard.unsettled.values()
+        (until,) = shard.former_runs.unsettled.values()
         lease_s = self.ownership._node.settings.bounds.hold_max_ms / 1000
         self.assertGreater(until, now + lease_s)
         shard.apply_submission("00000000000000aa", fakes.make_record())
--- a/tests/entry/test_shard.py
+++ b/tests/entry/test_shard.py
@@ -298,11 +298,11 @@
     async def test_tasks_of_the_former_owner_wait_for_every_worker(self):
         """An unresponsive worker may run any of them."""
         self.assertTrue(self.shard.may_run_elsewhere(self.task))
-        self.shard.unsettled.clear()
+        self.shard.former_runs.unsettled.clear()
         self.assertFalse(self.shard.may_run_elsewhere(self.task))
 
     async def test_only_the_tasks_that_the_former_owner_names_wait(self):
-        self.shard.unsettled_tasks["w9"] = {self.task.name}
+        self.shard.former_runs.unsettled_tasks["w9"] = {self.task.name}
         self.assertTrue(self.shard.may_run_elsewhere(self.task))
         self.assertFalse(self.shard.may_run_elsewhere(self.other))
 
--- a/tests/entry/test_shardmaintenance.py
+++ b/tests/entry/test_shardmaintenance.py
@@ -49,7 +49,7 @@
 def apply_listing(shard, worker, running, ended=()):
     """Applies a listing, given the rows of running tasks and of run ends."""
     poller = listings.ListingPoller(shard)
-    poller.commands = RecordingCommands()
+    poller.effects.commands = RecordingCommands()
     now = clock.read_clock()
     listing = worker_calls.Listing(
         clock_ms=2000.0,
@@ -57,7 +57,7 @@
         running=[worker_calls.RunningTask(*row) for row in running],
         ended=[worker_calls.EndedTask(*row) for row in ended],
     )
-    poller._apply_listing(worker, listing, now, now)
+    poller.effects.apply(worker, listing, now, now)
 
 
 class FillerShareTest(unittest.IsolatedAsyncioTestCase):
@@ -237,10 +237,10 @@
         lease_end = self.worker.bound_lease_end()
         self.maintenance._check_worker(self.worker, lease_end - 0.1)
         self.assertIn("w1", self.shard.workers)
-        self.assertFalse(self.shard.is_settled)
+        self.assertFalse(self.shard.former_runs.is_settled)
         self.maintenance._check_worker(self.worker, lease_end + 0.1)
         self.assertNotIn("w1", self.shard.workers)
-        self.assertTrue(self.shard.is_settled)
+        self.assertTrue(self.shard.former_runs.is_settled)
 
     async def test_it_is_kept_while_a_run_of_an_unread_submission_may_go_on(
         self,
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -63,7 +63,7 @@
         self.usage = self.shard.tenant_usage
         self.worker = fakes.add_worker(self.shard)
         self.poller = listings.ListingPoller(self.shard)
-        self.poller.commands = test_listings.FakeCommands()
+        self.poller.effects.commands = test_listings.FakeCommands()
         self.commands = test_taskscheduler.FakeCommands()
         self.scheduler = taskscheduler.TaskScheduler(
             self.shard,
@@ -84,7 +84,7 @@
 
     def list_tasks(self, running=(), ended=()):
         now = clock.read_clock()
-        self.poller._apply_listing(
+        self.poller.effects.apply(
             self.worker, test_listings.make_listing(running, ended), now, now
         )
 
@@ -160,7 +160,7 @@
         self.assertEqual(
             self.usage.find_counted("t-1"), measure(2 * 16000, 2 * 32000)
         )
-        self.shard.unsettled.pop("w2")
+        self.shard.former_runs.unsettled.pop("w2")
         self.list_tasks([(f"{ID}.0.0.0", 7001, "", 100, 500)])
         self.usage.refresh()
         self.assertEqual(self.usage.find_counted("t-1"), measure(1000, 100))
@@ -171,7 +171,7 @@
         Counted with its whole capacity, such a worker would hold up tenants.
         """
         self.add_step()
-        self.shard.unsettled.pop("w2")
+        self.shard.former_runs.unsettled.pop("w2")
         self.list_tasks(
             [(f"{ID}.0.0.0", 7001, "", 100, 500)],
             [
@@ -180,14 +180,14 @@
             ],
         )
         self.usage.refresh()
-        self.assertFalse(self.shard.is_settled)
+        self.assertFalse(self.shard.former_runs.is_settled)
         self.assertEqual(self.usage.find_counted("t-1"), measure(1000, 100))
 
     async def test_a_worker_with_listed_tasks_counts_with_these(self):
         """Workers cut off before the takeover stay unsettled for 6 s."""
         self.add_step()
         self.add_step(OTHER_ID, tenant="t-2")
-        self.shard.unsettled_tasks = {
+        self.shard.former_runs.unsettled_tasks = {
             "w1": {f"{ID}.0.0.0", f"{OTHER_ID}.0.0.1"},
             "w2": set(),
         }
@@ -196,7 +196,7 @@
 
     async def test_an_unreadable_list_of_workers_may_name_any(self):
         fakes.add_worker(self.shard, "w3").is_fenced = False
-        self.shard.unsettled = {fleet.ANY_WORKER: 1e12}
+        self.shard.former_runs.unsettled = {fleet.ANY_WORKER: 1e12}
         self.usage.refresh()
         self.assertEqual(
             self.usage.find_counted("t-1"), measure(2 * 16000, 2 * 32000)
--- a/tests/entry/test_unlistedends.py
+++ b/tests/entry/test_unlistedends.py
@@ -43,7 +43,7 @@
         self.shard.extend_horizon(20)
         self.worker = fakes.add_worker(self.shard)
         self.poller = listings.ListingPoller(self.shard)
-        self.poller.commands = test_listings.FakeCommands()
+        self.poller.effects.commands = test_listings.FakeCommands()
         self.commands = test_taskscheduler.FakeCommands()
         self.scheduler = taskscheduler.TaskScheduler(
             self.shard,
@@ -65,7 +65,7 @@
 
     def apply(self, listing):
         now = clock.read_clock()
-        self.poller._apply_listing(self.worker, listing, now, now)
+        self.poller.effects.apply(self.worker, listing, now, now)
 
     def run_pass(self):
         """Returns the names of the tasks that a scheduling pass starts."""
@@ -89,7 +89,7 @@
             self.apply(worker.list_tasks(last_seen))
             self.assertEqual(self.run_pass(), [])
             last_seen = self.worker.processed
-        self.assertTrue(self.shard.is_settled)
+        self.assertTrue(self.shard.former_runs.is_settled)
 
     async def test_tasks_that_have_not_ended_start_once_all_ends_are_listed(
         self,
@@ -126,17 +126,17 @@
             self.shard, self.commands
         )
         maintenance._check_worker(self.worker, now)
-        self.assertFalse(self.shard.is_settled)
+        self.assertFalse(self.shard.former_runs.is_settled)
         later = self.worker.bound_lease_end() + 1
         maintenance._check_worker(self.worker, later)
-        self.assertTrue(self.shard.is_settled)
+        self.assertTrue(self.shard.former_runs.is_settled)
 
     async def test_a_restarted_worker_holds_nothing_up(self):
         """It has forgotten the ends of its former incarnation."""
         worker = EndedWorker(task.name for task in self.tasks[:FULL])
         self.apply(worker.list_tasks())
         self.apply(test_listings.make_listing(born=2))
-        self.assertTrue(self.shard.is_settled)
+        self.assertTrue(self.shard.former_runs.is_settled)
 
 
 class NextTakeoverTest(UnlistedEndsTestCase):
@@ -146,7 +146,7 @@
         """Returns the shard of an owner that has read a workers row."""
         shard = fakes.make_shard(unsettled=dict.fromkeys(record.workers, 1e12))
         shard.former_horizon = 20
-        shard.unsettled_tasks = {
+        shard.former_runs.unsettled_tasks = {
             worker_id: set(names)
             for worker_id, names in record.unresponsive.items()
         }
