--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/ownerrows.py
@@ -145,10 +145,10 @@
         there could not be told from running ones.
     """
     recorded = list_recorded_workers(shard, is_leaving)
+    former_runs = shard.former_runs
     record = WorkersRecord(
         sorted(
-            {worker.id for worker in recorded}
-            | shard.former_runs.unsettled.keys()
+            {worker.id for worker in recorded} | former_runs.unsettled.keys()
         ),
         lease_ends=_list_lease_ends(shard, recorded),
     )
@@ -157,10 +157,10 @@
             worker.id: _list_possible_tasks(shard, worker)
             for worker in recorded
             if (is_leaving or not is_responsive(worker))
-            and worker.id not in shard.former_runs.workers_with_unlisted_ends
+            and worker.id not in former_runs.workers_with_unlisted_ends
         }
-    for worker_id in shard.former_runs.unsettled:
-        unsettled_tasks = shard.former_runs.unsettled_tasks.get(worker_id)
+    for worker_id in former_runs.unsettled:
+        unsettled_tasks = former_runs.unsettled_tasks.get(worker_id)
         if unsettled_tasks is not None:
             record.unresponsive.setdefault(worker_id, sorted(unsettled_tasks))
     return record
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/shardmaintenance.py
@@ -195,19 +195,17 @@
                 await self._remove_expired()
 
     def _expire_unsettled(self, now: float):
-        for worker_id, deadline in list(
-            self._shard.former_runs.unsettled.items()
-        ):
+        unsettled = self._shard.former_runs.unsettled
+        for worker_id, deadline in list(unsettled.items()):
             if now > deadline:
-                self._shard.former_runs.unsettled.pop(worker_id)
+                unsettled.pop(worker_id)
                 self._node.log.warn("former_worker_settled", worker=worker_id)
                 self._shard.request_schedule()
 
     def _check_worker(self, worker: fleet.Worker, now: float):
         is_unresponsive = worker.unresponsive_since is not None
-        may_run = bool(worker.runs) or self._shard.former_runs.is_partly_known(
-            worker.id
-        )
+        former_runs = self._shard.former_runs
+        may_run = worker.runs or former_runs.is_partly_known(worker.id)
         if is_unresponsive and may_run and now > worker.bound_lease_end():
             self._shard.worker_registry.mark_worker_lost(worker, "lease ended")
             may_run = False
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/tenantusage.py
@@ -387,23 +387,17 @@
     # What may run without being known as a run.
 
     def _count_unknown(self):
-        shard = self._shard
+        former_runs = self._shard.former_runs
         self._unknown = {}
-        if (
-            not shard.former_runs.unsettled
-            and not shard.former_runs.unidentified_tasks
-        ):
+        if not former_runs.unsettled and not former_runs.unidentified_tasks:
             return
         sums = collections.defaultdict(lambda: resources.ZERO)
-        for worker_id in shard.former_runs.unsettled:
+        for worker_id in former_runs.unsettled:
             for tenant, amount in self._list_unsettled(worker_id):
                 sums[tenant] += amount
-        for worker_id in shard.former_runs.unidentified_tasks:
-            worker = shard.workers.get(worker_id)
-            if (
-                worker is not None
-                and worker_id not in shard.former_runs.unsettled
-            ):
+        for worker_id in former_runs.unidentified_tasks:
+            worker = self._shard.workers.get(worker_id)
+            if worker is not None and worker_id not in former_runs.unsettled:
                 names = {name for name, _ in worker.unknown_runs}
                 for tenant, amount in self._list_tasks(
                     names, _measure_free(worker)
@@ -416,18 +410,18 @@
     ) -> Iterator[tuple[str | None, resources.Resources]]:
         """Yields what may run on a worker that hasn't answered this owner."""
         workers = self._shard.workers
+        former_runs = self._shard.former_runs
         if worker_id == fleet.ANY_WORKER:
             for worker in workers.values():
-                if not worker.is_fenced and worker.id not in (
-                    self._shard.former_runs.unsettled
-                ):
+                is_unsettled = worker.id in former_runs.unsettled
+                if not worker.is_fenced and not is_unsettled:
                     yield EVERY_TENANT, _measure_capacity(worker)
         worker = workers.get(worker_id)
         if worker is not None:
             capacity = _measure_capacity(worker)
         else:
             capacity = self._find_largest_capacity()
-        names = self._shard.former_runs.unsettled_tasks.get(worker_id)
+        names = former_runs.unsettled_tasks.get(worker_id)
         if names is None:
             yield EVERY_TENANT, capacity
         else:
