Don't take a machine for empty before its worker's listing is applied

Callers would see: finished work that runs again after an upkeep, or a task that runs on the machine and ends with it, right after a takeover.

Cause: what still runs on a worker counted as known once it had answered the new owner. It may list a run of a submission that isn't read yet, or have more run ends than one listing holds; these are lost when its machine goes down.

Evidence: by reading, and by the test; not seen in a run.

Change: the load of such a worker isn't known, as that of one that hasn't answered.

Test: test_machinemaintenance.test_a_worker_whose_listing_is_not_applied_may_run_tasks, which failed before.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/formerruns.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/formerruns.py
@@ -59,6 +59,14 @@
             or worker_id in self.workers_with_unlisted_ends
         )
 
+    def may_be_on(self, worker_id: str) -> bool:
+        """Returns whether a worker may have a run, or an end, not yet known.
+
+        Args:
+          worker_id: id of the worker.
+        """
+        return worker_id in self.unsettled or self.is_partly_known(worker_id)
+
     def record_unidentified(self, worker_id: str, names: set[str]):
         """Records the tasks of a listing whose submissions aren't read yet.
 
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/workerregistry.py
@@ -122,14 +122,14 @@
 
         Returns:
           What still runs on the worker; None while that isn't known, as the
-          workers of the service haven't been read, or this one hasn't answered
-          since the takeover.
+          workers of the service haven't been read, or not all that this one
+          knows of former owners' runs.
         """
         worker = self._shard.workers.get(worker_id)
         if worker is not None:
             worker.evacuating_until = clock.read_clock() + EVACUATION_S
         is_read = self._shard.has_read_workers or not worker_id
-        if not is_read or worker_id in self._shard.former_runs.unsettled:
+        if not is_read or self._shard.former_runs.may_be_on(worker_id):
             return None
         if worker is None:
             return execution.WorkerLoad(0, 0)
--- a/tests/entry/test_machinemaintenance.py
+++ b/tests/entry/test_machinemaintenance.py
@@ -211,6 +211,25 @@
         await self.tick(maintenance)
         self.assertEqual(len(self.client.orders), 1)
 
+    async def test_a_worker_whose_listing_is_not_applied_may_run_tasks(self):
+        """Its machine was taken for empty, and what it had done was lost.
+
+        It runs a task of a submission that isn't read yet, or has more run ends
+        than one listing holds.
+        """
+        maintenance = self.make()
+        former_runs = self.shard.former_runs
+        former_runs.record_unidentified("w0", {f"{ID}.0.0.0"})
+        await self.tick(maintenance)
+        self.assertEqual(self.client.orders, [])
+        former_runs.record_unidentified("w0", set())
+        former_runs.workers_with_unlisted_ends.add("w0")
+        await self.tick(maintenance)
+        self.assertEqual(self.client.orders, [])
+        former_runs.forget_listing("w0")
+        await self.tick(maintenance)
+        self.assertEqual(len(self.client.orders), 1)
+
     async def test_a_wave_that_was_completed_stays_so(self):
         """The next coordinator wrote that it was running and repeated it."""
         status = messages.encode_maintenance_wave_status(1, completed=True)
