Divide the application of a listing into its steps

Its first part records the answer and the incarnation, the rest applies ends and runs. The tests build the scheduler in one place.

--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/formerruns.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/formerruns.py
@@ -49,10 +49,13 @@
         )
 
     def is_partly_known(self, worker_id: str) -> bool:
-        """Returns whether some of what a worker listed wasn't applied yet.
+        """Returns whether a worker has answered, and not all of it is applied.
+
+        It has more run ends than it has listed, or lists runs or ends of
+        submissions that aren't read yet.
 
         Args:
-          worker_id: id of a worker that has answered.
+          worker_id: id of the worker.
         """
         return (
             worker_id in self.unidentified_tasks
--- a/packages/persimmonpath_entry/persimmonpath_entry/engine/listingeffects.py
+++ b/packages/persimmonpath_entry/persimmonpath_entry/engine/listingeffects.py
@@ -46,6 +46,20 @@
         # that answer.
         if sent_at < worker.listed_at:
             return
+        self._record_answer(worker, sent_at, now)
+        self._record_incarnation(worker, listing, now)
+        self._log_backlog(worker, listing)
+        unidentified = self._apply_ends(worker, listing, now)
+        self._apply_running(worker, listing, now)
+        self._remove_unlisted_runs(worker, listing, sent_at)
+        unidentified.update(task for task, _ in worker.unknown_runs)
+        self._shard.former_runs.record_unidentified(worker.id, unidentified)
+        self._record_unlisted_ends(worker, listing)
+        if self._shard.former_runs.unsettled.pop(worker.id, None) is not None:
+            self._shard.store_requested.set()
+
+    def _record_answer(self, worker: fleet.Worker, sent_at: float, now: float):
+        """Records that and when the worker has answered a listing."""
         worker.listing_failures = 0
         # An end after the request is listed at once.
         is_immediate = now - sent_at < IMMEDIATE_ANSWER_S
@@ -60,7 +74,11 @@
             )
             worker.unresponsive_since = None
             self._shard.store_requested.set()
-        listed = {(row.task, row.run) for row in listing.running}
+
+    def _record_incarnation(
+        self, worker: fleet.Worker, listing: worker_calls.Listing, now: float
+    ):
+        """Records the clock and the incarnation of a worker, and the fence."""
         is_new = not worker.is_fenced
         if listing.born:
             worker.lists_start_time = True
@@ -76,21 +94,6 @@
         if not worker.is_fenced:
             worker.is_fenced = True
             self._shard.request_schedule()
-        self._log_backlog(worker, listing)
-        unidentified = self._apply_ends(worker, listing, now)
-        self._apply_running(worker, listing, now)
-        # An end that isn't processed yet tells later how its run has ended.
-        listed.update(
-            (end.task, end.run)
-            for end in listing.ended
-            if end.number > worker.processed
-        )
-        self._remove_unlisted_runs(worker, listing, listed, sent_at)
-        unidentified.update(task for task, _ in worker.unknown_runs)
-        self._shard.former_runs.record_unidentified(worker.id, unidentified)
-        self._record_unlisted_ends(worker, listing)
-        if self._shard.former_runs.unsettled.pop(worker.id, None) is not None:
-            self._shard.store_requested.set()
 
     def _record_unlisted_ends(
         self, worker: fleet.Worker, listing: worker_calls.Listing
@@ -240,9 +243,16 @@
         if known or now - since > UNKNOWN_RUN_GRACE_S:
             self.commands.stop_unknown_run(worker, row.task, row.run)
 
-    def _remove_unlisted_runs(self, worker, listing, listed, sent_at: float):
+    def _remove_unlisted_runs(self, worker, listing, sent_at: float):
         if listing.may_omit_ends:
             return
+        listed = {(row.task, row.run) for row in listing.running}
+        # An end that isn't processed yet tells later how its run has ended.
+        listed.update(
+            (end.task, end.run)
+            for end in listing.ended
+            if end.number > worker.processed
+        )
         for key, run in list(worker.runs.items()):
             if key in listed or run.confirmed_at is None:
                 continue
--- a/tests/entry/test_taskscheduler.py
+++ b/tests/entry/test_taskscheduler.py
@@ -53,6 +53,13 @@
             step.advice.tickets[worker_id] = ("ticket", until)
 
 
+def make_scheduler(shard, commands):
+    """Returns a scheduler whose advisor is never asked."""
+    return taskscheduler.TaskScheduler(
+        shard, commands, FakeListings(), FakeAdvisor()
+    )
+
+
 class SchedulerTestCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         queues = [
--- a/tests/entry/test_tenantusage.py
+++ b/tests/entry/test_tenantusage.py
@@ -8,7 +8,6 @@
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import overview
 from persimmonpath_entry.engine import persistence
-from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import store as platform_store
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import configuration
@@ -65,11 +64,8 @@
         self.poller = listings.ListingPoller(self.shard)
         self.poller.effects.commands = test_listings.FakeCommands()
         self.commands = test_taskscheduler.FakeCommands()
-        self.scheduler = taskscheduler.TaskScheduler(
-            self.shard,
-            self.commands,
-            test_taskscheduler.FakeListings(),
-            test_taskscheduler.FakeAdvisor(),
+        self.scheduler = test_taskscheduler.make_scheduler(
+            self.shard, self.commands
         )
         self.usage.refresh()
         self.allow(4000, 1000)
--- a/tests/entry/test_unlistedends.py
+++ b/tests/entry/test_unlistedends.py
@@ -5,7 +5,6 @@
 from persimmonpath_entry.engine import listings
 from persimmonpath_entry.engine import ownerrows
 from persimmonpath_entry.engine import shardmaintenance
-from persimmonpath_entry.engine import taskscheduler
 from persimmonpath_entry.platform import workers as worker_calls
 from persimmonpath_entry.state import submissions
 from persimmonpath_entry.transport import clock
@@ -14,6 +13,7 @@
 from tests.entry import test_taskscheduler
 
 ID = "00000000000000aa"
+UNREAD_ID = "00000000000000bb"
 FORMER_RUN = 4001
 FULL = worker_calls.MAX_ENDS_PER_LISTING
 
@@ -45,11 +45,8 @@
         self.poller = listings.ListingPoller(self.shard)
         self.poller.effects.commands = test_listings.FakeCommands()
         self.commands = test_taskscheduler.FakeCommands()
-        self.scheduler = taskscheduler.TaskScheduler(
-            self.shard,
-            self.commands,
-            test_taskscheduler.FakeListings(),
-            test_taskscheduler.FakeAdvisor(),
+        self.scheduler = test_taskscheduler.make_scheduler(
+            self.shard, self.commands
         )
         self.tasks = self.add_submission(ID)
 
@@ -182,23 +179,20 @@
         self,
     ):
         """The end of a submission that this owner hasn't read yet."""
-        unread_id = "00000000000000bb"
-        worker = EndedWorker([f"{unread_id}.0.0.1"])
+        worker = EndedWorker([f"{UNREAD_ID}.0.0.1"])
         self.apply(worker.list_tasks())
-        self.assert_next_owner_waits(unread_id, is_leaving=True)
+        self.assert_next_owner_waits(UNREAD_ID, is_leaving=True)
 
 
 class UnreadSubmissionTest(UnlistedEndsTestCase):
     """The ends come after one whose submission isn't read yet."""
 
-    unread_id = "00000000000000bb"
-
     async def test_ends_after_an_unidentified_one_are_not_taken_for_missing(
         self,
     ):
         """Only the tasks of the listed ends were kept from starting."""
         worker = EndedWorker(
-            [f"{self.unread_id}.0.0.0", *(task.name for task in self.tasks)]
+            [f"{UNREAD_ID}.0.0.0", *(task.name for task in self.tasks)]
         )
         self.apply(worker.list_tasks())
         self.assertEqual(self.worker.processed, 0)
@@ -210,13 +204,13 @@
         Its end is behind others, so that it is neither listed as running nor
         as ended when the submission is read.
         """
-        name = f"{self.unread_id}.0.0.0"
+        name = f"{UNREAD_ID}.0.0.0"
         row = (name, FORMER_RUN, "", 100, 500)
         self.apply(test_listings.make_listing([row]))
         ends = [*(task.name for task in self.tasks[:FULL]), name]
         worker = EndedWorker(ends)
         self.apply(worker.list_tasks())
-        (task, *_) = self.add_submission(self.unread_id)
+        (task, *_) = self.add_submission(UNREAD_ID)
         self.assertTrue(self.shard.may_run_elsewhere(task))
         self.apply(worker.list_tasks(self.worker.processed))
         self.assertTrue(task.is_done)
